Add the idempotency ledger and the links between entry instances

Cause: work of kind once must run at most once without leases, and offers must travel to the owner of a backend server.

Ledger: a row a key; released rows stay in the table so that a delayed claim of an earlier version fails. Ruled out: deleting a row on release, because a claim whose reply was lost could arrive after the delete and stand for ever. A caller that was told not-run is kept as a cancelled request in the row; ruled out: a cancelled state for the whole key, which would forbid the caller's next try.

Measured: internal/ledger tests pass, with -race too. With the cancelled check taken out TestCancelledRequestNeverClaims and TestAtMostOneRun fail; with the conditions taken out of the transactions TestAtMostOneRun fails.

Conclusion: the state machine holds under lost and late commits in memory; real processes are still to come. internal/link has no test yet.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	cd tools && $(GO) build -o $@ honnef.co/go/tools/cmd/staticcheck
 
 generate: ## needs protoc and protoc-gen-go; the result is committed
-	protoc --go_out=. --go_opt=module=github.com/primrosenotch/primrosenotch internal/link/linkpb/link.proto
+	protoc --go_out=. --go_opt=module=github.com/primrosenotch/primrosenotch internal/link/linkpb/link.proto internal/ledger/ledgerpb/ledger.proto
 
 clean:
 	rm -rf $(BIN) run
--- /dev/null
+++ b/internal/link/body.go
@@ -0,0 +1,115 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// ChunkBytes is the size of the chunks in which bodies travel.
+const ChunkBytes = 32 << 10
+
+// CutError reports a body that ended before it was complete.
+type CutError struct {
+	Step  string
+	Cause model.Cause
+	Err   error
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: body cut by the sender: %s", e.Step, e.Cause)
+	}
+	return fmt.Sprintf("%s: body cut: %v", e.Step, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *CutError) Unwrap() error {
+	if e.Err == nil {
+		return io.ErrUnexpectedEOF
+	}
+	return e.Err
+}
+
+// bodyReader turns chunks into a stream of bytes. It returns io.EOF only after
+// the sender's word that the body is complete.
+type bodyReader struct {
+	conn Conn
+	step string
+	rest []byte
+	err  error
+}
+
+// NewBody returns a reader over the chunks that arrive on conn next.
+func NewBody(conn Conn, step string) io.Reader { return &bodyReader{conn: conn, step: step} }
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.next()
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *bodyReader) next() {
+	f, err := b.conn.Receive()
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		b.err = &CutError{Step: b.step, Err: err}
+		return
+	}
+	switch body := f.GetBody().(type) {
+	case *linkpb.Frame_Chunk:
+		b.rest = body.Chunk.GetData()
+	case *linkpb.Frame_End:
+		b.end(body.End)
+	default:
+		b.err = &CutError{Step: b.step, Err: fmt.Errorf("unexpected frame %T inside a body", body)}
+	}
+}
+
+func (b *bodyReader) end(e *linkpb.End) {
+	if e.GetComplete() {
+		b.err = io.EOF
+		return
+	}
+	b.err = &CutError{Step: b.step, Cause: model.Cause(e.GetCause())}
+}
+
+// SendBody sends a body in chunks and its end. A reader's error is passed on as
+// an incomplete end and returned as readErr; sendErr reports the connection's.
+func SendBody(conn Conn, r io.Reader, cause model.Cause) (sent int64, readErr, sendErr error) {
+	for readErr == nil {
+		buf := make([]byte, ChunkBytes) // the receiver owns what was sent
+		var n int
+		n, readErr = r.Read(buf)
+		if n == 0 {
+			continue
+		}
+		sent += int64(n)
+		chunk := &linkpb.Frame_Chunk{Chunk: &linkpb.Chunk{Data: buf[:n]}}
+		if sendErr = conn.Send(&linkpb.Frame{Body: chunk}); sendErr != nil {
+			return sent, nil, sendErr
+		}
+	}
+	if errors.Is(readErr, io.EOF) {
+		readErr = nil
+	}
+	end := &linkpb.End{Complete: readErr == nil}
+	if readErr != nil {
+		end.Cause = string(cause)
+	}
+	sendErr = conn.Send(&linkpb.Frame{Body: &linkpb.Frame_End{End: end}})
+	return sent, readErr, sendErr
+}
--- /dev/null
+++ b/internal/link/peer.go
@@ -0,0 +1,120 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/yamux"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// peer is the outgoing side of one link: a session that this instance dials and
+// keeps open.
+type peer struct {
+	id       model.InstanceID
+	addr     string
+	links    *Links
+	cancel   context.CancelFunc
+	outgoing chan *linkpb.Gossip
+
+	mu      sync.Mutex
+	session *yamux.Session
+}
+
+// run dials, serves the session until it ends, and dials again.
+func (p *peer) run(ctx context.Context) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = redialFirst
+	wait.MaxInterval = redialMost
+	for ctx.Err() == nil {
+		session, err := p.dial(ctx)
+		if err == nil {
+			wait.Reset()
+			p.serve(ctx, session)
+		}
+		if ctx.Err() == nil {
+			p.links.events.LinkDown(p.id)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (p *peer) dial(ctx context.Context) (*yamux.Session, error) {
+	dialer := net.Dialer{Timeout: p.links.settings.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial link to %s at %s: %w", p.id, p.addr, err)
+	}
+	session, err := yamux.Client(conn, p.links.settings.yamux())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("open link to %s at %s: %w", p.id, p.addr, err)
+	}
+	return session, nil
+}
+
+// serve sends membership messages on a control stream until the session ends.
+func (p *peer) serve(ctx context.Context, session *yamux.Session) {
+	defer func() { _ = session.Close() }()
+	control, err := session.OpenStream()
+	if err != nil {
+		return
+	}
+	conn := newWire(control)
+	hello := &linkpb.Frame_Hello{Hello: p.links.hello}
+	if conn.Send(&linkpb.Frame{Body: hello}) != nil {
+		return
+	}
+	p.setSession(session)
+	defer p.setSession(nil)
+	p.links.events.LinkUp(p.id)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-session.CloseChan():
+			return
+		case g := <-p.outgoing:
+			if conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Gossip{Gossip: g}}) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (p *peer) setSession(s *yamux.Session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.session = s
+}
+
+// open opens a stream to the peer, or fails at once where the link is down.
+func (p *peer) open() (*wire, error) {
+	p.mu.Lock()
+	session := p.session
+	p.mu.Unlock()
+	if session == nil {
+		return nil, &DownError{Peer: p.id}
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("open stream to %s at %s: %w", p.id, p.addr, errors.Join(&DownError{Peer: p.id}, err))
+	}
+	return newWire(stream), nil
+}
+
+// DownError reports that there is no link to a peer; nothing was sent.
+type DownError struct{ Peer model.InstanceID }
+
+// Error implements error.
+func (e *DownError) Error() string { return fmt.Sprintf("link to %s is down", e.Peer) }
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -4,7 +4,8 @@
 // ingress fills it from the configuration in force; it travels with the request
 // to the owner unchanged.
 type RequestMeta struct {
-	Trace    string      // identifier echoed to the caller as X-Request-Id
+	Trace    string      // identifier echoed to the caller as X-Request-Id; its choice
+	Request  string      // identifier unique over all instances and restarts
 	Service  ServiceName // service that the route names
 	Route    RouteName   // matched route
 	Rank     Rank
