--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -36,9 +36,6 @@
 // Claim claims the request's idempotency key in the ledger before it is sent.
 type Claim struct{ Request model.RequestID }
 
-// ReleaseClaim removes the claim of a request that was provably not sent.
-type ReleaseClaim struct{ Request model.RequestID }
-
 // Dispatch sends a request to a backend server.
 type Dispatch struct {
 	Request model.RequestID
@@ -47,7 +44,8 @@
 	FreshConnection bool
 }
 
-// Replay answers a repeated once request from the ledger.
+// Replay answers a repeated once request with the answer that the ledger
+// returned.
 type Replay struct{ Request model.RequestID }
 
 // RefuseOffer tells the ingress that the owner does not serve the request.
@@ -55,6 +53,8 @@
 	Request model.RequestID
 	Outcome model.Outcome
 	Cause   model.Cause
+	// Release gives the request's claim back first: it was provably not sent.
+	Release bool
 }
 
 // CancelAttempt closes the connection of a running attempt.
@@ -116,7 +116,6 @@
 func (*Settle) effect()             {}
 func (*WithdrawOffer) effect()      {}
 func (*Claim) effect()              {}
-func (*ReleaseClaim) effect()       {}
 func (*Dispatch) effect()           {}
 func (*Replay) effect()             {}
 func (*RefuseOffer) effect()        {}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,9 @@
 	Owner   model.InstanceID
 	Outcome model.Outcome
 	Cause   model.Cause
+	// BodyUsed reports that part of a streamed body is gone, so that the request
+	// cannot be offered again.
+	BodyUsed bool
 }
 
 // OwnerLost reports that the link to the owner broke before its word.
@@ -53,7 +56,8 @@
 	Request model.RequestID
 	Owner   model.InstanceID
 	// Offered reports whether the offer may have been received.
-	Offered bool
+	Offered  bool
+	BodyUsed bool
 }
 
 // ClaimSettled reports how the ingress's own cancellation of an idempotency key
@@ -145,6 +149,7 @@
 	RetryAfter time.Duration
 	// Draining reports that the server announced on this answer that it is leaving.
 	Draining bool
+	BodyUsed bool
 }
 
 // ServerReported is a backend server's own word on its health and load.
--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -38,14 +38,16 @@
 // bodyReader turns chunks into a stream of bytes. It returns io.EOF only after
 // the sender's word that the body is complete.
 type bodyReader struct {
-	conn Conn
-	step string
-	rest []byte
-	err  error
+	receive func() (*linkpb.Frame, error)
+	step    string
+	rest    []byte
+	err     error
 }
 
-// NewBody returns a reader over the chunks that arrive on conn next.
-func NewBody(conn Conn, step string) io.Reader { return &bodyReader{conn: conn, step: step} }
+// NewBody returns a reader over the chunks that receive returns next.
+func NewBody(receive func() (*linkpb.Frame, error), step string) io.Reader {
+	return &bodyReader{receive: receive, step: step}
+}
 
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
@@ -61,7 +63,7 @@
 }
 
 func (b *bodyReader) next() {
-	f, err := b.conn.Receive()
+	f, err := b.receive()
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,188 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// recorder is an Events and OfferHandler that reports on channels.
+type recorder struct {
+	up, down chan model.InstanceID
+	gossip   chan *linkpb.Gossip
+	serve    func(from model.InstanceID, offer *linkpb.Offer, conn Conn)
+	revision *linkpb.Revision
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		up:     make(chan model.InstanceID, 16),
+		down:   make(chan model.InstanceID, 256),
+		gossip: make(chan *linkpb.Gossip, 16),
+	}
+}
+
+func (r *recorder) LinkUp(p model.InstanceID)                              { r.up <- p }
+func (r *recorder) LinkDown(p model.InstanceID)                            { r.down <- p }
+func (r *recorder) GossipReceived(_ model.InstanceID, g *linkpb.Gossip)    { r.gossip <- g }
+func (r *recorder) Revision() *linkpb.Revision                             { return r.revision }
+func (r *recorder) ServeOffer(f model.InstanceID, o *linkpb.Offer, c Conn) { r.serve(f, o, c) }
+
+// pair starts two instances and returns the first one's links to the second.
+func pair(t *testing.T, server *recorder) (*Links, *recorder, net.Listener) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	accepting := New(&linkpb.Hello{Instance: "b"}, DefaultSettings(), server, server)
+	go func() { _ = accepting.Serve(ctx, listener) }()
+	client := newRecorder()
+	links := New(&linkpb.Hello{Instance: "a"}, DefaultSettings(), client, client)
+	links.Open(ctx, "b", listener.Addr().String())
+	t.Cleanup(func() {
+		cancel()
+		links.CloseAll()
+	})
+	require.Equal(t, model.InstanceID("b"), receive(t, client.up))
+	return links, client, listener
+}
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "nothing arrived")
+		panic("unreachable")
+	}
+}
+
+func TestGossipAndRevision(t *testing.T) {
+	server := newRecorder()
+	server.revision = &linkpb.Revision{Number: 3, Source: []byte("text")}
+	links, _, _ := pair(t, server)
+	links.Gossip("b", &linkpb.Gossip{From: "a", Revision: 2})
+	require.EqualValues(t, 2, receive(t, server.gossip).GetRevision())
+	got, err := links.Revision("b", 3, time.Second)
+	require.NoError(t, err)
+	require.True(t, proto.Equal(server.revision, got))
+	var down *DownError
+	_, err = links.Revision("c", 3, time.Second)
+	require.ErrorAs(t, err, &down)
+}
+
+func TestBodyTravelsWhole(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789"), 100_000)
+	server := newRecorder()
+	server.serve = func(_ model.InstanceID, _ *linkpb.Offer, conn Conn) {
+		_, _, _ = SendBody(conn, NewBody(conn.Receive, "upload"), model.CauseCallerGone)
+	}
+	links, _, _ := pair(t, server)
+	conn, err := links.Offer("b", &linkpb.Offer{Trace: "t"})
+	require.NoError(t, err)
+	go func() { _, _, _ = SendBody(conn, bytes.NewReader(body), model.CauseCallerGone) }()
+	got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(body, got))
+}
+
+// TestCutBodyIsNeverComplete cuts a body in each way that it can be cut.
+func TestCutBodyIsNeverComplete(t *testing.T) {
+	send := func(conn Conn, f *linkpb.Frame) { _ = conn.Send(f) }
+	chunk := func() *linkpb.Frame {
+		return &linkpb.Frame{Body: &linkpb.Frame_Chunk{Chunk: &linkpb.Chunk{Data: []byte("part")}}}
+	}
+	cuts := map[string]func(conn Conn){
+		"close": func(conn Conn) { send(conn, chunk()) },
+		"sender says so": func(conn Conn) {
+			send(conn, chunk())
+			send(conn, &linkpb.Frame{Body: &linkpb.Frame_End{End: &linkpb.End{Cause: string(model.CauseAnswerIncomplete)}}})
+		},
+		"foreign frame": func(conn Conn) {
+			send(conn, chunk())
+			send(conn, &linkpb.Frame{Body: &linkpb.Frame_Accept{Accept: &linkpb.Accept{}}})
+		},
+		"reader fails": func(conn Conn) {
+			broken := io.MultiReader(bytes.NewReader([]byte("part")), &failing{})
+			_, readErr, _ := SendBody(conn, broken, model.CauseBroken)
+			require.Error(t, readErr)
+		},
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			server := newRecorder()
+			server.serve = func(_ model.InstanceID, _ *linkpb.Offer, conn Conn) { cut(conn) }
+			links, _, _ := pair(t, server)
+			conn, err := links.Offer("b", &linkpb.Offer{})
+			require.NoError(t, err)
+			got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
+			require.Equal(t, "part", string(got))
+			var broken *CutError
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
+
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, errors.New("backend server is gone") }
+
+func TestLinkComesBackAfterCut(t *testing.T) {
+	server := newRecorder()
+	links, client, listener := pair(t, server)
+	addr := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	links.Close("b")
+	links.Open(context.Background(), "b", addr)
+	require.Equal(t, model.InstanceID("b"), receive(t, client.down))
+	var down *DownError
+	_, err := links.Offer("b", &linkpb.Offer{})
+	require.ErrorAs(t, err, &down)
+
+	again, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	accepting := New(&linkpb.Hello{Instance: "b"}, DefaultSettings(), server, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = accepting.Serve(ctx, again) }()
+	require.Equal(t, model.InstanceID("b"), receive(t, client.up))
+}
+
+// TestSilentPeerIsNoticed connects to a peer that accepts and never answers.
+func TestSilentPeerIsNoticed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	client := newRecorder()
+	s := DefaultSettings()
+	s.KeepAlive = 20 * time.Millisecond
+	s.PingTimeout = 50 * time.Millisecond
+	links := New(&linkpb.Hello{Instance: "a"}, s, client, client)
+	links.Open(context.Background(), "b", listener.Addr().String())
+	defer links.CloseAll()
+	require.Equal(t, model.InstanceID("b"), receive(t, client.up))
+	require.Equal(t, model.InstanceID("b"), receive(t, client.down))
+}
+
+func TestPipeDeliversThenEnds(t *testing.T) {
+	a, b := Pipe()
+	require.NoError(t, a.Send(&linkpb.Frame{Body: &linkpb.Frame_Accept{Accept: &linkpb.Accept{}}}))
+	require.NoError(t, a.Close())
+	f, err := b.Receive()
+	require.NoError(t, err)
+	require.NotNil(t, f.GetAccept())
+	_, err = b.Receive()
+	require.ErrorIs(t, err, io.EOF)
+	require.Error(t, b.Send(f))
+}
--- /dev/null
+++ b/internal/reducer/attempt.go
@@ -0,0 +1,98 @@
+package reducer
+
+import (
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+func (r *Reducer) attemptFinished(ev *event.AttemptFinished) {
+	r.health.Outcome(ev.At, ev.Backend, ev.Result, ev.Draining)
+	o := r.offers[ev.Request]
+	if o == nil || !o.running {
+		return
+	}
+	o.running = false
+	r.noteSuspicion(ev, o)
+	switch ev.Result {
+	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut, event.AttemptCancelled:
+		r.endOffer(ev, o)
+	case event.AttemptShed, event.AttemptNotSent:
+		r.notRun(ev, o)
+	default:
+		r.mayHaveRun(ev, o)
+	}
+	r.syncLimit(ev.At, ev.Backend)
+	r.pump(ev.At)
+}
+
+// noteSuspicion feeds the search for requests that crash backend servers.
+func (r *Reducer) noteSuspicion(ev *event.AttemptFinished, o *offer) {
+	switch ev.Result {
+	case event.AttemptComplete:
+		r.suspects.Succeeded(ev.At, o.meta.Fingerprint)
+	case event.AttemptBroken, event.AttemptCut:
+		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend)
+	case event.AttemptNotSent:
+		r.suspects.ServerFailed(ev.At, ev.Backend)
+	}
+}
+
+func (r *Reducer) endOffer(ev *event.AttemptFinished, o *offer) {
+	learn := ev.Result == event.AttemptComplete
+	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), learn)
+	r.dropOffer(ev.Request, o)
+}
+
+// notRun handles an attempt that provably did not run the request.
+func (r *Reducer) notRun(ev *event.AttemptFinished, o *offer) {
+	if ev.Result == event.AttemptShed {
+		r.admission.Shed(ev.At, ev.Backend, ev.RetryAfter)
+	}
+	r.again(ev, o, causeOf(ev.Result))
+}
+
+// mayHaveRun handles an attempt after which the request may have run.
+func (r *Reducer) mayHaveRun(ev *event.AttemptFinished, o *offer) {
+	o.uncertain = true
+	cause := causeOf(ev.Result)
+	if !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
+		r.giveUp(ev, o, cause)
+		return
+	}
+	r.again(ev, o, cause)
+}
+
+// again sends the request to another server of this owner where that is
+// possible, and refuses it otherwise.
+func (r *Reducer) again(ev *event.AttemptFinished, o *offer, cause model.Cause) {
+	bodyGone := ev.BodyUsed && !o.meta.Replayable
+	if bodyGone || o.withdrawn || o.attempts >= maxAttempts || r.suspects.Blocked(ev.At, o.meta.Fingerprint) {
+		r.giveUp(ev, o, cause)
+		return
+	}
+	if refused := r.admission.Requeue(ev.At, ev.Request, ev.Backend); refused != model.CauseNone {
+		r.refuseOffer(ev.Request, o, cause)
+	}
+}
+
+func (r *Reducer) giveUp(ev *event.AttemptFinished, o *offer, cause model.Cause) {
+	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), false)
+	r.refuseOffer(ev.Request, o, cause)
+}
+
+func causeOf(result event.AttemptResult) model.Cause {
+	switch result {
+	case event.AttemptShed:
+		return model.CauseShed
+	case event.AttemptNotSent:
+		return model.CauseConnect
+	case event.AttemptTimeout:
+		return model.CauseTimeout
+	case event.AttemptCut:
+		return model.CauseAnswerIncomplete
+	case event.AttemptCancelled:
+		return model.CauseCallerGone
+	default:
+		return model.CauseBroken
+	}
+}
--- /dev/null
+++ b/internal/reducer/call.go
@@ -0,0 +1,215 @@
+package reducer
+
+import (
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/steering"
+)
+
+// maxForwards bounds how many owners one request is offered to.
+const maxForwards = 4
+
+// call is a caller's request at its ingress.
+type call struct {
+	meta     *model.RequestMeta
+	choice   steering.Choice
+	tried    [maxForwards]model.InstanceID
+	forwards int
+	// uncertain reports that an earlier try may have run the request, so that no
+	// later refusal may say not-run.
+	uncertain bool
+	settling  bool
+}
+
+func (c *call) triedOwners() []model.InstanceID { return c.tried[:c.forwards] }
+
+func (r *Reducer) newCall() *call {
+	if n := len(r.callPool); n > 0 {
+		c := r.callPool[n-1]
+		r.callPool = r.callPool[:n-1]
+		*c = call{}
+		return c
+	}
+	return &call{}
+}
+
+func (r *Reducer) dropCall(id model.RequestID, c *call) {
+	delete(r.calls, id)
+	c.meta = nil
+	r.callPool = append(r.callPool, c)
+}
+
+func (r *Reducer) requestArrived(ev *event.RequestArrived) {
+	c := r.newCall()
+	c.meta = ev.Meta
+	r.calls[ev.Request] = c
+	if cause := r.refusalAtOnce(ev.At, ev.Meta); cause != model.CauseNone {
+		r.out.addRefuse(ev.Request, model.NotRun, cause)
+		return
+	}
+	r.retries.Earn(ev.At, ev.Meta.Service)
+	r.forward(ev.At, ev.Request, c, model.CauseNone)
+}
+
+// refusalAtOnce returns the cause for which a request is refused before any
+// owner is asked.
+func (r *Reducer) refusalAtOnce(now model.Instant, m *model.RequestMeta) model.Cause {
+	switch {
+	case r.text == nil:
+		return model.CauseNoConfiguration
+	case m.Kind == model.Once && m.IdempotencyKey == "":
+		return model.CauseKeyMissing
+	case !now.Before(m.Deadline):
+		return model.CauseDeadline
+	case r.suspects.Blocked(now, m.Fingerprint):
+		return model.CauseCrashSuspect
+	default:
+		return model.CauseNone
+	}
+}
+
+// forward offers the request to the next owner. Where there is none, the cause
+// of the last refusal says more than that.
+func (r *Reducer) forward(now model.Instant, id model.RequestID, c *call, last model.Cause) {
+	home := r.homes[c.meta.Block]
+	choice := r.planner.Choose(now, c.meta, home, r.group, c.triedOwners())
+	if choice.Cause != model.CauseNone {
+		cause := choice.Cause
+		if last != model.CauseNone {
+			cause = last
+		}
+		r.refuse(id, c, cause)
+		return
+	}
+	c.choice = choice
+	c.tried[c.forwards] = choice.Owner
+	c.forwards++
+	r.planner.Sent(now, choice, max(c.meta.BodyBytes, 0))
+	r.out.addForward(event.Forward{Request: id, Owner: choice.Owner, Zone: choice.Zone, Spill: choice.Spill})
+}
+
+// refuse answers the caller; not-run is said only where no try can have run.
+func (r *Reducer) refuse(id model.RequestID, c *call, cause model.Cause) {
+	outcome := model.NotRun
+	if c.uncertain {
+		outcome = model.Unknown
+	}
+	r.out.addRefuse(id, outcome, cause)
+}
+
+func (r *Reducer) ownerRefused(ev *event.OwnerRefused) {
+	c := r.calls[ev.Request]
+	if c == nil {
+		return
+	}
+	r.planner.Finished(ev.At, c.choice, 0)
+	r.planner.Observe(ev.At, c.meta.Service, c.choice.Zone, ev.Owner, ev.Outcome, ev.Cause)
+	if ev.Outcome != model.NotRun {
+		c.uncertain = true
+	}
+	if !r.mayForwardAgain(ev.At, c, ev.Cause, ev.BodyUsed) {
+		r.refuse(ev.Request, c, ev.Cause)
+		return
+	}
+	r.forward(ev.At, ev.Request, c, ev.Cause)
+}
+
+// mayForwardAgain decides whether another owner is asked after a refusal.
+func (r *Reducer) mayForwardAgain(now model.Instant, c *call, cause model.Cause, bodyUsed bool) bool {
+	if c.forwards >= maxForwards || !now.Before(c.meta.Deadline) {
+		return false
+	}
+	if bodyUsed && !c.meta.Replayable {
+		return false
+	}
+	if c.uncertain && !c.meta.Kind.Repeatable() {
+		return false
+	}
+	if !otherOwnerMayServe(cause) {
+		return false
+	}
+	return movedOwnership(cause) || r.retries.Allow(now, c.meta.Service)
+}
+
+// otherOwnerMayServe reports whether a refusal is about the owner rather than
+// about the request.
+func otherOwnerMayServe(cause model.Cause) bool {
+	switch cause {
+	case model.CauseDeadline, model.CauseCrashSuspect, model.CauseDigestMismatch, model.CauseInProgress,
+		model.CauseCancelled, model.CauseKeyMissing, model.CauseLedgerBudget, model.CauseLedgerDown, model.CauseCallerGone:
+		return false
+	default:
+		return true
+	}
+}
+
+// movedOwnership reports refusals that follow a change of owners. They cost the
+// owner nothing, so the retry budget does not bound them; maxForwards does.
+func movedOwnership(cause model.Cause) bool {
+	return cause == model.CauseNotOwner || cause == model.CauseStopping || cause == model.CauseOwnerLost
+}
+
+func (r *Reducer) ownerLost(ev *event.OwnerLost) {
+	c := r.calls[ev.Request]
+	if c == nil {
+		return
+	}
+	r.planner.Finished(ev.At, c.choice, 0)
+	r.planner.Observe(ev.At, c.meta.Service, c.choice.Zone, ev.Owner, model.Unknown, model.CauseOwnerLost)
+	if ev.Offered {
+		if c.meta.Kind == model.Once {
+			r.settle(ev.Request, c)
+			return
+		}
+		c.uncertain = true
+	}
+	if r.mayForwardAgain(ev.At, c, model.CauseOwnerLost, ev.BodyUsed) {
+		r.forward(ev.At, ev.Request, c, model.CauseOwnerLost)
+		return
+	}
+	r.refuse(ev.Request, c, model.CauseOwnerLost)
+}
+
+// settle asks the ledger whether a once request whose owner is lost can still
+// run, and forbids it.
+func (r *Reducer) settle(id model.RequestID, c *call) {
+	c.settling = true
+	r.out.add(&event.Settle{Request: id})
+}
+
+func (r *Reducer) claimSettled(ev *event.ClaimSettled) {
+	c := r.calls[ev.Request]
+	if c == nil || !c.settling {
+		return
+	}
+	switch {
+	case ev.Result == event.ClaimCancelled:
+		r.out.addRefuse(ev.Request, model.NotRun, model.CauseOwnerLost)
+	case ev.Result == event.ClaimFinished && ev.Stored:
+		r.out.add(&event.Replay{Request: ev.Request})
+	default:
+		r.out.addRefuse(ev.Request, model.Unknown, model.CauseOwnerLost)
+	}
+}
+
+func (r *Reducer) requestFinished(ev *event.RequestFinished) {
+	c := r.calls[ev.Request]
+	if c == nil {
+		return
+	}
+	if c.forwards > 0 {
+		r.planner.Finished(ev.At, c.choice, ev.AnswerBytes)
+	}
+	if ev.Outcome == model.Served || ev.Outcome == model.Late {
+		r.suspects.Succeeded(ev.At, c.meta.Fingerprint)
+	}
+	r.dropCall(ev.Request, c)
+}
+
+func (r *Reducer) callerGone(ev *event.CallerGone) {
+	c := r.calls[ev.Request]
+	if c == nil || c.forwards == 0 {
+		return
+	}
+	r.out.add(&event.WithdrawOffer{Request: ev.Request, Owner: c.choice.Owner})
+}
--- /dev/null
+++ b/internal/reducer/control.go
@@ -0,0 +1,261 @@
+package reducer
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/admission"
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/health"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// configurationLoaded adopts a revision if it is higher than the one in force.
+func (r *Reducer) configurationLoaded(ev *event.ConfigurationLoaded) {
+	if r.revision != nil && ev.Revision.Number <= r.revision.Number {
+		return
+	}
+	first := r.revision == nil
+	r.revision = ev.Revision
+	r.text = ev.Text
+	r.index = config.NewIndex(ev.Text)
+	r.homes = make(map[model.CallerBlock][]model.ZoneName, len(ev.Text.Callers))
+	for _, group := range ev.Text.Callers {
+		r.homes[group.Name] = group.Home
+	}
+	r.group.SetRevision(ev.Revision.Number)
+	r.planner.Configure(ev.At, ev.Text, ev.Previous, model.InstantOf(ev.Revision.AcceptedAt))
+	why := fmt.Sprintf("applied by %s: %s", ev.Revision.Author, ev.Revision.Reason)
+	r.out.record(ev.At, "", fmt.Sprintf("revision %d", ev.Revision.Number), "adopted", why)
+	r.applyGroup(ev.At, r.group.Configure(ev.At, ev.Text, ev.Revision.Stops))
+	r.reconfigureOwned(ev.At)
+	if first && r.leavingAt == 0 {
+		r.applyGroup(ev.At, r.group.SetState(ev.At, membership.Ready))
+	}
+	r.viewStale = true
+	r.publish()
+	r.pump(ev.At)
+}
+
+// applyGroup turns the membership's output into effects.
+func (r *Reducer) applyGroup(now model.Instant, out membership.Output) {
+	for _, p := range out.Open {
+		r.out.add(&event.OpenLink{Peer: p.ID, Addr: p.Addr})
+	}
+	for _, m := range out.Messages {
+		r.out.add(&event.Gossip{To: m.To, Message: m.Message})
+	}
+	for _, id := range out.Close {
+		r.out.add(&event.CloseLink{Peer: id})
+	}
+	if out.FetchFrom != "" {
+		r.out.add(&event.FetchRevision{From: out.FetchFrom, Number: r.revisionNumber() + 1})
+	}
+	for _, n := range out.Notes {
+		r.out.record(now, "", n.Subject, n.What, n.Why)
+	}
+	if len(out.Suspects) > 0 {
+		r.suspects.Merge(now, out.Suspects)
+	}
+	if out.OwnershipChanged {
+		r.reconfigureOwned(now)
+		r.pump(now)
+	}
+}
+
+func (r *Reducer) revisionNumber() int64 {
+	if r.revision == nil {
+		return 0
+	}
+	return r.revision.Number
+}
+
+// reconfigureOwned brings admission and health in line with the owned set.
+func (r *Reducer) reconfigureOwned(now model.Instant) {
+	if r.text == nil {
+		return
+	}
+	names := r.group.Owned()
+	servers := make([]admission.Server, 0, len(names))
+	watched := make([]health.Server, 0, len(names))
+	gained := make(map[model.ServiceName]bool)
+	owned := make(map[model.BackendName]bool, len(names))
+	for _, name := range names {
+		b, ok := r.index.Backend(name)
+		if !ok {
+			continue
+		}
+		servers = append(servers, admission.Server{Name: b.Name, Service: b.Service, Slots: b.Slots})
+		watched = append(watched, health.Server{Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots})
+		owned[name] = true
+		if !r.owned[name] {
+			gained[b.Service] = true
+			r.out.record(now, "", string(name), "owned", "assigned to "+string(r.self))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.owned)) {
+		if !owned[name] {
+			r.out.record(now, "", string(name), "released", "assigned to another instance")
+		}
+	}
+	r.owned = owned
+	r.ownedNames = names
+	r.health.Configure(now, watched, r.revision.Stops, r.regionOf)
+	r.admission.Configure(now, r.policy(), servers)
+	for _, s := range servers {
+		r.syncLimit(now, s.Name)
+	}
+	r.seedRamps(now, gained)
+	r.viewStale = true
+}
+
+func (r *Reducer) regionOf(zone model.ZoneName) model.RegionName {
+	region, _ := r.index.Region(zone)
+	return region
+}
+
+func (r *Reducer) policy() admission.Policy {
+	return admission.Policy{Floors: r.text.Limits.Floors, ShiftCap: r.text.Limits.ShiftCap}
+}
+
+// seedRamps takes the spill ramps of services over from what the zone's owners
+// last published, in the share of slots that this instance owns now.
+func (r *Reducer) seedRamps(now model.Instant, services map[model.ServiceName]bool) {
+	for _, service := range slices.Sorted(maps.Keys(services)) {
+		load, _, ok := r.group.ZoneLoad(r.zone, service)
+		total := r.index.Slots(service, r.zone)
+		if !ok || total == 0 {
+			continue
+		}
+		share := float64(r.ownedSlots(service)) / float64(total)
+		r.admission.Seed(now, service, load.SpillLevel*min(share, 1), load.BaselineSince)
+	}
+}
+
+func (r *Reducer) ownedSlots(service model.ServiceName) int {
+	slots := 0
+	for _, name := range r.ownedNames {
+		if b, ok := r.index.Backend(name); ok && b.Service == service {
+			slots += b.Slots
+		}
+	}
+	return slots
+}
+
+func (r *Reducer) syncLimit(now model.Instant, name model.BackendName) {
+	r.admission.SetLimit(now, name, r.health.Limit(now, name))
+}
+
+func (r *Reducer) serverReported(ev *event.ServerReported) {
+	r.health.Report(ev.At, ev)
+	r.syncLimit(ev.At, ev.Backend)
+	r.pump(ev.At)
+}
+
+func (r *Reducer) platformListed(ev *event.PlatformListed) {
+	for _, line := range ev.List {
+		if line.Backend != "" && line.Leaving {
+			r.health.Leaving(ev.At, line.Backend, health.SourcePlatform)
+			r.syncLimit(ev.At, line.Backend)
+		}
+	}
+	r.applyGroup(ev.At, r.group.Listed(ev.At, ev.List))
+	r.pump(ev.At)
+}
+
+// tick does everything that depends on time alone.
+func (r *Reducer) tick(ev *event.Tick) {
+	now := ev.At
+	r.health.Tick(now)
+	for _, name := range r.ownedNames {
+		r.syncLimit(now, name)
+	}
+	for _, c := range r.health.Changes() {
+		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), c.Why)
+	}
+	r.group.SetLoads(now, r.admission.Loads(now))
+	r.group.SetSuspects(r.suspects.Snapshot(now))
+	r.applyGroup(now, r.group.Tick(now))
+	r.pump(now)
+	r.probe(now)
+	r.poll(now)
+	r.publish()
+	r.stepShutdown(now)
+}
+
+func (r *Reducer) probe(now model.Instant) {
+	r.probes = r.health.DueProbes(now, r.probes[:0])
+	for _, name := range r.probes {
+		r.out.add(&event.Probe{Backend: name})
+	}
+}
+
+// poll reads the platform: often where this instance is the first of its zone,
+// rarely elsewhere, and often while it has no configuration.
+func (r *Reducer) poll(now model.Instant) {
+	if now.Before(r.nextPoll) {
+		return
+	}
+	every := r.settings.PollEvery
+	if r.text != nil && !r.firstOfZone() {
+		every *= time.Duration(r.settings.IdlePollFactor)
+	}
+	r.nextPoll = now.Add(every)
+	r.out.add(&event.PollPlatform{})
+}
+
+func (r *Reducer) firstOfZone() bool {
+	for _, p := range r.group.Peers() {
+		if p.Zone == r.zone && p.Reachable && p.State == membership.Ready && cmp.Less(p.ID, r.self) {
+			return false
+		}
+	}
+	return true
+}
+
+// publish asks for a new view for look-ups when its content may have changed.
+func (r *Reducer) publish() {
+	generation := r.group.Generation()
+	if generation == r.viewedAt && !r.viewStale {
+		return
+	}
+	r.viewedAt = generation
+	r.viewStale = false
+	r.out.add(&event.PublishView{})
+}
+
+// shutdownRequested announces that this instance leaves. It goes on serving
+// until the look-up answers that name it have expired.
+func (r *Reducer) shutdownRequested(ev *event.ShutdownRequested) {
+	if r.leavingAt != 0 {
+		return
+	}
+	r.leavingAt = ev.At
+	r.out.record(ev.At, "", string(r.self), "leaving", "shutdown requested")
+	r.applyGroup(ev.At, r.group.SetState(ev.At, membership.Leaving))
+	r.viewStale = true
+	r.publish()
+}
+
+// stepShutdown exits once nothing is in flight and no caller can still have a
+// look-up answer that names this instance.
+func (r *Reducer) stepShutdown(now model.Instant) {
+	if r.leavingAt == 0 || r.exiting {
+		return
+	}
+	if now.Sub(r.leavingAt) < r.settings.LookupTTL {
+		return
+	}
+	if len(r.calls) > 0 || len(r.offers) > 0 {
+		return
+	}
+	r.exiting = true
+	r.applyGroup(now, r.group.SetState(now, membership.Left))
+	r.out.record(now, "", string(r.self), "left", "nothing is in flight")
+	r.out.add(&event.Exit{})
+}
--- /dev/null
+++ b/internal/reducer/effects.go
@@ -0,0 +1,78 @@
+package reducer
+
+import (
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// arena hands out values that are reused after reset, so that effects on the
+// request path cost no allocation.
+type arena[T any] struct {
+	items []*T
+	used  int
+}
+
+func (a *arena[T]) next() *T {
+	if a.used == len(a.items) {
+		a.items = append(a.items, new(T))
+	}
+	item := a.items[a.used]
+	a.used++
+	return item
+}
+
+// effects collects what one step decided, in order.
+type effects struct {
+	list     []event.Effect
+	forward  arena[event.Forward]
+	refuse   arena[event.Refuse]
+	dispatch arena[event.Dispatch]
+	refused  arena[event.RefuseOffer]
+	claim    arena[event.Claim]
+}
+
+func (e *effects) reset() {
+	clear(e.list)
+	e.list = e.list[:0]
+	e.forward.used = 0
+	e.refuse.used = 0
+	e.dispatch.used = 0
+	e.refused.used = 0
+	e.claim.used = 0
+}
+
+func (e *effects) add(f event.Effect) { e.list = append(e.list, f) }
+
+func (e *effects) addForward(f event.Forward) {
+	item := e.forward.next()
+	*item = f
+	e.add(item)
+}
+
+func (e *effects) addRefuse(id model.RequestID, outcome model.Outcome, cause model.Cause) {
+	item := e.refuse.next()
+	*item = event.Refuse{Request: id, Outcome: outcome, Cause: cause}
+	e.add(item)
+}
+
+func (e *effects) addDispatch(d event.Dispatch) {
+	item := e.dispatch.next()
+	*item = d
+	e.add(item)
+}
+
+func (e *effects) addRefuseOffer(f event.RefuseOffer) {
+	item := e.refused.next()
+	*item = f
+	e.add(item)
+}
+
+func (e *effects) addClaim(id model.RequestID) {
+	item := e.claim.next()
+	*item = event.Claim{Request: id}
+	e.add(item)
+}
+
+func (e *effects) record(at model.Instant, request, subject, what, why string) {
+	e.add(&event.Record{Entry: event.JournalEntry{At: at, Request: request, Subject: subject, What: what, Why: why}})
+}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,143 @@
+// Package reducer decides everything that an entry instance does. Step takes one
+// event and returns the effects; it reads no clock, does no I/O and starts no
+// goroutine, so a recorded sequence of events gives the same decisions again.
+package reducer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/admission"
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/health"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/steering"
+)
+
+// Settings of a Reducer.
+type Settings struct {
+	Self       membership.Record
+	Membership membership.Settings
+	Steering   steering.Settings
+	Health     health.Settings
+	// PollEvery is the period at which this instance reads the platform where it
+	// is one of the few that poll; the others poll IdlePollFactor times as rarely.
+	PollEvery      time.Duration
+	IdlePollFactor int
+	// LookupTTL is how long callers keep a look-up's answer; a leaving instance
+	// serves for so long after it has left the answers.
+	LookupTTL time.Duration
+}
+
+// Reducer is the whole decision state of one entry instance. It is not safe for
+// concurrent use.
+type Reducer struct {
+	settings Settings
+	self     model.InstanceID
+	zone     model.ZoneName
+
+	revision *config.Revision
+	text     *config.Text
+	index    *config.Index
+	homes    map[model.CallerBlock][]model.ZoneName
+
+	group     *membership.Group
+	planner   *steering.Planner
+	retries   *steering.RetryBudget
+	admission *admission.Controller
+	health    *health.Tracker
+	suspects  *health.Suspects
+
+	calls     map[model.RequestID]*call
+	callPool  []*call
+	offers    map[model.RequestID]*offer
+	offerPool []*offer
+
+	decisions admission.Decisions
+	probes    []model.BackendName
+	out       effects
+
+	owned      map[model.BackendName]bool
+	ownedNames []model.BackendName // sorted
+
+	nextPoll  model.Instant
+	leavingAt model.Instant
+	exiting   bool
+	viewedAt  uint64 // generation of the group that the published view shows
+	viewStale bool
+}
+
+// New returns a Reducer without a configuration.
+func New(s Settings) *Reducer {
+	return &Reducer{
+		settings:  s,
+		self:      s.Self.ID,
+		zone:      s.Self.Zone,
+		group:     membership.New(s.Self, s.Membership),
+		planner:   steering.New(s.Self.Zone, s.Steering),
+		retries:   steering.NewRetryBudget(s.Steering),
+		admission: admission.New(admission.Policy{}),
+		health:    health.New(s.Health),
+		suspects:  health.NewSuspects(s.Health),
+		calls:     make(map[model.RequestID]*call),
+		offers:    make(map[model.RequestID]*offer),
+		owned:     make(map[model.BackendName]bool),
+	}
+}
+
+// Step applies one event and returns what to do about it. The effects are valid
+// until the next call.
+func (r *Reducer) Step(ev event.Event) []event.Effect {
+	r.out.reset()
+	switch ev := ev.(type) {
+	case *event.RequestArrived:
+		r.requestArrived(ev)
+	case *event.OfferReceived:
+		r.offerReceived(ev)
+	case *event.AttemptFinished:
+		r.attemptFinished(ev)
+	case *event.RequestFinished:
+		r.requestFinished(ev)
+	case *event.OwnerRefused:
+		r.ownerRefused(ev)
+	case *event.OwnerLost:
+		r.ownerLost(ev)
+	case *event.ClaimResolved:
+		r.claimResolved(ev)
+	case *event.ClaimSettled:
+		r.claimSettled(ev)
+	case *event.CallerGone:
+		r.callerGone(ev)
+	case *event.OfferWithdrawn:
+		r.offerWithdrawn(ev)
+	default:
+		r.stepControl(ev)
+	}
+	return r.out.list
+}
+
+// stepControl applies the events that are not about one request.
+func (r *Reducer) stepControl(ev event.Event) {
+	switch ev := ev.(type) {
+	case *event.Tick:
+		r.tick(ev)
+	case *event.ConfigurationLoaded:
+		r.configurationLoaded(ev)
+	case *event.ServerReported:
+		r.serverReported(ev)
+	case *event.PlatformListed:
+		r.platformListed(ev)
+	case *event.LinkUp:
+		r.applyGroup(ev.At, r.group.LinkUp(ev.At, ev.Peer))
+	case *event.LinkDown:
+		r.applyGroup(ev.At, r.group.LinkDown(ev.At, ev.Peer))
+	case *event.GossipReceived:
+		r.applyGroup(ev.At, r.group.Receive(ev.At, ev.From, ev.Message))
+	case *event.ShutdownRequested:
+		r.shutdownRequested(ev)
+	default:
+		panic(fmt.Sprintf("reducer: unknown event %T", ev))
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "entry.ini")
+	require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+const good = `
+[instance]
+id = munich-a-1
+zone = munich-a
+[listen]
+callers = 127.0.0.1:8080
+links = 127.0.0.1:9080
+control = 127.0.0.1:7080
+[platform]
+address = 127.0.0.1:7000
+poll every = 100ms
+[peers]
+munich-b-1 = 127.0.0.1:9081
+`
+
+func TestLoad(t *testing.T) {
+	s, err := Load(write(t, good))
+	require.NoError(t, err)
+	require.Equal(t, "munich-a-1", s.Instance.ID)
+	require.Equal(t, 100*time.Millisecond, s.Platform.PollEvery)
+	require.Equal(t, Default().Serving, s.Serving)
+	require.Equal(t, map[string]string{"munich-b-1": "127.0.0.1:9081"}, s.Peers)
+}
+
+func TestLoadReportsEveryFault(t *testing.T) {
+	_, err := Load(write(t, "[instance]\nid = a\n[listen]\ncallers = host:1\n[serving]\ndrain = 0s\n[log]\nformat = xml\n"))
+	for _, part := range []string{
+		"[instance] zone: is missing",
+		`[listen] callers: "host" is not an IP address`,
+		"[listen] links: is missing",
+		"[platform] address: is missing",
+		`[serving] drain: "0s" is not a duration above 0`,
+		`[log] format: "xml"`,
+	} {
+		require.ErrorContains(t, err, part)
+	}
+}
+
+func TestLoadRefusesUnknownNames(t *testing.T) {
+	_, err := Load(write(t, good+"[instanse]\nid = b\n[log]\nlevle = debug\n"))
+	require.ErrorContains(t, err, "unknown section [instanse]")
+	require.ErrorContains(t, err, `unknown key "levle" in [log]`)
+	_, err = Load(filepath.Join(t.TempDir(), "none.ini"))
+	require.Error(t, err)
+}
