--- /dev/null
+++ b/internal/config/revision.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/samber/lo"
+	"github.com/zeebo/xxh3"
+)
+
+// HashError reports a revision whose content does not have the hash that it
+// was sent with.
+type HashError struct {
+	Number int64
+	Want   uint64 // as sent
+	Got    uint64 // of the content received
+}
+
+// Error implements error.
+func (e *HashError) Error() string {
+	return fmt.Sprintf("decode revision %d: content hash is %016x, want %016x", e.Number, e.Got, e.Want)
+}
+
+// HashRevision returns the content hash of a revision. Each part is hashed with
+// its length before it, so that no two contents share one byte sequence.
+func HashRevision(source []byte, stops []Stop) uint64 {
+	h := xxh3.New()
+	hashBytes(h, source)
+	for _, s := range stops {
+		for _, part := range []string{s.ID, string(s.Scope), s.Target, s.Author, s.Reason} {
+			hashBytes(h, []byte(part))
+		}
+		hashNumber(h, uint64(nanoseconds(s.At)))
+	}
+	return h.Sum64()
+}
+
+func hashBytes(h *xxh3.Hasher, b []byte) {
+	hashNumber(h, uint64(len(b)))
+	_, _ = h.Write(b) // never fails
+}
+
+func hashNumber(h *xxh3.Hasher, n uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], n)
+	_, _ = h.Write(b[:]) // never fails
+}
+
+// EncodeRevision converts a revision to its stored and transmitted form.
+func EncodeRevision(r *Revision) *linkpb.Revision {
+	return &linkpb.Revision{
+		Number:         r.Number,
+		Source:         r.Source,
+		Hash:           r.Hash,
+		Stops:          lo.Map(r.Stops, func(s Stop, _ int) *linkpb.Stop { return encodeStop(s) }),
+		Author:         r.Author,
+		Reason:         r.Reason,
+		AcceptedAt:     nanoseconds(r.AcceptedAt),
+		OperationId:    r.OperationID,
+		PreviousSource: r.PreviousSource,
+	}
+}
+
+func encodeStop(s Stop) *linkpb.Stop {
+	return &linkpb.Stop{
+		Id:     s.ID,
+		Scope:  string(s.Scope),
+		Target: s.Target,
+		Author: s.Author,
+		Reason: s.Reason,
+		At:     nanoseconds(s.At),
+	}
+}
+
+// DecodeRevision converts a received revision and checks its content against
+// its hash. The error is a *HashError.
+func DecodeRevision(m *linkpb.Revision) (*Revision, error) {
+	r := &Revision{
+		Number:         m.GetNumber(),
+		Source:         m.GetSource(),
+		Hash:           m.GetHash(),
+		Stops:          lo.Map(m.GetStops(), func(s *linkpb.Stop, _ int) Stop { return decodeStop(s) }),
+		Author:         m.GetAuthor(),
+		Reason:         m.GetReason(),
+		AcceptedAt:     timeOf(m.GetAcceptedAt()),
+		OperationID:    m.GetOperationId(),
+		PreviousSource: m.GetPreviousSource(),
+	}
+	if got := HashRevision(r.Source, r.Stops); got != r.Hash {
+		return nil, &HashError{Number: r.Number, Want: r.Hash, Got: got}
+	}
+	return r, nil
+}
+
+func decodeStop(m *linkpb.Stop) Stop {
+	return Stop{
+		ID:     m.GetId(),
+		Scope:  StopScope(m.GetScope()),
+		Target: m.GetTarget(),
+		Author: m.GetAuthor(),
+		Reason: m.GetReason(),
+		At:     timeOf(m.GetAt()),
+	}
+}
+
+// nanoseconds since the epoch, 0 for the zero time.
+func nanoseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func timeOf(nanoseconds int64) time.Time {
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanoseconds).UTC()
+}
