--- /dev/null
+++ b/internal/control/explain.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// ExplainQuery selects journal entries; exactly one field is set.
+type ExplainQuery struct {
+	Request string // trace identifier of a request
+	Subject string // instance, backend server, zone or service
+}
+
+// Explanation is the answer to GET /v1/explain: what one instance decided.
+type Explanation struct {
+	Instance model.InstanceID `json:"instance"`
+	Entries  []Entry          `json:"entries"` // oldest first
+	// Since is the time of the oldest entry that the journal still holds.
+	Since time.Time `json:"since,omitzero"`
+}
+
+// Entry is one decision and the reason for it.
+type Entry struct {
+	At      time.Time `json:"at"`
+	Request string    `json:"request,omitempty"`
+	Subject string    `json:"subject,omitempty"`
+	What    string    `json:"what"`
+	Why     string    `json:"why"`
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+// Paths of the API.
+const (
+	StatusPath  = "/v1/status"
+	ExplainPath = "/v1/explain"
+	ReportPath  = "/v1/report"
+)
+
+const (
+	queryRequest = "request"
+	querySubject = "subject"
+	queryWindow  = "window"
+)
+
+// Source is what the entry instance provides to the API. Its methods are
+// called concurrently and must not wait for the network.
+type Source interface {
+	Status(ctx context.Context) Status
+	Explain(ctx context.Context, query ExplainQuery) Explanation
+	Report(ctx context.Context, query ReportQuery) Report
+}
+
+// Failure is the body of an answer that is not 200.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// Register adds the API's routes to a fiber router.
+func Register(router fiber.Router, source Source) {
+	router.Get(StatusPath, func(c fiber.Ctx) error {
+		return c.JSON(source.Status(c.Context()))
+	})
+	router.Get(ExplainPath, func(c fiber.Ctx) error {
+		query := ExplainQuery{Request: c.Query(queryRequest), Subject: c.Query(querySubject)}
+		if (query.Request == "") == (query.Subject == "") {
+			return badRequest(c, fmt.Errorf("give exactly one of ?%s= and ?%s=", queryRequest, querySubject))
+		}
+		return c.JSON(source.Explain(c.Context(), query))
+	})
+	router.Get(ReportPath, func(c fiber.Ctx) error {
+		query, err := parseReportQuery(c.Query(queryWindow))
+		if err != nil {
+			return badRequest(c, err)
+		}
+		return c.JSON(source.Report(c.Context(), query))
+	})
+}
+
+func parseReportQuery(window string) (ReportQuery, error) {
+	if window == "" {
+		return ReportQuery{}, nil
+	}
+	d, err := time.ParseDuration(window)
+	if err != nil || d <= 0 {
+		return ReportQuery{}, fmt.Errorf("?%s=%s is not a positive duration such as 1h", queryWindow, window)
+	}
+	return ReportQuery{Window: d}, nil
+}
+
+func badRequest(c fiber.Ctx, err error) error {
+	return c.Status(fiber.StatusBadRequest).JSON(Failure{Error: err.Error()})
+}
--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -34,6 +34,17 @@
 // MarshalText writes the label used in headers, metrics and reports.
 func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
+// UnmarshalText reads the label used in headers, metrics and reports.
+func (o *Outcome) UnmarshalText(text []byte) error {
+	for i, name := range outcomeNames {
+		if name == string(text) {
+			*o = Outcome(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("outcome %q is none of served, late, not-run, unknown", text)
+}
+
 // Cause says why a request was refused or an attempt failed. The values are
 // metric labels, so their number is bounded.
 type Cause string
