Platform client and the platform's stand-in

Cause: the interfaces of internal/platform had no implementation, and nothing stood in for the platform in tests.

The adapter says not applied only where no connection was had or the service marked its error answer so; anything else after a commit is uncertain. Ruled out: to conclude from the error text of a broken connection that nothing was written, since a pooled connection accepts bytes after its peer has closed.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,101 @@
+package platform
+
+import (
+	"time"
+)
+
+// Settings configure the platform client.
+type Settings struct {
+	Address     string        // host:port of the platform's services
+	CallTimeout time.Duration // bound of one attempt, connecting included
+	MaxConns    int           // open connections to each of the three services
+	Retry       RetrySettings
+	Breaker     BreakerSettings
+}
+
+// RetrySettings configure the back-off between attempts.
+type RetrySettings struct {
+	InitialInterval time.Duration // mean wait before the second attempt
+	MaxInterval     time.Duration // mean wait between later attempts, at most
+	MaxElapsed      time.Duration // no attempt starts later than this after the first
+}
+
+// DefaultSettings returns the settings for a platform at address.
+func DefaultSettings(address string) Settings {
+	return Settings{
+		Address:     address,
+		CallTimeout: 2 * time.Second,
+		MaxConns:    64,
+		Retry: RetrySettings{
+			InitialInterval: 50 * time.Millisecond,
+			MaxInterval:     time.Second,
+			MaxElapsed:      5 * time.Second,
+		},
+		Breaker: BreakerSettings{
+			Failures: 5,
+			Cooldown: time.Second,
+		},
+	}
+}
+
+// Client reaches the platform's three services over HTTP. Each service has its
+// own connections and circuit breaker. It is safe for concurrent use.
+type Client struct {
+	table     *tableClient
+	objects   *objectsClient
+	instances *instancesClient
+}
+
+// NewClient returns a client; it connects when it is first used.
+func NewClient(settings Settings) *Client {
+	return &Client{
+		table:     &tableClient{newPolicy(settings)},
+		objects:   &objectsClient{newPolicy(settings)},
+		instances: &instancesClient{newPolicy(settings)},
+	}
+}
+
+// Table returns the transactional table service.
+func (c *Client) Table() Table { return c.table }
+
+// Objects returns the object store.
+func (c *Client) Objects() Objects { return c.objects }
+
+// Instances returns the instance list.
+func (c *Client) Instances() Instances { return c.instances }
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.table.close()
+	c.objects.close()
+	c.instances.close()
+}
+
+// Service names one of the platform's services, as a metric label.
+type Service string
+
+// The platform's services.
+const (
+	ServiceTable     Service = "table"
+	ServiceObjects   Service = "objects"
+	ServiceInstances Service = "instances"
+)
+
+// ServiceStats are counts of one service's calls since the client was made.
+type ServiceStats struct {
+	Service  Service
+	Breaker  BreakerState
+	Attempts int64 // calls sent or tried
+	Failures int64 // attempts that got no answer, or an error answer
+	Retries  int64 // attempts after the first of a call
+	Rejected int64 // attempts that the open circuit breaker refused
+}
+
+// Stats returns the state of each service, for metrics.
+func (c *Client) Stats() []ServiceStats {
+	return []ServiceStats{
+		c.table.stats(ServiceTable),
+		c.objects.stats(ServiceObjects),
+		c.instances.stats(ServiceInstances),
+	}
+}
--- /dev/null
+++ b/internal/platform/instances.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform/wire"
+)
+
+// instancesClient implements Instances.
+type instancesClient struct{ *policy }
+
+// List implements Instances. It fails with *UnavailableError.
+func (i *instancesClient) List(ctx context.Context) ([]ListedInstance, error) {
+	req := request{step: StepList, method: fasthttp.MethodGet, path: wire.PathInstances, readOnly: true}
+	var list wire.InstancesAnswer
+	if err := i.callJSON(ctx, req, &list); err != nil {
+		return nil, err
+	}
+	return lo.Map(list.Instances, func(line wire.Instance, _ int) ListedInstance { return fromWire(line) }), nil
+}
+
+// Register implements Instances. It fails with *UnavailableError or
+// *UncertainError.
+func (i *instancesClient) Register(ctx context.Context, instance ListedInstance, ttl time.Duration) error {
+	message := wire.RegisterRequest{Instance: toWire(instance), TTLMillis: ttl.Milliseconds()}
+	req, err := i.jsonRequest(StepRegister, wire.PathInstances, message)
+	if err != nil {
+		return err
+	}
+	_, err = i.call(ctx, req)
+	return err
+}
+
+func fromWire(line wire.Instance) ListedInstance {
+	return ListedInstance{
+		ID:      model.InstanceID(line.ID),
+		Zone:    model.ZoneName(line.Zone),
+		Link:    line.Link,
+		Callers: line.Callers,
+		Leaving: line.Leaving,
+		Backend: model.BackendName(line.Backend),
+	}
+}
+
+func toWire(line ListedInstance) wire.Instance {
+	return wire.Instance{
+		ID:      string(line.ID),
+		Zone:    string(line.Zone),
+		Link:    line.Link,
+		Callers: line.Callers,
+		Leaving: line.Leaving,
+		Backend: string(line.Backend),
+	}
+}
--- /dev/null
+++ b/internal/platform/policy.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// policy guards the calls of one service: a time-out for each attempt, retries
+// with jittered exponential back-off where an attempt had no effect, and a
+// circuit breaker.
+type policy struct {
+	settings  Settings
+	transport *transport
+	breaker   *breaker
+
+	attempts atomic.Int64
+	failures atomic.Int64
+	retries  atomic.Int64
+	rejected atomic.Int64
+}
+
+func newPolicy(settings Settings) *policy {
+	return &policy{
+		settings:  settings,
+		transport: newTransport(settings),
+		breaker:   newBreaker(settings.Breaker),
+	}
+}
+
+func (p *policy) close() { p.transport.close() }
+
+func (p *policy) stats(service Service) ServiceStats {
+	return ServiceStats{
+		Service:  service,
+		Breaker:  p.breaker.State(),
+		Attempts: p.attempts.Load(),
+		Failures: p.failures.Load(),
+		Retries:  p.retries.Load(),
+		Rejected: p.rejected.Load(),
+	}
+}
+
+// call sends a request until it is answered, the outcome is uncertain, or the
+// retries are used up. It returns the error of the last attempt.
+func (p *policy) call(ctx context.Context, req request) (*answer, error) {
+	first := true
+	var last error
+	operation := func() (*answer, error) {
+		if !first {
+			p.retries.Add(1)
+		}
+		first = false
+		got, err := p.attempt(ctx, req)
+		last = err
+		return got, permanentUnlessUnapplied(err)
+	}
+	got, err := backoff.Retry(
+		ctx,
+		operation,
+		backoff.WithBackOff(p.newBackOff()),
+		backoff.WithMaxElapsedTime(p.settings.Retry.MaxElapsed),
+	)
+	if err != nil {
+		return nil, last
+	}
+	return got, nil
+}
+
+func (p *policy) newBackOff() backoff.BackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = p.settings.Retry.InitialInterval
+	b.MaxInterval = p.settings.Retry.MaxInterval
+	return b
+}
+
+// permanentUnlessUnapplied keeps an attempt that may have had an effect from
+// being repeated, and one that the circuit breaker or the caller's context
+// ended.
+func permanentUnlessUnapplied(err error) error {
+	var unavailable *UnavailableError
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &unavailable):
+		return backoff.Permanent(err)
+	case errors.Is(err, ErrBreakerOpen), errors.Is(err, ErrRejected):
+		return backoff.Permanent(err)
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return backoff.Permanent(err)
+	default:
+		return err
+	}
+}
+
+// attempt sends a request once.
+func (p *policy) attempt(ctx context.Context, req request) (*answer, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, p.transport.unavailable(req, err)
+	}
+	if !p.breaker.allow() {
+		p.rejected.Add(1)
+		return nil, p.transport.unavailable(req, ErrBreakerOpen)
+	}
+	p.attempts.Add(1)
+	got, err := p.transport.send(req, p.deadline(ctx))
+	p.breaker.record(serviceAnswered(err))
+	if err != nil {
+		p.failures.Add(1)
+	}
+	return got, err
+}
+
+// deadline returns when an attempt that starts now must end.
+func (p *policy) deadline(ctx context.Context) time.Time {
+	deadline := time.Now().Add(p.settings.CallTimeout)
+	if callers, ok := ctx.Deadline(); ok && callers.Before(deadline) {
+		return callers
+	}
+	return deadline
+}
+
+// serviceAnswered reports whether an attempt shows that the service works.
+func serviceAnswered(err error) bool {
+	return err == nil || errors.Is(err, ErrThrottled) || errors.Is(err, ErrRejected)
+}
--- /dev/null
+++ b/internal/standin/tablestore/service.go
@@ -0,0 +1,160 @@
+package tablestore
+
+import (
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/primrosenotch/primrosenotch/internal/platform/wire"
+)
+
+// routes registers the protocol of the platform's services.
+func (s *Server) routes() {
+	s.app.Post(wire.PathGet, s.read(s.handleGet))
+	s.app.Post(wire.PathScan, s.read(s.handleScan))
+	s.app.Post(wire.PathCommit, s.write(s.handleCommit))
+	s.app.Get(wire.PathObject, s.read(s.handleGetObject))
+	s.app.Put(wire.PathObject, s.write(s.handlePutObject))
+	s.app.Get(wire.PathInstances, s.read(s.handleList))
+	s.app.Post(wire.PathInstances, s.write(s.handleRegister))
+}
+
+func (s *Server) read(handler fiber.Handler) fiber.Handler  { return s.withFaults(false, handler) }
+func (s *Server) write(handler fiber.Handler) fiber.Handler { return s.withFaults(true, handler) }
+
+// withFaults runs a call under the fault switches in force.
+func (s *Server) withFaults(write bool, handler fiber.Handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		chosen := s.switches.choose(write)
+		if chosen.outage == OutageClosed {
+			s.counters.refused.Add(1)
+			return dropConnection(c)
+		}
+		if chosen.outage == OutageError {
+			s.counters.refused.Add(1)
+			return notApplied(c, fiber.StatusServiceUnavailable, "outage")
+		}
+		s.pause(chosen.delay)
+		if chosen.loseRequest {
+			s.counters.lostRequests.Add(1)
+			return dropConnection(c)
+		}
+		if chosen.overCap {
+			s.counters.refused.Add(1)
+			return notApplied(c, fiber.StatusTooManyRequests, "write cap reached")
+		}
+		err := handler(c)
+		if chosen.loseReply {
+			s.counters.lostReplies.Add(1)
+			return dropConnection(c)
+		}
+		return err
+	}
+}
+
+// pause delays a call; it ends early when the stand-in closes.
+func (s *Server) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.closing:
+	}
+}
+
+// dropConnection closes the caller's connection, so that no answer is sent.
+func dropConnection(c fiber.Ctx) error {
+	_ = c.RequestCtx().Conn().Close()
+	return nil
+}
+
+// notApplied answers a call that had no effect.
+func notApplied(c fiber.Ctx, status int, reason string) error {
+	c.Set(wire.HeaderNotApplied, wire.MarkerTrue)
+	return c.Status(status).SendString(reason)
+}
+
+// decode reads a JSON body. Its answer to a malformed one is already written
+// when it returns false.
+func decode(c fiber.Ctx, into any) bool {
+	if err := c.Bind().JSON(into); err != nil {
+		_ = notApplied(c, fiber.StatusBadRequest, err.Error())
+		return false
+	}
+	return true
+}
+
+func (s *Server) handleGet(c fiber.Ctx) error {
+	var request wire.GetRequest
+	if !decode(c, &request) {
+		return nil
+	}
+	s.counters.gets.Add(1)
+	return c.JSON(wire.RowsAnswer{Rows: s.table.get(request.Keys)})
+}
+
+func (s *Server) handleScan(c fiber.Ctx) error {
+	var request wire.ScanRequest
+	if !decode(c, &request) {
+		return nil
+	}
+	s.counters.scans.Add(1)
+	return c.JSON(wire.RowsAnswer{Rows: s.table.scan(request.Prefix, request.Limit)})
+}
+
+func (s *Server) handleCommit(c fiber.Ctx) error {
+	var request wire.CommitRequest
+	if !decode(c, &request) {
+		return nil
+	}
+	version, conflict := s.table.commit(&request)
+	if conflict != nil {
+		s.counters.conflicts.Add(1)
+		return c.Status(fiber.StatusConflict).JSON(conflict)
+	}
+	s.counters.commits.Add(1)
+	return c.JSON(wire.CommitAnswer{Version: version})
+}
+
+func (s *Server) handleGetObject(c fiber.Ctx) error {
+	s.counters.objectGets.Add(1)
+	data, ok := s.objects.get(c.Query(wire.ObjectNameParam))
+	if !ok {
+		c.Set(wire.HeaderNotFound, wire.MarkerTrue)
+		return c.SendStatus(fiber.StatusNotFound)
+	}
+	return c.Send(data)
+}
+
+func (s *Server) handlePutObject(c fiber.Ctx) error {
+	name := c.Query(wire.ObjectNameParam)
+	if name == "" {
+		return notApplied(c, fiber.StatusBadRequest, "object name is missing")
+	}
+	s.objects.put(name, c.Body())
+	s.counters.objectPuts.Add(1)
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *Server) handleList(c fiber.Ctx) error {
+	s.counters.lists.Add(1)
+	at := time.Now().Add(-s.switches.get().ListLag())
+	return c.JSON(wire.InstancesAnswer{Instances: s.instances.list(at)})
+}
+
+func (s *Server) handleRegister(c fiber.Ctx) error {
+	var request wire.RegisterRequest
+	if !decode(c, &request) {
+		return nil
+	}
+	ttl := time.Duration(request.TTLMillis) * time.Millisecond
+	if ttl <= 0 || request.Instance.ID == "" {
+		return notApplied(c, fiber.StatusBadRequest, "a registration needs an id and a positive ttl_ms")
+	}
+	s.instances.set(request.Instance, ttl, time.Now())
+	s.counters.registers.Add(1)
+	return c.SendStatus(fiber.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/tablestore/table.go
@@ -0,0 +1,83 @@
+package tablestore
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/primrosenotch/primrosenotch/internal/platform/wire"
+)
+
+// table is the transactional table: a sorted key index over rows. Versions come
+// from one commit counter, so no version is used twice, also after a delete.
+type table struct {
+	mu      sync.RWMutex
+	rows    map[string]wire.Row
+	keys    []string // sorted
+	commits int64
+}
+
+func newTable() *table {
+	return &table{rows: make(map[string]wire.Row)}
+}
+
+// get returns one row for each key, with version 0 where it is absent.
+func (t *table) get(keys []string) []wire.Row {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	rows := make([]wire.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = wire.Row{Key: key}
+		if row, ok := t.rows[key]; ok {
+			rows[i] = row
+		}
+	}
+	return rows
+}
+
+// scan returns at most limit rows with the prefix, in key order.
+func (t *table) scan(prefix string, limit int) []wire.Row {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	rows := []wire.Row{}
+	first, _ := slices.BinarySearch(t.keys, prefix)
+	for _, key := range t.keys[first:] {
+		if len(rows) == limit || !strings.HasPrefix(key, prefix) {
+			break
+		}
+		rows = append(rows, t.rows[key])
+	}
+	return rows
+}
+
+// commit applies all writes if all conditions hold. It returns the version of
+// the writes, or the first condition that did not hold.
+func (t *table) commit(txn *wire.CommitRequest) (int64, *wire.Conflict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if actual := t.rows[c.Key].Version; actual != c.Version {
+			return 0, &wire.Conflict{Key: c.Key, Wanted: c.Version, Actual: actual}
+		}
+	}
+	t.commits++
+	for _, w := range txn.Writes {
+		t.apply(w)
+	}
+	return t.commits, nil
+}
+
+func (t *table) apply(w wire.Write) {
+	at, present := slices.BinarySearch(t.keys, w.Key)
+	if w.Delete {
+		if present {
+			t.keys = slices.Delete(t.keys, at, at+1)
+			delete(t.rows, w.Key)
+		}
+		return
+	}
+	if !present {
+		t.keys = slices.Insert(t.keys, at, w.Key)
+	}
+	t.rows[w.Key] = wire.Row{Key: w.Key, Value: w.Value, Version: t.commits}
+}
