--- /dev/null
+++ b/internal/runtime/call.go
@@ -0,0 +1,367 @@
+package runtime
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/ledger"
+	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// lateGrace is how long past its deadline an answer is still waited for.
+const lateGrace = 500 * time.Millisecond
+
+type callOp uint8
+
+const (
+	opForward callOp = iota
+	opRefuse
+	opSettle
+	opReplay
+)
+
+// callCommand is an effect for the goroutine that serves a caller's request.
+type callCommand struct {
+	op      callOp
+	owner   model.InstanceID
+	zone    model.ZoneName
+	spill   bool
+	outcome model.Outcome
+	cause   model.Cause
+}
+
+// call is a caller's request at its ingress, served by one goroutine.
+type call struct {
+	runtime  *Runtime
+	id       model.RequestID
+	exchange *ingress.Exchange
+	meta     model.RequestMeta
+	started  model.Instant
+	commands chan callCommand
+	stored   *ledger.Answer
+	body     *countedReader // streamed request body, nil where it is in memory
+
+	mu       sync.Mutex
+	conn     link.Conn // to the owner, nil between owners
+	gone     bool      // the caller has closed its connection
+	finished atomic.Bool
+}
+
+// Serve implements ingress.Handler.
+func (r *Runtime) Serve(ctx context.Context, x *ingress.Exchange) {
+	meta, cause := r.classify(x)
+	if cause != model.CauseNone {
+		r.refuseUnrouted(x, cause)
+		return
+	}
+	c := &call{
+		runtime:  r,
+		id:       r.nextID(),
+		exchange: x,
+		meta:     meta,
+		started:  r.clock.now(),
+		commands: make(chan callCommand, 2),
+	}
+	c.meta.Request = fmt.Sprintf("%s/%d", r.unique, c.id)
+	if x.BodyStream != nil {
+		c.body = &countedReader{reader: x.BodyStream}
+	}
+	r.register(c)
+	stop := context.AfterFunc(ctx, c.callerGone)
+	defer stop()
+	c.run()
+}
+
+func (r *Runtime) register(c *call) {
+	r.mu.Lock()
+	r.calls[c.id] = c
+	r.mu.Unlock()
+}
+
+func (r *Runtime) command(id model.RequestID, cmd callCommand) {
+	if c := r.calls[id]; c != nil {
+		c.commands <- cmd
+	}
+}
+
+func (c *call) run() {
+	c.runtime.post(&event.RequestArrived{At: c.started, Request: c.id, Meta: &c.meta})
+	for {
+		cmd := <-c.commands
+		switch cmd.op {
+		case opForward:
+			if c.forward(cmd) {
+				return
+			}
+		case opRefuse:
+			c.refuse(cmd.outcome, cmd.cause)
+			return
+		case opSettle:
+			c.settle()
+		case opReplay:
+			c.replay()
+			return
+		}
+	}
+}
+
+// finish reports the end of the request once.
+func (c *call) finish(outcome model.Outcome, cause model.Cause, answerBytes int64) {
+	if c.finished.Swap(true) {
+		return
+	}
+	r := c.runtime
+	now := r.clock.now()
+	r.mu.Lock()
+	delete(r.calls, c.id)
+	r.mu.Unlock()
+	r.post(&event.RequestFinished{At: now, Request: c.id, Outcome: outcome, Cause: cause, AnswerBytes: answerBytes})
+	r.observe(c, outcome, cause, now.Sub(c.started))
+}
+
+func (c *call) refuse(outcome model.Outcome, cause model.Cause) {
+	c.exchange.Refuse(outcome, cause, retryAfter(cause))
+	c.finish(outcome, cause, 0)
+}
+
+// retryAfter is the pause that a refused caller is asked for.
+func retryAfter(cause model.Cause) time.Duration {
+	switch cause {
+	case model.CauseShiftCap, model.CauseLinkBudget, model.CauseLedgerDown:
+		return 2 * time.Second
+	default:
+		return time.Second
+	}
+}
+
+// forward offers the request to an owner and passes its answer on. It reports
+// whether the request has ended.
+func (c *call) forward(cmd callCommand) bool {
+	r := c.runtime
+	conn, err := r.openOffer(cmd.owner, c.offerFrame(cmd.spill))
+	if err != nil {
+		var down *link.DownError
+		c.ownerLost(cmd.owner, !errors.As(err, &down), err)
+		return false
+	}
+	if !c.attach(conn) {
+		_ = conn.Close()
+		c.ownerLost(cmd.owner, true, context.Canceled)
+		return false
+	}
+	defer c.detach(conn)
+	timer := time.AfterFunc(c.timeLeft()+lateGrace, func() { _ = conn.Close() })
+	defer timer.Stop()
+	return c.exchangeFrames(cmd.owner, conn, timer)
+}
+
+// exchangeFrames acts on what the owner says until the request ends here or
+// goes to another owner.
+func (c *call) exchangeFrames(owner model.InstanceID, conn link.Conn, timer *time.Timer) bool {
+	for {
+		f, err := conn.Receive()
+		if err != nil {
+			c.ownerLost(owner, true, err)
+			return false
+		}
+		switch body := f.GetBody().(type) {
+		case *linkpb.Frame_Accept:
+			timer.Stop() // a streamed body has progress time-outs instead
+			go c.sendBody(conn)
+		case *linkpb.Frame_Refuse:
+			c.ownerRefused(owner, body.Refuse)
+			return false
+		case *linkpb.Frame_Answer:
+			timer.Stop()
+			c.respond(conn, body.Answer)
+			return true
+		default:
+			c.ownerLost(owner, true, fmt.Errorf("unexpected frame %T from %s", body, owner))
+			return false
+		}
+	}
+}
+
+func (c *call) sendBody(conn link.Conn) {
+	_, readErr, _ := link.SendBody(conn, c.body, model.CauseCallerGone)
+	if readErr != nil {
+		c.runtime.log.WithError(readErr).WithField("request", c.meta.Trace).Debug("caller's body ended early")
+	}
+}
+
+func (c *call) offerFrame(spill bool) *linkpb.Offer {
+	x := c.exchange
+	o := &linkpb.Offer{
+		Trace:          c.meta.Trace,
+		Request:        c.meta.Request,
+		Service:        string(c.meta.Service),
+		Route:          string(c.meta.Route),
+		Rank:           uint32(c.meta.Rank),
+		Kind:           uint32(c.meta.Kind),
+		Block:          string(c.meta.Block),
+		DeadlineLeftNs: int64(c.timeLeft()),
+		BodyBytes:      c.meta.BodyBytes,
+		AnswerBytes:    c.meta.AnswerBytes,
+		Fingerprint:    c.meta.Fingerprint,
+		IdempotencyKey: c.meta.IdempotencyKey,
+		Digest:         c.meta.Digest,
+		Replayable:     c.meta.Replayable,
+		Spill:          spill,
+		Method:         x.Method,
+		Uri:            x.URI,
+		Headers:        toFrameHeaders(x.Header),
+		Body:           x.Body,
+		Streamed:       c.body != nil,
+	}
+	return o
+}
+
+func (c *call) timeLeft() time.Duration { return c.meta.Deadline.Sub(c.runtime.clock.now()) }
+
+// openOffer sends an offer to its owner, which may be this instance.
+func (r *Runtime) openOffer(owner model.InstanceID, o *linkpb.Offer) (link.Conn, error) {
+	if owner != r.self {
+		return r.links.Offer(owner, o)
+	}
+	here, there := link.Pipe()
+	go func() {
+		defer func() { _ = there.Close() }()
+		r.ServeOffer(r.self, o, there)
+	}()
+	return here, nil
+}
+
+// attach makes the connection known to callerGone; it reports false where the
+// caller is gone already.
+func (c *call) attach(conn link.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	return !c.gone
+}
+
+// detach closes the connection to an owner unless its answer is being passed on.
+func (c *call) detach(conn link.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+		_ = conn.Close()
+	}
+}
+
+// keep leaves the connection open after forward has returned.
+func (c *call) keep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+}
+
+func (c *call) callerGone() {
+	c.mu.Lock()
+	c.gone = true
+	c.mu.Unlock()
+	c.runtime.post(&event.CallerGone{At: c.runtime.clock.now(), Request: c.id})
+}
+
+// withdraw closes the connection to the owner, which tells it that the answer
+// is no longer wanted.
+func (c *call) withdraw() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
+func (c *call) bodyUsed() bool { return c.body != nil && c.body.count.Load() > 0 }
+
+func (c *call) ownerLost(owner model.InstanceID, offered bool, err error) {
+	c.explain(string(owner), "owner lost", err.Error())
+	c.runtime.post(&event.OwnerLost{
+		At:       c.runtime.clock.now(),
+		Request:  c.id,
+		Owner:    owner,
+		Offered:  offered,
+		BodyUsed: c.bodyUsed(),
+	})
+}
+
+func (c *call) ownerRefused(owner model.InstanceID, f *linkpb.Refuse) {
+	c.explain(string(owner), "owner refused", f.GetCause())
+	c.runtime.post(&event.OwnerRefused{
+		At:       c.runtime.clock.now(),
+		Request:  c.id,
+		Owner:    owner,
+		Outcome:  model.Outcome(f.GetOutcome()),
+		Cause:    model.Cause(f.GetCause()),
+		BodyUsed: c.bodyUsed(),
+	})
+}
+
+func (c *call) explain(subject, what, why string) {
+	c.runtime.journal.Add(event.JournalEntry{
+		At:      c.runtime.clock.now(),
+		Request: c.meta.Trace,
+		Subject: subject,
+		What:    what,
+		Why:     why,
+	})
+}
+
+// settle asks the ledger whether a once request whose owner is lost can run.
+func (c *call) settle() {
+	r := c.runtime
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	attempt := ledgerAttempt(&c.meta, c.meta.Request+"/ingress")
+	result, answer, err := r.ledger.Cancel(ctx, attempt)
+	if err != nil {
+		c.explain("ledger", "settle failed", err.Error())
+	}
+	c.stored = answer
+	r.post(&event.ClaimSettled{At: r.clock.now(), Request: c.id, Result: result, Stored: answer != nil})
+}
+
+// replay answers from the ledger.
+func (c *call) replay() {
+	header := make(httpheader.List, 0, len(c.stored.Headers))
+	for _, h := range c.stored.Headers {
+		header = append(header, httpheader.Field{Name: h.Name, Value: string(h.Value)})
+	}
+	c.answer(c.stored.Status, header, int64(len(c.stored.Body)), newMemoryBody(c.stored.Body))
+}
+
+// respond passes the owner's answer on to the caller while it arrives.
+func (c *call) respond(conn link.Conn, a *linkpb.Answer) {
+	c.keep()
+	header := fromFrameHeaders(a.GetHeaders())
+	header = header.With(httpheader.Backend, a.GetBackend())
+	body := &answerBody{reader: link.NewBody(conn.Receive, "answer"), conn: conn}
+	c.answer(int(a.GetStatus()), header, a.GetBodyBytes(), body)
+}
+
+// answer hands an answer to the ingress; the request ends when its body is
+// closed.
+func (c *call) answer(status int, header httpheader.List, bodyBytes int64, body io.ReadCloser) {
+	outcome := model.Served
+	if c.timeLeft() < 0 {
+		outcome = model.Late
+	}
+	header = header.With(httpheader.Outcome, outcome.String())
+	tracked := &trackedBody{body: body, call: c, outcome: outcome}
+	if err := c.exchange.Respond(status, header, bodyBytes, tracked); err != nil {
+		c.explain("caller", "answer not delivered", err.Error())
+		_ = tracked.Close()
+	}
+}
--- /dev/null
+++ b/internal/runtime/classify.go
@@ -0,0 +1,123 @@
+package runtime
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// classify finds the route of a request and fills in what decisions need. A
+// cause other than CauseNone says why there is none.
+func (r *Runtime) classify(x *ingress.Exchange) (model.RequestMeta, model.Cause) {
+	v := r.view.Load()
+	if v.index == nil {
+		return model.RequestMeta{}, model.CauseNoConfiguration
+	}
+	route, ok := v.index.MatchRoute(x.Method, x.Path)
+	if !ok {
+		return model.RequestMeta{}, model.CauseNoRoute
+	}
+	m := model.RequestMeta{
+		Trace:          x.Trace,
+		Service:        route.Service,
+		Route:          route.Name,
+		Rank:           route.Rank,
+		Kind:           route.Kind,
+		Deadline:       r.clock.now().Add(shorter(route.Deadline, x.DeadlineHint)),
+		BodyBytes:      x.BodyBytes,
+		AnswerBytes:    r.lengths.expect(route.Name),
+		IdempotencyKey: x.IdempotencyKey,
+		Replayable:     x.BodyStream == nil,
+	}
+	if group, ok := v.index.CallerGroup(x.Remote); ok {
+		m.Block = group.Name
+	}
+	m.Fingerprint = fingerprint(x)
+	if m.Kind == model.Once {
+		m.Digest = digest(m.Fingerprint, x)
+	}
+	return m, model.CauseNone
+}
+
+// shorter applies a caller's deadline where it is shorter than the route's.
+func shorter(route, hint time.Duration) time.Duration {
+	if hint > 0 && hint < route {
+		return hint
+	}
+	return route
+}
+
+// fingerprint hashes what makes two requests the same to a backend server. Of a
+// streamed body only the declared length is known.
+func fingerprint(x *ingress.Exchange) uint64 {
+	h := xxh3.New()
+	_, _ = h.WriteString(x.Method)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(x.URI)
+	_, _ = h.Write([]byte{0})
+	if x.BodyStream == nil {
+		_, _ = h.Write(x.Body)
+		return h.Sum64()
+	}
+	n := uint64(x.BodyBytes)
+	for shift := 0; shift < 64; shift += 8 {
+		_, _ = h.Write([]byte{byte(n >> shift)})
+	}
+	return h.Sum64()
+}
+
+// digest hashes a request together with its caller's credentials, so that a key
+// never returns one caller's stored answer to another.
+func digest(fingerprint uint64, x *ingress.Exchange) uint64 {
+	return xxh3.HashStringSeed(x.Header.Get("Authorization")+"\x00"+x.Header.Get("Content-Digest"), fingerprint)
+}
+
+// metaOf converts an offer. Deadlines travel as time left, since the clocks of
+// two instances differ.
+func metaOf(o *linkpb.Offer, now model.Instant) model.RequestMeta {
+	return model.RequestMeta{
+		Trace:          o.GetTrace(),
+		Request:        o.GetRequest(),
+		Service:        model.ServiceName(o.GetService()),
+		Route:          model.RouteName(o.GetRoute()),
+		Rank:           boundedRank(o.GetRank()),
+		Kind:           model.Kind(o.GetKind()),
+		Block:          model.CallerBlock(o.GetBlock()),
+		Deadline:       now.Add(time.Duration(o.GetDeadlineLeftNs())),
+		BodyBytes:      o.GetBodyBytes(),
+		AnswerBytes:    o.GetAnswerBytes(),
+		Fingerprint:    o.GetFingerprint(),
+		IdempotencyKey: o.GetIdempotencyKey(),
+		Digest:         o.GetDigest(),
+		Replayable:     o.GetReplayable(),
+	}
+}
+
+// boundedRank keeps a rank that a newer peer may know from indexing out of range.
+func boundedRank(r uint32) model.Rank { return model.Rank(min(r, model.RankCount-1)) }
+
+// answerLengths keeps the recent mean length of answers by route.
+type answerLengths struct{ byRoute sync.Map }
+
+// lengthWeight is the weight of the newest answer in the moving mean, 1/8.
+const lengthWeight = 8
+
+func (a *answerLengths) expect(route model.RouteName) int64 {
+	if n, ok := a.byRoute.Load(route); ok {
+		return n.(*atomic.Int64).Load()
+	}
+	return 0
+}
+
+func (a *answerLengths) observe(route model.RouteName, n int64) {
+	mean, _ := a.byRoute.LoadOrStore(route, &atomic.Int64{})
+	counter := mean.(*atomic.Int64)
+	old := counter.Load()
+	counter.Store(old + (n-old)/lengthWeight)
+}
--- /dev/null
+++ b/internal/runtime/control.go
@@ -0,0 +1,205 @@
+package runtime
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+)
+
+const (
+	// tickEvery is the period of the reducer's tick.
+	tickEvery = 50 * time.Millisecond
+	// pollTimeout bounds one round of reads from the platform.
+	pollTimeout = 2 * time.Second
+	// fetchTimeout bounds reading a revision from a peer.
+	fetchTimeout = 2 * time.Second
+	// registrationTTL is how long the platform's list keeps this instance.
+	registrationTTL = 15 * time.Second
+	// farewell is the time that the last membership messages get to leave.
+	farewell = 200 * time.Millisecond
+)
+
+// Run ticks until the instance has left. Shutdown asks for that.
+func (r *Runtime) Run() {
+	go r.ledger.Run(context.Background())
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			r.finish()
+			return
+		case <-ticker.C:
+			r.post(&event.Tick{At: r.clock.now()})
+		}
+	}
+}
+
+// Shutdown announces that this instance leaves; Run returns once nothing is in
+// flight, or after the longest drain time.
+func (r *Runtime) Shutdown() {
+	r.post(&event.ShutdownRequested{At: r.clock.now()})
+	time.AfterFunc(r.options.Drain, func() {
+		if r.ctx.Err() == nil {
+			r.log.Warn("drain time is over with requests in flight")
+			r.leave()
+		}
+	})
+}
+
+// finish waits for the ledger's last writes and closes what is open.
+func (r *Runtime) finish() {
+	time.Sleep(farewell)
+	r.tasks.Wait()
+	r.links.CloseAll()
+	if err := r.upstream.Shutdown(); err != nil {
+		r.log.WithError(err).Warn("close connections to backend servers")
+	}
+}
+
+// probe asks a backend server for its status.
+func (r *Runtime) probe(name model.BackendName) {
+	backend, ok := r.view.Load().backend(name)
+	if !ok {
+		return
+	}
+	go func() {
+		status, err := r.upstream.Status(r.ctx, backend.Address)
+		ev := &event.ServerReported{At: r.clock.now(), Backend: name, Err: err}
+		if err == nil {
+			ev.Healthy = status.Healthy
+			ev.Draining = status.Draining
+			ev.Cold = status.Cold
+			ev.InUse = status.InUse
+			ev.Slots = status.Slots
+		}
+		r.post(ev)
+	}()
+}
+
+func (r *Runtime) condemn(name model.BackendName) {
+	if backend, ok := r.view.Load().backend(name); ok {
+		go r.upstream.Condemn(backend.Address)
+	}
+}
+
+// pollPlatform renews this instance's line in the platform's list, and reads the
+// list and the configuration. One round runs at a time.
+func (r *Runtime) pollPlatform() {
+	if r.polling.Swap(true) {
+		return
+	}
+	go func() {
+		defer r.polling.Store(false)
+		ctx, cancel := context.WithTimeout(r.ctx, pollTimeout)
+		defer cancel()
+		r.pollInstances(ctx)
+		r.pollConfiguration(ctx)
+	}()
+}
+
+func (r *Runtime) pollInstances(ctx context.Context) {
+	self := r.options.Reducer.Self
+	line := platform.ListedInstance{ID: self.ID, Zone: self.Zone, Link: self.LinkAddr, Callers: self.CallerAddr}
+	if err := r.options.Instances.Register(ctx, line, registrationTTL); err != nil {
+		r.platformFailed("register instance", err)
+		return
+	}
+	list, err := r.options.Instances.List(ctx)
+	if err != nil {
+		r.platformFailed("list instances", err)
+		return
+	}
+	r.post(&event.PlatformListed{At: r.clock.now(), List: list})
+}
+
+func (r *Runtime) pollConfiguration(ctx context.Context) {
+	revision, err := r.store.LoadIfNewer(ctx, r.inForce())
+	if errors.Is(err, confstore.ErrNoRevision) {
+		return
+	}
+	if err != nil {
+		r.platformFailed("read configuration", err)
+		return
+	}
+	if revision != nil {
+		r.adopt(revision, "platform")
+	}
+}
+
+func (r *Runtime) platformFailed(step string, err error) {
+	r.metrics.platformErrors.WithLabelValues(step).Inc()
+	r.log.WithError(err).WithField("step", step).Debug("platform call failed")
+}
+
+func (r *Runtime) inForce() int64 {
+	if revision := r.source.Load(); revision != nil {
+		return revision.Number
+	}
+	return 0
+}
+
+// fetchRevision reads a newer configuration from a peer.
+func (r *Runtime) fetchRevision(from model.InstanceID, number int64) {
+	if r.fetching.Swap(true) {
+		return
+	}
+	go func() {
+		defer r.fetching.Store(false)
+		message, err := r.links.Revision(from, number, fetchTimeout)
+		if err != nil {
+			r.log.WithError(err).WithField("peer", from).Debug("fetch revision")
+			return
+		}
+		revision, err := config.DecodeRevision(message)
+		if err != nil {
+			r.log.WithError(err).WithField("peer", from).Error("revision refused")
+			return
+		}
+		r.adopt(revision, string(from))
+	}()
+}
+
+// adopt puts a revision in force if it is higher than the present one.
+func (r *Runtime) adopt(revision *config.Revision, from string) {
+	if revision.Number <= r.inForce() {
+		return
+	}
+	text, err := config.Parse(fmt.Sprintf("revision %d", revision.Number), revision.Source)
+	if err != nil {
+		r.log.WithError(err).WithField("from", from).Error("revision refused")
+		return
+	}
+	ev := &event.ConfigurationLoaded{Revision: revision, Text: text}
+	if len(revision.PreviousSource) > 0 {
+		if ev.Previous, err = config.Parse("previous revision", revision.PreviousSource); err != nil {
+			r.log.WithError(err).WithField("from", from).Warn("previous text ignored")
+		}
+	}
+	r.putInForce(ev)
+}
+
+// putInForce swaps the revision that peers and requests see together with the
+// reducer's, so that none of them goes back.
+func (r *Runtime) putInForce(ev *event.ConfigurationLoaded) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ev.Revision.Number <= r.inForce() {
+		return
+	}
+	r.source.Store(ev.Revision)
+	r.revision.Store(config.EncodeRevision(ev.Revision))
+	r.adoptedAt.Store(int64(r.clock.now()))
+	ev.At = r.clock.now()
+	r.setIndex(config.NewIndex(ev.Text))
+	for _, f := range r.reducer.Step(ev) {
+		r.execute(f)
+	}
+}
--- /dev/null
+++ b/internal/runtime/observe.go
@@ -0,0 +1,134 @@
+package runtime
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/stats"
+)
+
+// metrics are the instance's Prometheus metrics. Labels are bounded by the
+// operators' text and by the causes of package model.
+type metrics struct {
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	claims         *prometheus.CounterVec
+	platformErrors *prometheus.CounterVec
+}
+
+const metricsNamespace = "primrosenotch"
+
+func newMetrics(r *Runtime) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "requests_total",
+			Help: "Callers' requests by service, rank, outcome and cause.",
+		}, []string{"service", "rank", "outcome", "cause"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "request_duration_seconds",
+			Help:    "Time from a caller's request to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"service", "rank"}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "ledger_claims_total",
+			Help: "Claims of idempotency keys by result.",
+		}, []string{"result"}),
+		platformErrors: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "platform_errors_total",
+			Help: "Failed calls to the platform by step.",
+		}, []string{"step"}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors,
+		newLoadCollector(r),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "configuration_revision",
+			Help: "Number of the configuration revision in force.",
+		}, func() float64 { return float64(r.inForce()) }))
+	return m
+}
+
+// observe counts the end of a request.
+func (r *Runtime) observe(c *call, outcome model.Outcome, cause model.Cause, took time.Duration) {
+	m := &c.meta
+	objective := r.objective(m.Service)
+	r.stats.Add(r.clock.now().Time(), stats.Sample{
+		Service: m.Service,
+		Rank:    m.Rank,
+		Outcome: outcome,
+		Cause:   cause,
+		Latency: took,
+		Good:    outcome == model.Served && (objective.Latency == 0 || took <= objective.Latency),
+	})
+	rank := m.Rank.String()
+	r.metrics.requests.WithLabelValues(string(m.Service), rank, outcome.String(), string(cause)).Inc()
+	if outcome == model.Served || outcome == model.Late {
+		r.metrics.latency.WithLabelValues(string(m.Service), rank).Observe(took.Seconds())
+	}
+}
+
+// refuseUnrouted refuses a request that belongs to no service.
+func (r *Runtime) refuseUnrouted(x *ingress.Exchange, cause model.Cause) {
+	r.metrics.requests.WithLabelValues("", "", model.NotRun.String(), string(cause)).Inc()
+	x.Refuse(model.NotRun, cause, retryAfter(cause))
+}
+
+func (r *Runtime) objective(name model.ServiceName) control.Objective {
+	index := r.view.Load().index
+	if index == nil {
+		return control.Objective{}
+	}
+	service, ok := index.Service(name)
+	if !ok {
+		return control.Objective{}
+	}
+	return control.Objective{Ratio: service.Target.Ratio, Latency: service.Target.Latency}
+}
+
+// loadCollector reports the load of the owned servers when metrics are read.
+type loadCollector struct {
+	runtime                      *Runtime
+	slots, inUse, queued, spills *prometheus.Desc
+}
+
+func newLoadCollector(r *Runtime) *loadCollector {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "owner", name), help, labels, nil)
+	}
+	return &loadCollector{
+		runtime: r,
+		slots:   desc("slots", "Usable slots of the owned backend servers.", "service"),
+		inUse:   desc("slots_in_use", "Slots in use.", "service"),
+		queued:  desc("queued_requests", "Requests that wait for a slot.", "service", "rank"),
+		spills:  desc("spill_slots_in_use", "Slots in use by work from outside the baseline.", "service"),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *loadCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- c.slots
+	ch <- c.inUse
+	ch <- c.queued
+	ch <- c.spills
+}
+
+// Collect implements prometheus.Collector.
+func (c *loadCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, load := range c.runtime.loads() {
+		service := string(load.Service)
+		gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+			ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+		}
+		gauge(c.slots, float64(load.Slots), service)
+		gauge(c.inUse, float64(load.InUse), service)
+		gauge(c.spills, float64(load.SpillInUse), service)
+		for rank, n := range load.Queued {
+			gauge(c.queued, float64(n), service, model.Rank(rank).String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/runtime/once.go
@@ -0,0 +1,148 @@
+package runtime
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/ledger"
+	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/upstream"
+)
+
+const (
+	settleTimeout = 3 * time.Second
+	// storeTimeout bounds the tries to store an answer or to release a claim
+	// after the caller has been answered.
+	storeTimeout = 60 * time.Second
+	// releaseTimeout bounds the wait for a release before the caller is answered.
+	releaseTimeout = 2 * time.Second
+	// maxStoredAnswer is the largest answer in bytes that is kept for repeats.
+	maxStoredAnswer = 4 << 20
+)
+
+func ledgerAttempt(m *model.RequestMeta, id string) ledger.Attempt {
+	return ledger.Attempt{
+		ID:      id,
+		Request: m.Request,
+		Key:     ledger.Key{Service: m.Service, Caller: m.IdempotencyKey},
+		Digest:  m.Digest,
+		Rank:    m.Rank,
+	}
+}
+
+// claimAttempt names this offer's claim; another offer of the same request, to
+// this owner or another, has another name.
+func (o *offer) claimAttempt() ledger.Attempt {
+	return ledgerAttempt(&o.meta, fmt.Sprintf("%s/%d", o.runtime.unique, o.id))
+}
+
+func (o *offer) claim() {
+	r := o.runtime
+	left := o.meta.Deadline.Sub(r.clock.now())
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	result, answer, err := r.ledger.Claim(ctx, o.claimAttempt())
+	if err != nil {
+		o.explain("ledger", "claim failed", err.Error())
+	}
+	o.stored = answer
+	r.metrics.claims.WithLabelValues(claimLabel(result)).Inc()
+	r.post(&event.ClaimResolved{At: r.clock.now(), Request: o.id, Result: result})
+}
+
+var claimLabels = [...]string{
+	event.ClaimGranted:     "granted",
+	event.ClaimFinished:    "finished",
+	event.ClaimInProgress:  "in-progress",
+	event.ClaimCancelled:   "cancelled",
+	event.ClaimMismatch:    "mismatch",
+	event.ClaimUnavailable: "unavailable",
+	event.ClaimUncertain:   "uncertain",
+	event.ClaimOverBudget:  "over-budget",
+}
+
+func claimLabel(r event.ClaimResult) string { return claimLabels[r] }
+
+// release gives the claim back. The caller waits for the first try, so that its
+// next request with the key finds it free; further tries follow after the answer.
+func (o *offer) release() {
+	a := o.claimAttempt()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := o.runtime.ledger.Release(ctx, a); err == nil {
+		return
+	}
+	o.runtime.persist("release claim", o.meta.Trace, func(ctx context.Context) error {
+		return o.runtime.ledger.Release(ctx, a)
+	})
+}
+
+// store keeps the answer of a finished once request for repeats.
+func (o *offer) store(a *upstream.Answer, kept *keptBody) {
+	if kept.overflow {
+		o.explain("ledger", "answer not stored", errNotStored.Error())
+		return
+	}
+	answer := &ledger.Answer{Status: a.Status, Body: kept.buffer.Bytes()}
+	for _, h := range a.Header {
+		answer.Headers = append(answer.Headers, ledger.Header{Name: h.Name, Value: []byte(h.Value)})
+	}
+	attempt := o.claimAttempt()
+	o.runtime.persist("store answer", o.meta.Trace, func(ctx context.Context) error {
+		return o.runtime.ledger.Finish(ctx, attempt, answer)
+	})
+}
+
+// persist repeats a write in the background until it succeeds or takes too
+// long. Shutdown waits for it.
+func (r *Runtime) persist(step, trace string, write func(context.Context) error) {
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		try := func() (struct{}, error) { return struct{}{}, write(ctx) }
+		_, err := backoff.Retry(ctx, try, backoff.WithBackOff(backoff.NewExponentialBackOff()))
+		if err != nil {
+			r.log.WithError(err).WithField("request", trace).WithField("step", step).Error("ledger write given up")
+		}
+	})
+}
+
+// replay answers a repeated request with the stored answer.
+func (o *offer) replay() {
+	o.explain("ledger", "answered a repeat from the stored answer", "")
+	head := &linkpb.Answer{
+		Status:    uint32(o.stored.Status),
+		BodyBytes: int64(len(o.stored.Body)),
+		Replayed:  true,
+	}
+	for _, h := range o.stored.Headers {
+		head.Headers = append(head.Headers, &linkpb.Header{Name: h.Name, Value: h.Value})
+	}
+	if o.conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: head}}) != nil {
+		return
+	}
+	_, _, _ = link.SendBody(o.conn, newMemoryBody(o.stored.Body), model.CauseAnswerIncomplete)
+}
+
+func toFrameHeaders(list httpheader.List) []*linkpb.Header {
+	out := make([]*linkpb.Header, 0, len(list))
+	for _, f := range list {
+		out = append(out, &linkpb.Header{Name: f.Name, Value: []byte(f.Value)})
+	}
+	return out
+}
+
+func fromFrameHeaders(headers []*linkpb.Header) httpheader.List {
+	out := make(httpheader.List, 0, len(headers)+2)
+	for _, h := range headers {
+		out = append(out, httpheader.Field{Name: h.GetName(), Value: string(h.GetValue())})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/runtime/view.go
@@ -0,0 +1,125 @@
+package runtime
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/reducer"
+)
+
+// view is what look-ups and the start of each request read without a lock. It
+// is immutable; publishView replaces it.
+type view struct {
+	index    *config.Index
+	byHome   map[string]*candidates
+	fallback *candidates
+	ttl      time.Duration
+}
+
+// candidates are the entry instances for callers of one home.
+type candidates struct {
+	entries []ingress.Entry
+	near    int // leading entries that are equally good
+}
+
+func (v *view) backend(name model.BackendName) (*config.Backend, bool) {
+	if v.index == nil {
+		return nil, false
+	}
+	return v.index.Backend(name)
+}
+
+func homeKey(home []model.ZoneName) string {
+	parts := make([]string, 0, len(home))
+	for _, z := range home {
+		parts = append(parts, string(z))
+	}
+	return strings.Join(parts, "\x00")
+}
+
+// setIndex publishes a new index with the look-up answers as they are.
+func (r *Runtime) setIndex(index *config.Index) {
+	next := *r.view.Load()
+	next.index = index
+	r.view.Store(&next)
+}
+
+// publishView rebuilds the look-up answers from the reducer's state. It runs
+// under the lock.
+func (r *Runtime) publishView() {
+	old := r.view.Load()
+	next := &view{
+		index:  old.index,
+		byHome: make(map[string]*candidates),
+		ttl:    r.options.Reducer.LookupTTL,
+	}
+	next.fallback = newCandidates(r.reducer.Entries([]model.ZoneName{r.options.Reducer.Self.Zone}))
+	if next.index != nil {
+		for _, group := range next.index.Text().Callers {
+			key := homeKey(group.Home)
+			if next.byHome[key] == nil {
+				next.byHome[key] = newCandidates(r.reducer.Entries(group.Home))
+			}
+		}
+	}
+	r.view.Store(next)
+}
+
+func newCandidates(entries []reducer.Entry) *candidates {
+	c := &candidates{entries: make([]ingress.Entry, 0, len(entries))}
+	for _, e := range entries {
+		if e.Home {
+			c.near++
+		}
+		c.entries = append(c.entries, ingress.Entry{Instance: e.Instance, Zone: e.Zone, Address: e.Address})
+	}
+	return c
+}
+
+// Entries implements ingress.Directory: the entry instances that a caller at an
+// address should use, best first. Callers are spread over the equally good ones
+// by a hash of their address, so that a caller keeps its instance.
+func (r *Runtime) Entries(remote netip.Addr, dst []ingress.Entry) ([]ingress.Entry, time.Duration) {
+	v := r.view.Load()
+	c := v.candidatesFor(remote)
+	if c == nil {
+		return dst, v.ttl
+	}
+	if c.near < 2 {
+		return append(dst, c.entries...), v.ttl
+	}
+	address := remote.As16()
+	first := int(xxh3.Hash(address[:]) % uint64(c.near))
+	dst = append(dst, c.entries[first:c.near]...)
+	dst = append(dst, c.entries[:first]...)
+	return append(dst, c.entries[c.near:]...), v.ttl
+}
+
+func (v *view) candidatesFor(remote netip.Addr) *candidates {
+	if v.index == nil {
+		return v.fallback
+	}
+	group, ok := v.index.CallerGroup(remote)
+	if !ok {
+		return v.fallback
+	}
+	if c := v.byHome[homeKey(group.Home)]; c != nil {
+		return c
+	}
+	return v.fallback
+}
+
+// sortedZones returns the zones of the text in force.
+func (v *view) zones() []config.Zone {
+	if v.index == nil {
+		return nil
+	}
+	return slices.Clone(v.index.Text().Zones)
+}
