Add membership: records, failure detection, ownership, summaries

Cause: the reducer needs one pure view of its peers, of who owns which backend server, and of loads, at a constant number of messages a second. Ruled out: heartbeat counters of every instance in every message, which cost O(instances); relayed loads, which cost the same. A suspicion is a record with the state Suspected, refuted by a higher sequence, so the protocol needs no further message. Checked: the in-memory tests of 7 instances in 6 zones pass.

--- /dev/null
+++ b/internal/membership/cluster_test.go
@@ -0,0 +1,261 @@
+package membership
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+const (
+	testStart   = model.Instant(1_800_000_000_000_000_000)
+	tickEvery   = 100 * time.Millisecond
+	redialEvery = 500 * time.Millisecond
+	zoneDelay   = 500 * time.Microsecond
+	farDelay    = 55 * time.Millisecond
+)
+
+// cluster delivers messages between Groups in memory, with kills, pauses and
+// cuts. Each Group ticks every 100 ms.
+type cluster struct {
+	now      model.Instant
+	text     *config.Text
+	settings Settings
+	nodes    []*node
+	byID     map[model.InstanceID]*node
+	queue    []delivery
+	seq      int
+	cut      func(a, b *node) bool // links break at once
+	silent   func(a, b *node) bool // links stay up, messages are lost
+}
+
+type node struct {
+	id          model.InstanceID
+	zone        model.ZoneName
+	group       *Group
+	running     bool
+	paused      bool
+	opened      map[model.InstanceID]bool
+	links       map[model.InstanceID]bool
+	sent        int // bytes
+	received    int
+	sentCount   int
+	fetchFrom   model.InstanceID
+	notes       []Note
+	incarnation uint64
+	startedAt   model.Instant
+}
+
+type delivery struct {
+	at       model.Instant
+	seq      int
+	from, to *node
+	message  *Message
+}
+
+// testText has zones named "<region>-<letter>", one region for each two zones.
+func testText(zones, backendsPerZone int) *config.Text {
+	text := &config.Text{Services: []config.Service{{Name: "web"}}}
+	for z := range zones {
+		name := zoneName(z)
+		text.Zones = append(text.Zones, config.Zone{Name: name, Region: model.RegionName(fmt.Sprintf("r%02d", z/2))})
+		for b := range backendsPerZone {
+			text.Backends = append(text.Backends, config.Backend{
+				Name: model.BackendName(fmt.Sprintf("%s-web-%03d", name, b)), Service: "web", Zone: name, Slots: 3,
+			})
+		}
+	}
+	return text
+}
+
+func zoneName(z int) model.ZoneName {
+	return model.ZoneName(fmt.Sprintf("r%02d-%c", z/2, 'a'+rune(z%2)))
+}
+
+func newCluster(text *config.Text, settings Settings) *cluster {
+	none := func(_, _ *node) bool { return false }
+	return &cluster{now: testStart, text: text, settings: settings, byID: map[model.InstanceID]*node{}, cut: none, silent: none}
+}
+
+// add starts an instance that knows the given seeds.
+func (c *cluster) add(id string, zone model.ZoneName, seeds ...*node) *node {
+	n := &node{id: model.InstanceID(id), zone: zone}
+	c.nodes = append(c.nodes, n)
+	slices.SortFunc(c.nodes, func(a, b *node) int { return cmp.Compare(a.id, b.id) })
+	c.byID[n.id] = n
+	c.start(n, seeds...)
+	return n
+}
+
+func (c *cluster) start(n *node, seeds ...*node) {
+	n.running = true
+	n.paused = false
+	n.opened = map[model.InstanceID]bool{}
+	n.links = map[model.InstanceID]bool{}
+	n.incarnation = uint64(c.now)
+	s := c.settings
+	for _, seed := range seeds {
+		s.Seeds = append(s.Seeds, Seed{ID: seed.id, Zone: seed.zone, Addr: "addr-" + string(seed.id)})
+	}
+	n.group = New(Record{
+		ID: n.id, Zone: n.zone, LinkAddr: "10.1.0.1:7000/" + string(n.id), CallerAddr: "10.1.0.1:8000/" + string(n.id),
+		ControlAddr: "10.1.0.1:9000/" + string(n.id), Incarnation: n.incarnation, StartedAt: cmp.Or(n.startedAt, c.now),
+	}, s)
+	c.do(n, n.group.Configure(c.now, c.text, nil))
+	c.do(n, n.group.SetState(c.now, Ready))
+}
+
+func (c *cluster) do(n *node, out Output) {
+	n.notes = append(n.notes, out.Notes...)
+	if out.FetchFrom != "" {
+		n.fetchFrom = out.FetchFrom
+	}
+	for _, addressed := range out.Messages {
+		c.send(n, addressed)
+	}
+	for _, peer := range out.Open {
+		n.opened[peer.ID] = true
+		c.dial(n, peer.ID)
+	}
+	for _, id := range out.Close {
+		delete(n.opened, id)
+		if peer, ok := c.byID[id]; ok && !peer.opened[n.id] {
+			c.breakLink(n, peer)
+		}
+	}
+}
+
+func (c *cluster) delay(a, b *node) time.Duration {
+	if a.zone[:3] == b.zone[:3] {
+		return zoneDelay
+	}
+	return farDelay
+}
+
+func (c *cluster) send(n *node, a Addressed) {
+	size := proto.Size(ToProto(c.now, a.Message))
+	n.sent += size
+	n.sentCount++
+	to, ok := c.byID[a.To]
+	if !ok || !n.links[a.To] || c.silent(n, to) {
+		return
+	}
+	c.seq++
+	c.queue = append(c.queue, delivery{at: c.now.Add(c.delay(n, to)), seq: c.seq, from: n, to: to, message: a.Message})
+}
+
+func (c *cluster) dial(n *node, id model.InstanceID) {
+	peer, ok := c.byID[id]
+	if !ok || n.links[id] || !peer.running || peer.paused || n.paused || c.cut(n, peer) || c.silent(n, peer) {
+		return
+	}
+	n.links[id] = true
+	peer.links[n.id] = true
+	c.do(n, n.group.LinkUp(c.now, id))
+	c.do(peer, peer.group.LinkUp(c.now, n.id))
+}
+
+func (c *cluster) breakLink(a, b *node) {
+	if !a.links[b.id] {
+		return
+	}
+	delete(a.links, b.id)
+	delete(b.links, a.id)
+	c.queue = slices.DeleteFunc(c.queue, func(d delivery) bool {
+		return (d.from == a && d.to == b) || (d.from == b && d.to == a)
+	})
+	if a.running {
+		c.do(a, a.group.LinkDown(c.now, b.id))
+	}
+	if b.running {
+		c.do(b, b.group.LinkDown(c.now, a.id))
+	}
+}
+
+func (c *cluster) kill(n *node) {
+	n.running = false
+	for _, peer := range c.nodes {
+		c.breakLink(n, peer)
+	}
+}
+
+// partition breaks links as cut says and keeps them broken.
+func (c *cluster) partition(cut func(a, b *node) bool) {
+	c.cut = cut
+	for _, a := range c.nodes {
+		for _, b := range c.nodes {
+			if cut(a, b) {
+				c.breakLink(a, b)
+			}
+		}
+	}
+}
+
+// run lets time pass in ticks.
+func (c *cluster) run(d time.Duration) {
+	end := c.now.Add(d)
+	for c.now < end {
+		next := c.now.Add(tickEvery)
+		c.deliver(next)
+		c.now = next
+		for _, n := range c.nodes {
+			if n.running && !n.paused {
+				c.do(n, n.group.Tick(c.now))
+			}
+		}
+		if int64(c.now.Sub(testStart))%int64(redialEvery) == 0 {
+			c.redial()
+		}
+	}
+}
+
+func (c *cluster) redial() {
+	for _, n := range c.nodes {
+		for _, peer := range c.nodes {
+			if n.running && n.opened[peer.id] {
+				c.dial(n, peer.id)
+			}
+		}
+	}
+}
+
+// deliver hands over the messages that arrive before an instant. Those to a
+// paused instance wait.
+func (c *cluster) deliver(until model.Instant) {
+	for {
+		at := -1
+		for i, d := range c.queue {
+			if d.at > until || d.to.paused {
+				continue
+			}
+			if at < 0 || d.at < c.queue[at].at || (d.at == c.queue[at].at && d.seq < c.queue[at].seq) {
+				at = i
+			}
+		}
+		if at < 0 {
+			return
+		}
+		d := c.queue[at]
+		c.queue = slices.Delete(c.queue, at, at+1)
+		c.now = max(c.now, d.at)
+		d.to.received += proto.Size(ToProto(c.now, d.message))
+		if d.to.running {
+			c.do(d.to, d.to.group.Receive(c.now, d.from.id, d.message))
+		}
+	}
+}
+
+// zonesOf7 is how each user's 7 instances spread over 6 zones.
+func sevenInstances(settings Settings) *cluster {
+	c := newCluster(testText(6, 12), settings)
+	first := c.add("i0", zoneName(0))
+	for i := 1; i < 7; i++ {
+		c.add(fmt.Sprintf("i%d", i), zoneName(i%6), first)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/membership/codec.go
@@ -0,0 +1,201 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// DecodeError reports a message that no instance of this version sends.
+type DecodeError struct {
+	Step  string // which part of the message
+	Peer  model.InstanceID
+	Value string
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("decode %s of message from %q: invalid value %s", e.Step, e.Peer, e.Value)
+}
+
+// ToProto converts a message for sending. Expiry times become the time left at
+// now, since clocks are not compared.
+func ToProto(now model.Instant, m *Message) *linkpb.Gossip {
+	return &linkpb.Gossip{
+		From:        string(m.From),
+		Incarnation: m.Incarnation,
+		Revision:    m.Revision,
+		Records:     lo.Map(m.Records, func(r Record, _ int) *linkpb.Record { return recordToProto(&r) }),
+		Zones:       lo.Map(m.Zones, func(z ZoneSummary, _ int) *linkpb.ZoneSummary { return zoneToProto(&z) }),
+		Suspects:    lo.Map(m.Suspects, func(s Suspect, _ int) *linkpb.Suspect { return suspectToProto(now, &s) }),
+		Known:       lo.Map(m.Known, func(v RecordVersion, _ int) *linkpb.RecordVersion { return versionToProto(v) }),
+	}
+}
+
+func recordToProto(r *Record) *linkpb.Record {
+	return &linkpb.Record{
+		Id:          string(r.ID),
+		Zone:        string(r.Zone),
+		LinkAddr:    r.LinkAddr,
+		CallerAddr:  r.CallerAddr,
+		ControlAddr: r.ControlAddr,
+		State:       uint32(r.State),
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Revision:    r.Revision,
+		StartedAt:   int64(r.StartedAt),
+		Loads:       loadsToProto(r.Loads),
+	}
+}
+
+func loadsToProto(loads []ServiceLoad) []*linkpb.ServiceLoad {
+	return lo.Map(loads, func(load ServiceLoad, _ int) *linkpb.ServiceLoad {
+		return &linkpb.ServiceLoad{
+			Service:       string(load.Service),
+			Slots:         int32(load.Slots),
+			InUse:         int32(load.InUse),
+			Queued:        queuedToProto(&load),
+			MeanRunNs:     int64(load.MeanRun),
+			SpillLevel:    load.SpillLevel,
+			SpillInUse:    int32(load.SpillInUse),
+			BaselineSince: int64(load.BaselineSince),
+		}
+	})
+}
+
+// queuedToProto leaves the queues out where all are empty.
+func queuedToProto(load *ServiceLoad) []int32 {
+	if load.Queued == [model.RankCount]int{} {
+		return nil
+	}
+	return lo.Map(load.Queued[:], func(n, _ int) int32 { return int32(n) })
+}
+
+func zoneToProto(z *ZoneSummary) *linkpb.ZoneSummary {
+	return &linkpb.ZoneSummary{Zone: string(z.Zone), Epoch: z.Epoch, Loads: loadsToProto(z.Loads)}
+}
+
+func suspectToProto(now model.Instant, s *Suspect) *linkpb.Suspect {
+	return &linkpb.Suspect{
+		Fingerprint: s.Fingerprint,
+		Servers:     lo.Map(s.Servers, func(b model.BackendName, _ int) string { return string(b) }),
+		TimeLeftNs:  int64(s.Expires.Sub(now)),
+	}
+}
+
+func versionToProto(v RecordVersion) *linkpb.RecordVersion {
+	return &linkpb.RecordVersion{Id: string(v.ID), Incarnation: v.Incarnation, Sequence: v.Sequence}
+}
+
+// FromProto converts a received message; now is the time of its arrival.
+func FromProto(now model.Instant, p *linkpb.Gossip) (*Message, error) {
+	from := model.InstanceID(p.GetFrom())
+	if from == "" {
+		return nil, &DecodeError{Step: "sender", Peer: from, Value: `""`}
+	}
+	m := &Message{From: from, Incarnation: p.GetIncarnation(), Revision: p.GetRevision()}
+	for _, r := range p.GetRecords() {
+		record, err := recordFromProto(from, r)
+		if err != nil {
+			return nil, fmt.Errorf("record %q: %w", r.GetId(), err)
+		}
+		m.Records = append(m.Records, record)
+	}
+	for _, z := range p.GetZones() {
+		loads, err := loadsFromProto(from, z.GetLoads())
+		if err != nil {
+			return nil, fmt.Errorf("summary of zone %q: %w", z.GetZone(), err)
+		}
+		m.Zones = append(m.Zones, ZoneSummary{Zone: model.ZoneName(z.GetZone()), Epoch: z.GetEpoch(), Loads: loads})
+	}
+	for _, s := range p.GetSuspects() {
+		m.Suspects = append(m.Suspects, suspectFromProto(now, s))
+	}
+	for _, v := range p.GetKnown() {
+		m.Known = append(m.Known, versionFromProto(v))
+	}
+	return m, nil
+}
+
+func recordFromProto(from model.InstanceID, r *linkpb.Record) (Record, error) {
+	if r.GetId() == "" {
+		return Record{}, &DecodeError{Step: "record identifier", Peer: from, Value: `""`}
+	}
+	if r.GetState() > uint32(Suspected) {
+		return Record{}, &DecodeError{Step: "record state", Peer: from, Value: fmt.Sprint(r.GetState())}
+	}
+	loads, err := loadsFromProto(from, r.GetLoads())
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{
+		ID:          model.InstanceID(r.GetId()),
+		Zone:        model.ZoneName(r.GetZone()),
+		LinkAddr:    r.GetLinkAddr(),
+		CallerAddr:  r.GetCallerAddr(),
+		ControlAddr: r.GetControlAddr(),
+		State:       State(r.GetState()),
+		Incarnation: r.GetIncarnation(),
+		Sequence:    r.GetSequence(),
+		Revision:    r.GetRevision(),
+		StartedAt:   model.Instant(r.GetStartedAt()),
+		Loads:       loads,
+	}, nil
+}
+
+func loadsFromProto(from model.InstanceID, list []*linkpb.ServiceLoad) ([]ServiceLoad, error) {
+	var loads []ServiceLoad
+	for _, p := range list {
+		load, err := loadFromProto(from, p)
+		if err != nil {
+			return nil, err
+		}
+		loads = append(loads, load)
+	}
+	return loads, nil
+}
+
+func loadFromProto(from model.InstanceID, p *linkpb.ServiceLoad) (ServiceLoad, error) {
+	negative := p.GetSlots() < 0 || p.GetInUse() < 0 || p.GetSpillInUse() < 0 || p.GetMeanRunNs() < 0
+	// The comparison is false for NaN too.
+	if negative || !(p.GetSpillLevel() >= 0) || len(p.GetQueued()) > model.RankCount {
+		return ServiceLoad{}, &DecodeError{Step: "load", Peer: from, Value: p.String()}
+	}
+	load := ServiceLoad{
+		Service:       model.ServiceName(p.GetService()),
+		Slots:         int(p.GetSlots()),
+		InUse:         int(p.GetInUse()),
+		MeanRun:       time.Duration(p.GetMeanRunNs()),
+		SpillLevel:    p.GetSpillLevel(),
+		SpillInUse:    int(p.GetSpillInUse()),
+		BaselineSince: model.Instant(p.GetBaselineSince()),
+	}
+	for i, n := range p.GetQueued() {
+		if n < 0 {
+			return ServiceLoad{}, &DecodeError{Step: "queue length", Peer: from, Value: fmt.Sprint(n)}
+		}
+		load.Queued[i] = int(n)
+	}
+	return load, nil
+}
+
+func suspectFromProto(now model.Instant, s *linkpb.Suspect) Suspect {
+	left := min(time.Duration(s.GetTimeLeftNs()), maxSuspectLength)
+	suspect := Suspect{Fingerprint: s.GetFingerprint(), Expires: now.Add(left)}
+	for _, server := range s.GetServers() {
+		suspect.Servers = append(suspect.Servers, model.BackendName(server))
+	}
+	return suspect
+}
+
+func versionFromProto(v *linkpb.RecordVersion) RecordVersion {
+	return RecordVersion{
+		ID:          model.InstanceID(v.GetId()),
+		Incarnation: v.GetIncarnation(),
+		Sequence:    v.GetSequence(),
+	}
+}
--- /dev/null
+++ b/internal/membership/group_test.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// requireOneOwner checks that all running instances agree on every owner and
+// that exactly the owner uses its share.
+func requireOneOwner(t require.TestingT, c *cluster, among func(*node) bool) {
+	for _, b := range c.text.Backends {
+		var owner model.InstanceID
+		users := 0
+		for _, n := range c.nodes {
+			if !n.running || !among(n) {
+				continue
+			}
+			id, ok := n.group.Owner(b.Name)
+			require.True(t, ok, "%s knows no owner of %s", n.id, b.Name)
+			if owner == "" {
+				owner = id
+			}
+			require.Equal(t, owner, id, "%s disagrees on the owner of %s", n.id, b.Name)
+			for _, name := range n.group.Owned() {
+				if name == b.Name {
+					users++
+					require.Equal(t, owner, n.id)
+				}
+			}
+		}
+		require.Equal(t, 1, users, "users of %s", b.Name)
+	}
+}
+
+func everyone(*node) bool { return true }
+
+func TestSevenInstancesAgree(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	requireOneOwner(t, c, everyone)
+	for _, n := range c.nodes {
+		require.Len(t, n.group.Peers(), 6)
+		for _, p := range n.group.Peers() {
+			require.Equal(t, HealthAlive, p.Health, "%s of %s", p.Record.ID, n.id)
+			require.Equal(t, Ready, p.Record.State)
+		}
+		require.Len(t, n.group.Entries(nil), 7)
+		require.Equal(t, n.zone, n.group.Entries([]model.ZoneName{n.zone})[0].Zone)
+	}
+}
+
+func TestKilledInstanceLosesOwnershipInTime(t *testing.T) {
+	for _, victim := range []model.InstanceID{"i0", "i3"} {
+		c := sevenInstances(Settings{})
+		c.run(5 * time.Second)
+		c.kill(c.byID[victim])
+		c.run(2900 * time.Millisecond)
+		requireOneOwner(t, c, everyone)
+		for _, n := range c.nodes {
+			if n.running {
+				require.Len(t, n.group.Entries(nil), 6)
+			}
+		}
+	}
+}
+
+func TestPausedInstanceStopsOwningBeforeOthersTakeOver(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	paused := c.byID["i0"]
+	share := len(paused.group.Owned())
+	require.NotZero(t, share)
+	paused.paused = true
+	c.run(2900 * time.Millisecond)
+	requireOneOwner(t, c, func(n *node) bool { return n != paused })
+	require.True(t, paused.group.Frozen(c.now))
+
+	paused.paused = false
+	c.do(paused, paused.group.Tick(c.now))
+	require.Empty(t, paused.group.Owned())
+	requireNoDoubleOwner(t, c, 5*time.Second)
+	requireOneOwner(t, c, everyone)
+	require.Len(t, paused.group.Owned(), share)
+}
+
+// requireNoDoubleOwner runs the cluster and checks at every tick that no two
+// instances use the same backend server.
+func requireNoDoubleOwner(t require.TestingT, c *cluster, d time.Duration) {
+	for end := c.now.Add(d); c.now < end; {
+		c.run(tickEvery)
+		users := map[model.BackendName]model.InstanceID{}
+		for _, n := range c.nodes {
+			if !n.running || n.group.Frozen(c.now) {
+				continue
+			}
+			for _, b := range n.group.Owned() {
+				require.Empty(t, users[b], "%s is used by %s too", b, n.id)
+				users[b] = n.id
+			}
+		}
+	}
+}
+
+func TestPlannedLeaveHandsOverAtOnce(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	leaving := c.byID["i0"]
+	stop := []config.Stop{{ID: "1", Scope: config.StopInstance, Target: "i0"}}
+	for _, n := range c.nodes {
+		c.do(n, n.group.Configure(c.now, c.text, stop))
+	}
+	require.Empty(t, leaving.group.Owned())
+	requireNoDoubleOwner(t, c, 200*time.Millisecond)
+	requireOneOwner(t, c, everyone)
+	require.Len(t, c.nodes[1].group.Entries(nil), 6)
+}
+
+func TestRestartedInstanceNeverSharesOwnership(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	n := c.byID["i0"]
+	c.kill(n)
+	c.run(300 * time.Millisecond)
+	c.start(n, c.byID["i6"])
+	requireNoDoubleOwner(t, c, 6*time.Second)
+	requireOneOwner(t, c, everyone)
+}
+
+func TestZoneCutOffAndHealed(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	inside := func(n *node) bool { return n.zone == zoneName(0) }
+	c.partition(func(a, b *node) bool { return inside(a) != inside(b) })
+	c.run(6 * time.Second)
+	for _, n := range c.nodes {
+		require.Len(t, n.group.Entries(nil), map[bool]int{true: 2, false: 5}[inside(n)])
+	}
+	c.partition(func(_, _ *node) bool { return false })
+	c.run(6 * time.Second)
+	requireOneOwner(t, c, everyone)
+}
+
+func TestSingleBrokenLinkKillsNobody(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	a, b := c.byID["i0"], c.byID["i6"]
+	c.partition(func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) })
+	for range 100 {
+		c.run(tickEvery)
+		requireOneOwner(t, c, everyone)
+	}
+	for _, n := range c.nodes {
+		for _, note := range n.notes {
+			require.NotEqual(t, "declared dead", note.What)
+		}
+	}
+}
+
+func TestHigherRevisionIsFetched(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	c.byID["i3"].group.SetRevision(7)
+	c.run(200 * time.Millisecond)
+	for _, n := range c.nodes {
+		if n.id != "i3" {
+			require.Equal(t, model.InstanceID("i3"), n.fetchFrom)
+		}
+	}
+}
+
+func TestSuspectsReachEveryone(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	suspect := Suspect{Fingerprint: 42, Servers: []model.BackendName{"b"}, Expires: c.now.Add(time.Minute)}
+	c.byID["i2"].group.SetSuspects([]Suspect{suspect})
+	c.run(600 * time.Millisecond)
+	for _, n := range c.nodes {
+		require.Len(t, n.group.suspects.list, 1)
+	}
+	c.run(time.Minute)
+	for _, n := range c.nodes {
+		require.Empty(t, n.group.suspects.list)
+	}
+}
+
+func TestLoadsTravel(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	n := c.byID["i0"]
+	n.group.SetLoads(c.now, []ServiceLoad{{Service: "web", Slots: 30, InUse: 12}})
+	c.run(2 * time.Second)
+	for _, other := range c.nodes {
+		owners := other.group.Owners("web", zoneName(0))
+		require.Len(t, owners, 2)
+		require.True(t, owners[0].Reachable)
+		require.Equal(t, 12, owners[0].Load.InUse)
+		require.Less(t, owners[0].Age, time.Second)
+		_, _, ok := other.group.ZoneLoad(zoneName(1), "web")
+		require.False(t, ok)
+	}
+}
--- /dev/null
+++ b/internal/membership/loads.go
@@ -0,0 +1,77 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Steps below which a change of a load is not worth a message.
+const (
+	loadStepsPerSlots = 8    // in use: an eighth of the slots
+	queueStepShare    = 0.25 // queued: a quarter of the number last sent
+	runStepShare      = 0.2  // mean run time: a fifth of the one last sent
+	spillStep         = 0.25 // spill level, in slots, at least
+)
+
+// ownLoads is the load of this instance's own servers.
+type ownLoads struct {
+	current     []ServiceLoad // as SetLoads last gave it
+	generation  uint64        // grows when record.Loads changes
+	publishedAt model.Instant
+}
+
+// SetLoads takes the loads of the servers that this instance owns. Peers learn
+// of changes that matter, and not more often than the settings allow.
+func (g *Group) SetLoads(now model.Instant, loads []ServiceLoad) {
+	g.loads.current = append(g.loads.current[:0], loads...)
+	g.publishLoads(now)
+}
+
+func (g *Group) publishLoads(now model.Instant) {
+	first := g.loads.generation == 0
+	if !first && now.Sub(g.loads.publishedAt) < g.settings.LoadEvery {
+		return
+	}
+	if !loadsDiffer(g.self.record.Loads, g.loads.current) {
+		return
+	}
+	g.self.record.Loads = slices.Clone(g.loads.current)
+	g.loads.publishedAt = now
+	g.loads.generation++
+	g.generation++
+}
+
+// loadsDiffer reports whether peers should learn of new loads.
+func loadsDiffer(sent, current []ServiceLoad) bool {
+	return !slices.EqualFunc(sent, current, func(a, b ServiceLoad) bool { return !loadDiffers(&a, &b) })
+}
+
+func loadDiffers(sent, current *ServiceLoad) bool {
+	if sent.Service != current.Service || sent.Slots != current.Slots || sent.BaselineSince != current.BaselineSince {
+		return true
+	}
+	step := max(1, current.Slots/loadStepsPerSlots)
+	if distance(sent.InUse, current.InUse) >= step || distance(sent.SpillInUse, current.SpillInUse) >= step {
+		return true
+	}
+	for i := range current.Queued {
+		queueStep := max(1, int(float64(sent.Queued[i])*queueStepShare))
+		if distance(sent.Queued[i], current.Queued[i]) >= queueStep {
+			return true
+		}
+	}
+	spillDelta := max(sent.SpillLevel-current.SpillLevel, current.SpillLevel-sent.SpillLevel)
+	if spillDelta >= max(spillStep, float64(step)) {
+		return true
+	}
+	return runDiffers(sent.MeanRun, current.MeanRun)
+}
+
+func runDiffers(sent, current time.Duration) bool {
+	delta := (sent - current).Abs()
+	return delta > time.Duration(float64(sent)*runStepShare)
+}
+
+func distance(a, b int) int { return max(a-b, b-a) }
--- /dev/null
+++ b/internal/membership/owners.go
@@ -0,0 +1,184 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// ownerRefresh bounds the error of Owner.Age.
+const ownerRefresh = 50 * time.Millisecond
+
+// Owner is an instance that owns backend servers of one service in one zone.
+type Owner struct {
+	Instance  model.InstanceID
+	Reachable bool // not suspected, and its link, where there is one, works
+	Servers   int  // how many of the servers it owns
+	Slots     int  // their slots by the operators' text
+	// Load is what the owner last said of these servers or, where only the zone's
+	// summary is known, its part of that.
+	Load ServiceLoad
+	// Age is the time since Load was vouched for; negative where no load is known.
+	Age time.Duration
+}
+
+// unknownAge is the Age of an Owner without a load.
+const unknownAge = -1
+
+type ownerKey struct {
+	service model.ServiceName
+	zone    model.ZoneName
+}
+
+// ownerGroup holds the owners of one service in one zone, refreshed on use.
+type ownerGroup struct {
+	owners     []Owner
+	members    []*member
+	shares     []float64 // part of the owner's slots for the service that is in this zone
+	slots      int
+	generation uint64
+	at         model.Instant
+}
+
+// groupOwners lists the owners by service and zone.
+func (g *Group) groupOwners() {
+	o := &g.ownership
+	o.groups = map[ownerKey]*ownerGroup{}
+	totals := map[totalKey]int{}
+	for i, owner := range o.owners {
+		if owner == nil {
+			continue
+		}
+		b := &o.backends[i]
+		group := o.group(ownerKey{b.Service, b.Zone})
+		group.add(owner, b.Slots)
+		totals[totalKey{owner, b.Service}] += b.Slots
+	}
+	for key, group := range o.groups {
+		group.sort()
+		for i, m := range group.members {
+			total := totals[totalKey{m, key.service}]
+			group.shares[i] = fraction(group.owners[i].Slots, total)
+		}
+	}
+}
+
+type totalKey struct {
+	owner   *member
+	service model.ServiceName
+}
+
+func (o *ownership) group(key ownerKey) *ownerGroup {
+	group, ok := o.groups[key]
+	if !ok {
+		group = &ownerGroup{}
+		o.groups[key] = group
+	}
+	return group
+}
+
+func (og *ownerGroup) add(owner *member, slots int) {
+	og.slots += slots
+	at := slices.Index(og.members, owner)
+	if at < 0 {
+		at = len(og.members)
+		og.members = append(og.members, owner)
+		og.owners = append(og.owners, Owner{Instance: owner.record.ID})
+		og.shares = append(og.shares, 0)
+	}
+	og.owners[at].Servers++
+	og.owners[at].Slots += slots
+}
+
+func (og *ownerGroup) sort() {
+	slices.SortFunc(og.members, byID)
+	slices.SortFunc(og.owners, func(a, b Owner) int {
+		return strings.Compare(string(a.Instance), string(b.Instance))
+	})
+}
+
+// Owners lists the owners of a service's servers in a zone, by identifier. The
+// list is valid until the next call and must not be changed.
+func (g *Group) Owners(service model.ServiceName, zone model.ZoneName) []Owner {
+	group, ok := g.ownership.groups[ownerKey{service, zone}]
+	if !ok {
+		return nil
+	}
+	fresh := group.generation == g.generation && g.now.Sub(group.at) < ownerRefresh && group.at != 0
+	if !fresh {
+		g.refresh(service, zone, group)
+	}
+	return group.owners
+}
+
+func (g *Group) refresh(service model.ServiceName, zone model.ZoneName, group *ownerGroup) {
+	group.generation = g.generation
+	group.at = g.now
+	for i, m := range group.members {
+		owner := &group.owners[i]
+		owner.Reachable = g.reachable(m)
+		load, age, ok := g.ownLoad(m, service)
+		if ok {
+			load = scale(load, group.shares[i])
+		} else {
+			load, age, ok = g.summaries.load(g, zone, service)
+			load = scale(load, fraction(owner.Slots, group.slots))
+		}
+		if !ok {
+			age = unknownAge
+		}
+		owner.Load = load
+		owner.Age = age
+	}
+}
+
+// ownLoad returns what an instance said itself of a service's servers.
+func (g *Group) ownLoad(m *member, service model.ServiceName) (ServiceLoad, time.Duration, bool) {
+	at := m.loadsAt
+	if m == g.self {
+		at = g.now
+	} else if !m.haveLoads {
+		return ServiceLoad{}, 0, false
+	}
+	for i := range m.record.Loads {
+		if m.record.Loads[i].Service == service {
+			return m.record.Loads[i], g.now.Sub(at), true
+		}
+	}
+	return ServiceLoad{}, 0, false
+}
+
+func (g *Group) reachable(m *member) bool {
+	if m == g.self {
+		return g.owning()
+	}
+	if !m.live() || g.suspect(m) || g.zoneCut(m.record.Zone) {
+		return false
+	}
+	_, open := g.opened[m.record.ID]
+	return !open || g.linkIsUp(m.record.ID)
+}
+
+func fraction(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+func scale(load ServiceLoad, share float64) ServiceLoad {
+	if share == 1 {
+		return load
+	}
+	part := func(n int) int { return int(float64(n)*share + 0.5) }
+	load.Slots = part(load.Slots)
+	load.InUse = part(load.InUse)
+	load.SpillInUse = part(load.SpillInUse)
+	load.SpillLevel *= share
+	for i := range load.Queued {
+		load.Queued[i] = part(load.Queued[i])
+	}
+	return load
+}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -18,8 +19,23 @@
 	Ready                 // serves callers and owns backend servers
 	Leaving               // hands over ownership, finishes what it has
 	Left                  // gone by its own word
+
+	// Suspected is never announced by an instance itself: a peer that lost contact
+	// says it of the record's (Incarnation, Sequence). The instance refutes it with
+	// a higher Sequence.
+	Suspected
 )
 
+var stateNames = [...]string{"starting", "ready", "leaving", "left", "suspected"}
+
+// String returns the word used in status and reports.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
+}
+
 // Record is what an instance says of itself. A record with a higher
 // (Incarnation, Sequence) replaces an older one.
 type Record struct {
@@ -30,10 +46,10 @@
 	ControlAddr string // host:port for operators
 	State       State
 	Incarnation uint64 // start time of the process in nanoseconds since the epoch
-	Sequence    uint64 // grows with each change of the record
+	Sequence    uint64 // grows with each change but that of Revision and Loads
 	Revision    int64  // configuration revision in force
 	StartedAt   model.Instant
-	Loads       []ServiceLoad // of the servers that it owns, by service name
+	Loads       []ServiceLoad // of the servers that it owns, by service name; only in its own messages
 }
 
 // Newer reports whether r replaces other.
@@ -85,8 +101,8 @@
 // ZoneSummary is the load of a whole zone as one of its bridges last summed it.
 type ZoneSummary struct {
 	Zone  model.ZoneName
-	Epoch uint64 // grows with each summary of the zone; a higher one replaces a lower one
-	Loads []ServiceLoad
+	Epoch uint64        // grows with each summary of the zone; a higher one replaces a lower one
+	Loads []ServiceLoad // empty where unchanged since the last summary on the same link
 }
 
 // Suspect is a request fingerprint that broke backend servers.
--- /dev/null
+++ b/internal/membership/summary.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// summaries holds the loads of whole zones. The first bridge of a zone sums it;
+// the others pass its summary on.
+type summaries struct {
+	zones       map[model.ZoneName]*zoneSummary
+	order       []*zoneSummary // by zone
+	summarizeAt model.Instant
+
+	probing    bool  // a zone has no live member; its instances are tried in turn
+	probeRound int64 // number of the probe period
+}
+
+type zoneSummary struct {
+	zone       model.ZoneName
+	epoch      uint64
+	loads      []ServiceLoad
+	loadsEpoch uint64 // epoch at which loads last changed
+	heardAt    model.Instant
+	cut        bool // silent, and an instance of the zone died meanwhile
+}
+
+func (s *summaries) init() { s.zones = map[model.ZoneName]*zoneSummary{} }
+
+func (s *summaries) get(zone model.ZoneName) *zoneSummary {
+	if z, ok := s.zones[zone]; ok {
+		return z
+	}
+	z := &zoneSummary{zone: zone}
+	s.zones[zone] = z
+	s.order = append(s.order, z)
+	slices.SortFunc(s.order, func(a, b *zoneSummary) int { return strings.Compare(string(a.zone), string(b.zone)) })
+	return z
+}
+
+// shift moves every time-out by the length of a pause.
+func (s *summaries) shift(gap time.Duration) {
+	for _, z := range s.order {
+		z.heardAt = z.heardAt.Add(gap)
+	}
+}
+
+// checkSilence marks zones as cut off.
+func (s *summaries) checkSilence(g *Group) {
+	for _, z := range s.order {
+		cut := z.zone != g.self.record.Zone && g.now.Sub(z.heardAt) >= g.settings.ZoneSilence && g.diedSince(z)
+		if cut == z.cut {
+			continue
+		}
+		z.cut = cut
+		g.ownership.dirty = true
+		g.generation++
+		if cut {
+			g.out.Notes = append(g.out.Notes, Note{Subject: string(z.zone), What: "cut off", Why: "no summary, instances died"})
+		}
+	}
+}
+
+func (g *Group) diedSince(z *zoneSummary) bool {
+	for _, m := range g.order {
+		if m.record.Zone == z.zone && m.dead && m.endedAt >= z.heardAt {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Group) zoneCut(zone model.ZoneName) bool {
+	z, ok := g.summaries.zones[zone]
+	return ok && z.cut
+}
+
+// summarize sums the own zone where this instance is the one to do so.
+func (g *Group) summarize() {
+	g.publishLoads(g.now)
+	bridges := g.bridgesOf(g.self.record.Zone)
+	author := len(bridges) > 0 && bridges[0] == g.self && g.self.record.State == Ready
+	if !author || g.now < g.summaries.summarizeAt {
+		return
+	}
+	g.summaries.summarizeAt = g.now.Add(g.settings.ZoneEvery)
+	z := g.summaries.get(g.self.record.Zone)
+	z.epoch = max(z.epoch+1, uint64(g.now)/uint64(time.Millisecond))
+	z.heardAt = g.now
+	sum := g.sumZone(g.self.record.Zone)
+	if z.loadsEpoch == 0 || loadsDiffer(z.loads, sum) {
+		z.loads = sum
+		z.loadsEpoch = z.epoch
+		g.generation++
+	}
+}
+
+// sumZone adds up what the ready instances of a zone said themselves.
+func (g *Group) sumZone(zone model.ZoneName) []ServiceLoad {
+	var sum []ServiceLoad
+	for _, m := range g.inZone(zone, (*member).ready) {
+		for i := range m.record.Loads {
+			sum = addLoad(sum, &m.record.Loads[i])
+		}
+	}
+	return sum
+}
+
+func addLoad(sum []ServiceLoad, load *ServiceLoad) []ServiceLoad {
+	at, found := slices.BinarySearchFunc(sum, load.Service, func(s ServiceLoad, name model.ServiceName) int {
+		return cmp.Compare(s.Service, name)
+	})
+	if !found {
+		return slices.Insert(sum, at, *load)
+	}
+	s := &sum[at]
+	if total := s.Slots + load.Slots; total > 0 {
+		weighted := s.MeanRun*time.Duration(s.Slots) + load.MeanRun*time.Duration(load.Slots)
+		s.MeanRun = weighted / time.Duration(total)
+	}
+	s.Slots += load.Slots
+	s.InUse += load.InUse
+	s.SpillLevel += load.SpillLevel
+	s.SpillInUse += load.SpillInUse
+	for i := range s.Queued {
+		s.Queued[i] += load.Queued[i]
+	}
+	if s.BaselineSince == 0 || (load.BaselineSince != 0 && load.BaselineSince < s.BaselineSince) {
+		s.BaselineSince = load.BaselineSince
+	}
+	return sum
+}
+
+// zonesFor lists the summaries that a peer may lack: every zone's within the
+// zone, the own zone's only to other zones.
+func (g *Group) zonesFor(l *link) []ZoneSummary {
+	peer, ok := g.members[l.peer]
+	if !ok || !g.heartbeats[l.peer] {
+		return nil
+	}
+	inZone := peer.record.Zone == g.self.record.Zone
+	var list []ZoneSummary
+	for _, z := range g.summaries.order {
+		sent := l.zonesSent[z.zone]
+		if z.epoch <= sent.epoch || (!inZone && z.zone != g.self.record.Zone) {
+			continue
+		}
+		summary := ZoneSummary{Zone: z.zone, Epoch: z.epoch}
+		if z.loadsEpoch > sent.loadsEpoch {
+			summary.Loads = z.loads
+		}
+		l.zonesSent[z.zone] = zoneSent{z.epoch, z.loadsEpoch}
+		list = append(list, summary)
+	}
+	return list
+}
+
+func (g *Group) mergeZone(l *link, summary *ZoneSummary) {
+	z := g.summaries.get(summary.Zone)
+	if summary.Epoch <= z.epoch {
+		return
+	}
+	z.epoch = summary.Epoch
+	z.heardAt = g.now
+	if len(summary.Loads) > 0 {
+		z.loads = summary.Loads
+		z.loadsEpoch = summary.Epoch
+		g.generation++
+	}
+	l.zonesSent[z.zone] = zoneSent{z.epoch, z.loadsEpoch}
+}
+
+func (s *summaries) load(g *Group, zone model.ZoneName, service model.ServiceName) (ServiceLoad, time.Duration, bool) {
+	z, ok := s.zones[zone]
+	if !ok || z.loadsEpoch == 0 {
+		return ServiceLoad{}, 0, false
+	}
+	for i := range z.loads {
+		if z.loads[i].Service == service {
+			return z.loads[i], g.now.Sub(z.heardAt), true
+		}
+	}
+	return ServiceLoad{}, 0, false
+}
+
+// ZoneLoad returns the load of a service in a whole zone and the time since it
+// was vouched for: the sum of what its instances said where all of them did, the
+// zone's summary otherwise.
+func (g *Group) ZoneLoad(zone model.ZoneName, service model.ServiceName) (ServiceLoad, time.Duration, bool) {
+	if load, age, ok := g.sumOwners(zone, service); ok {
+		return load, age, true
+	}
+	return g.summaries.load(g, zone, service)
+}
+
+func (g *Group) sumOwners(zone model.ZoneName, service model.ServiceName) (ServiceLoad, time.Duration, bool) {
+	owners := g.Owners(service, zone)
+	group := g.ownership.groups[ownerKey{service, zone}]
+	var sum []ServiceLoad
+	var oldest time.Duration
+	for i := range owners {
+		_, age, ok := g.ownLoad(group.members[i], service)
+		if !ok {
+			return ServiceLoad{}, 0, false
+		}
+		oldest = max(oldest, age)
+		sum = addLoad(sum, &owners[i].Load)
+	}
+	if len(sum) == 0 {
+		return ServiceLoad{}, 0, false
+	}
+	return sum[0], oldest, true
+}
