Add steering: zones and owners for requests, spill, link budgets

Cause: the ingress needs one pure decision on where a request goes. Ruled out: one bucket for each rank of a link, under which normal and background work together left nothing for urgent work (a test showed it); buckets now bound a rank together with the less urgent ones.

--- a/internal/membership/owners.go
+++ b/internal/membership/owners.go
@@ -182,3 +182,14 @@
 	}
 	return load
 }
+
+// ReadyInstances counts the live instances of a region that take requests.
+func (g *Group) ReadyInstances(region model.RegionName) int {
+	count := 0
+	for _, m := range g.order {
+		if m.ready() && g.regions[m.record.Zone] == region {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/steering/cell.go
@@ -0,0 +1,141 @@
+package steering
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// cell is a service in a zone: its owners and its load, as last reported and
+// corrected by what this instance has sent since.
+type cell struct {
+	settings *Settings
+	service  model.ServiceName
+	zone     model.ZoneName
+	region   model.RegionName
+	slots    int // by the operators' text
+
+	at         model.Instant
+	generation uint64
+	owners     []membership.Owner
+	states     []*ownerState // by owner
+	load       membership.ServiceLoad
+	known      bool // load is not older than StaleAfter
+	reported   bool // a load was ever reported
+	reachable  int  // owners that can be sent to
+
+	// sent is what this instance sent, less what finished, since the report.
+	sent, sentSpill int
+	reportedAt      model.Instant
+}
+
+// ownerState is what this instance learnt about one owner of a cell.
+type ownerState struct {
+	instance   model.InstanceID
+	sent       int // since the owner's report, less what finished
+	reportedAt model.Instant
+	heldUntil  [model.RankCount]model.Instant // refused recently
+	spillHeld  model.Instant                  // refused spill recently
+}
+
+// refresh asks the View again where its answers may have changed.
+func (c *cell) refresh(now model.Instant, v View) {
+	generation := v.Generation()
+	if c.at != 0 && c.generation == generation && now.Sub(c.at) < c.settings.RefreshEvery {
+		return
+	}
+	c.at = now
+	c.generation = generation
+	c.owners = v.Owners(c.service, c.zone)
+	c.matchStates()
+	c.reachable = 0
+	for i := range c.owners {
+		if c.owners[i].Reachable {
+			c.reachable++
+		}
+		c.states[i].report(now, c.owners[i].Age)
+	}
+	load, age, ok := v.ZoneLoad(c.zone, c.service)
+	c.reported = c.reported || ok
+	c.known = ok && age <= c.settings.StaleAfter
+	if ok {
+		c.load = load
+		c.report(now, age)
+	}
+}
+
+// report drops the own sends that a newer report includes.
+func (c *cell) report(now model.Instant, age time.Duration) {
+	if at := now.Add(-age); at > c.reportedAt {
+		c.reportedAt = at
+		c.sent = 0
+		c.sentSpill = 0
+	}
+}
+
+func (s *ownerState) report(now model.Instant, age time.Duration) {
+	if at := now.Add(-age); age >= 0 && at > s.reportedAt {
+		s.reportedAt = at
+		s.sent = 0
+	}
+}
+
+// matchStates puts the owners' states in the owners' order.
+func (c *cell) matchStates() {
+	same := len(c.states) == len(c.owners)
+	for i := 0; same && i < len(c.owners); i++ {
+		same = c.states[i].instance == c.owners[i].Instance
+	}
+	if same {
+		return
+	}
+	states := make([]*ownerState, len(c.owners))
+	for i := range c.owners {
+		states[i] = c.stateOf(c.owners[i].Instance)
+	}
+	c.states = states
+}
+
+func (c *cell) stateOf(instance model.InstanceID) *ownerState {
+	for _, s := range c.states {
+		if s.instance == instance {
+			return s
+		}
+	}
+	return &ownerState{instance: instance}
+}
+
+// free is how many slots are left after queued work, negative where work waits.
+func (c *cell) free(rank model.Rank) int {
+	return c.load.Slots - c.load.InUse - c.queuedBefore(rank) - c.sent
+}
+
+// queuedBefore counts the queued work that is as urgent as a rank or more.
+func (c *cell) queuedBefore(rank model.Rank) int {
+	queued := 0
+	for r := model.Urgent; r <= rank; r++ {
+		queued += c.load.Queued[r]
+	}
+	return queued
+}
+
+// wait estimates how long a request of a rank queues in the zone.
+func (c *cell) wait(rank model.Rank) time.Duration {
+	free := c.free(rank)
+	if free > 0 || c.load.Slots == 0 {
+		return 0
+	}
+	return c.load.MeanRun * time.Duration(1-free) / time.Duration(c.load.Slots)
+}
+
+// spillRoom is how much more work from outside the baseline the zone admits.
+func (c *cell) spillRoom() float64 {
+	return c.load.SpillLevel - float64(c.load.SpillInUse) - float64(c.sentSpill)
+}
+
+// usable reports whether the zone can serve at all: an owner is reachable and,
+// as far as is known, has slots.
+func (c *cell) usable() bool {
+	return c.reachable > 0 && (!c.known || c.load.Slots > 0)
+}
--- /dev/null
+++ b/internal/steering/choose.go
@@ -0,0 +1,218 @@
+package steering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Choice is where a request is sent, or why it is not.
+type Choice struct {
+	Owner model.InstanceID // empty where the request is refused
+	Zone  model.ZoneName
+	Spill bool        // away from the baseline zone that it belongs to
+	Cause model.Cause // of a refusal
+
+	cell  *cell
+	state *ownerState
+}
+
+// OK reports whether the request may be sent.
+func (c Choice) OK() bool { return c.Owner != "" }
+
+// request is a request while its owner is chosen.
+type request struct {
+	now   model.Instant
+	meta  *model.RequestMeta
+	view  View
+	tried []model.InstanceID
+}
+
+// Choose picks the owner for a request of a caller with the given home zones
+// (none for callers without a group), except among instances already tried. It
+// neither sends nor counts the request; Sent does.
+func (p *Planner) Choose(now model.Instant, m *model.RequestMeta, home []model.ZoneName, v View, tried []model.InstanceID) Choice {
+	if p.layout == nil {
+		return Choice{Cause: model.CauseNoConfiguration}
+	}
+	plan := p.planFor(m.Service, home)
+	if plan == nil || len(plan.targets) == 0 {
+		return Choice{Cause: model.CauseNoBackend}
+	}
+	r := request{now: now, meta: m, view: v, tried: tried}
+	target := &plan.targets[p.draw(plan, now)]
+	cause := p.fits(&r, target)
+	if cause == model.CauseNone {
+		if choice, refused := p.send(&r, target, false); choice.OK() {
+			return choice
+		} else if refused != model.CauseNone {
+			cause = refused
+		}
+	}
+	choice := p.spill(&r, plan, target.cell)
+	if choice.OK() {
+		return choice
+	}
+	if cause == model.CauseDeadline && p.reachesInTime(&r, target) {
+		if late, _ := p.send(&r, target, false); late.OK() {
+			return late // the owner knows better whether it can be in time
+		}
+	}
+	return Choice{Cause: weightier(cause, choice.Cause)}
+}
+
+// draw picks a zone of the baseline by its weight now.
+func (p *Planner) draw(plan *plan, now model.Instant) int {
+	if len(plan.targets) == 1 {
+		return 0
+	}
+	progress := plan.baseline.progress(now)
+	left := p.random.Float64()
+	last := 0
+	for i := range plan.targets {
+		part := plan.baseline.part(i, progress)
+		if part <= 0 {
+			continue
+		}
+		last = i
+		left -= part
+		if left < 0 {
+			return i
+		}
+	}
+	return last
+}
+
+// fits says why a baseline zone cannot serve a request in time, if so.
+func (p *Planner) fits(r *request, t *candidate) model.Cause {
+	t.cell.refresh(r.now, r.view)
+	switch {
+	case !t.cell.usable():
+		return model.CauseNoBackend
+	case !dependenciesServe(r.now, r.view, t.needs):
+		return model.CauseDependency
+	case p.timeLeft(r, t) <= 0:
+		return model.CauseDeadline
+	case !p.withinLink(r, t):
+		return model.CauseLinkBudget
+	case t.cell.known && t.cell.load.MeanRun+t.cell.wait(r.meta.Rank) > p.timeLeft(r, t):
+		return model.CauseDeadline
+	}
+	return model.CauseNone
+}
+
+// timeLeft is what the deadline leaves after the way there and back.
+func (p *Planner) timeLeft(r *request, t *candidate) time.Duration {
+	return r.meta.Deadline.Sub(r.now) - 2*p.delay(t.distance)
+}
+
+func (p *Planner) reachesInTime(r *request, t *candidate) bool {
+	return p.timeLeft(r, t) > 0 && p.withinLink(r, t)
+}
+
+func (p *Planner) delay(d distance) time.Duration {
+	switch d {
+	case sameZone:
+		return p.settings.SameZone
+	case sameRegion:
+		return p.settings.SameRegion
+	}
+	return p.settings.OtherRegion
+}
+
+func (p *Planner) withinLink(r *request, t *candidate) bool {
+	return t.distance != otherRegion || p.linkAllows(r.now, r.meta.Rank, t.cell.region, r.view)
+}
+
+// send picks an owner in a zone, or says why there is none.
+func (p *Planner) send(r *request, t *candidate, spill bool) (Choice, model.Cause) {
+	at, cause := p.pickOwner(r, t.cell, spill)
+	if at < 0 {
+		return Choice{}, cause
+	}
+	c := t.cell
+	return Choice{Owner: c.owners[at].Instance, Zone: c.zone, Spill: spill, cell: c, state: c.states[at]}, model.CauseNone
+}
+
+// pickOwner takes the better of two owners drawn at random, or, where neither
+// can be used, the next one that can.
+func (p *Planner) pickOwner(r *request, c *cell, spill bool) (int, model.Cause) {
+	n := len(c.owners)
+	if n == 0 {
+		return -1, model.CauseNoBackend
+	}
+	first, second := 0, 0
+	if n > 1 {
+		first = p.random.IntN(n)
+		second = p.random.IntN(n - 1)
+		if second >= first {
+			second++
+		}
+	}
+	if at := c.better(r, first, second, spill); at >= 0 {
+		return at, model.CauseNone
+	}
+	cause := model.CauseNoBackend
+	for i := range n {
+		at := (first + i) % n
+		eligible, why := c.eligible(r, at, spill)
+		if eligible {
+			return at, model.CauseNone
+		}
+		cause = weightier(cause, why)
+	}
+	return -1, cause
+}
+
+func (c *cell) better(r *request, a, b int, spill bool) int {
+	okA, _ := c.eligible(r, a, spill)
+	okB, _ := c.eligible(r, b, spill)
+	switch {
+	case okA && okB && c.score(r, b, spill) > c.score(r, a, spill):
+		return b
+	case okA:
+		return a
+	case okB:
+		return b
+	}
+	return -1
+}
+
+func (c *cell) eligible(r *request, at int, spill bool) (bool, model.Cause) {
+	owner := &c.owners[at]
+	if !owner.Reachable || slices.Contains(r.tried, owner.Instance) {
+		return false, model.CauseNoBackend
+	}
+	if owner.Age >= 0 && owner.Age <= c.settings.StaleAfter && owner.Load.Slots == 0 {
+		return false, model.CauseNoBackend
+	}
+	if c.states[at].held(r.now, r.meta.Rank, spill) {
+		if spill && r.now < c.states[at].spillHeld {
+			return false, model.CauseShiftCap
+		}
+		return false, model.CauseQueueFull
+	}
+	return true, model.CauseNone
+}
+
+// score is an owner's free slots by its last report and what was sent since; the
+// older the report, the less a high number counts.
+func (c *cell) score(r *request, at int, spill bool) float64 {
+	owner := &c.owners[at]
+	if owner.Age < 0 {
+		return 0
+	}
+	load := &owner.Load
+	free := float64(load.Slots - load.InUse - c.states[at].sent)
+	for rank := model.Urgent; rank <= r.meta.Rank; rank++ {
+		free -= float64(load.Queued[rank])
+	}
+	if spill {
+		free = min(free, load.SpillLevel-float64(load.SpillInUse))
+	}
+	if free <= 0 {
+		return free
+	}
+	return free * max(0, 1-float64(owner.Age)/float64(c.settings.StaleAfter))
+}
--- /dev/null
+++ b/internal/steering/choose_test.go
@@ -0,0 +1,213 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+func TestHomeZoneServes(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	c := p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.InstanceID("east-a/0"), c.Owner)
+	require.False(t, c.Spill)
+	c = p.Choose(testNow, testRequest(model.Normal), []model.ZoneName{"west-b"}, v, nil)
+	require.Equal(t, model.ZoneName("west-b"), c.Zone)
+	require.False(t, c.Spill)
+}
+
+func TestNothingBeforeConfiguration(t *testing.T) {
+	p := New("east-a", Settings{})
+	c := p.Choose(testNow, testRequest(model.Normal), nil, newFakeView(), nil)
+	require.Equal(t, model.CauseNoConfiguration, c.Cause)
+}
+
+func TestSpillGoesToTheNearestWithRoom(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.lose("east-a")
+	c := p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.CauseShiftCap, c.Cause)
+
+	v.set("web", "east-b", load(10, 0, 2))
+	v.set("web", "north-a", load(10, 0, 2))
+	for range 2 {
+		c = p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+		require.Equal(t, model.ZoneName("east-b"), c.Zone)
+		require.True(t, c.Spill)
+		p.Sent(testNow, testRequest(model.Normal), c)
+	}
+	c = p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.ZoneName("north-a"), c.Zone, "the own sends have used the ramp of east-b")
+}
+
+func TestDeadlineLeavesRoomForTheDistance(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.lose("east-a")
+	v.set("web", "north-a", load(10, 0, 5))
+	m := testRequest(model.Normal)
+	m.Deadline = testNow.Add(120 * time.Millisecond)
+	require.Equal(t, model.CauseShiftCap, p.Choose(testNow, m, nil, v, nil).Cause, "east-b has no room, north-a is too far")
+	v.lose("east-b")
+	require.Equal(t, model.CauseDeadline, p.Choose(testNow, m, nil, v, nil).Cause)
+}
+
+func TestDependencyBoundsAZone(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-b", load(10, 0, 5))
+	v.set("db", "east-a", load(0, 0, 0))
+	c := p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.ZoneName("east-b"), c.Zone)
+	for _, zone := range text.Zones {
+		v.set("db", zone.Name, load(0, 0, 0))
+	}
+	c = p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.CauseDependency, c.Cause)
+}
+
+func TestSilentZoneKeepsItsBaselineAndGetsNoSpill(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-a", load(10, 10, 5))
+	v.age[viewKey{"web", "east-a"}] = time.Minute
+	c := p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	require.Equal(t, model.ZoneName("east-a"), c.Zone)
+	v.lose("east-b")
+	require.False(t, p.Choose(testNow, testRequest(model.Normal), []model.ZoneName{"east-b"}, v, nil).OK())
+	v.age[viewKey{"web", "east-a"}] = time.Second
+	v.set("web", "east-a", load(10, 0, 5))
+	c = p.Choose(testNow, testRequest(model.Normal), []model.ZoneName{"east-b"}, v, nil)
+	require.Equal(t, model.ZoneName("east-a"), c.Zone)
+	require.True(t, c.Spill)
+}
+
+func TestRefusalHoldsBackThatRankOnly(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	p.Choose(testNow, testRequest(model.Normal), nil, v, nil)
+	p.Observe(testNow, Observation{
+		Service: "web", Rank: model.Background, Zone: "east-a", Owner: "east-a/0",
+		Outcome: model.NotRun, Cause: model.CauseQueueFull,
+	})
+	require.Equal(t, model.CauseShiftCap, p.Choose(testNow, testRequest(model.Background), nil, v, nil).Cause)
+	require.True(t, p.Choose(testNow, testRequest(model.Urgent), nil, v, nil).OK())
+	later := testNow.Add(200 * time.Millisecond)
+	require.True(t, p.Choose(later, testRequest(model.Background), nil, v, nil).OK())
+}
+
+func TestLinkBudgetKeepsSomeForUrgentWork(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	home := []model.ZoneName{"west-a"}
+	for _, rank := range []model.Rank{model.Background, model.Normal, model.Urgent} {
+		m := testRequest(rank)
+		m.AnswerBytes = 1000
+		sent := 0
+		for {
+			c := p.Choose(testNow, m, home, v, nil)
+			if !c.OK() {
+				require.Equal(t, model.CauseLinkBudget, c.Cause)
+				break
+			}
+			p.Sent(testNow, m, c)
+			sent++
+		}
+		require.Positive(t, sent, rank)
+	}
+	later := testNow.Add(500 * time.Millisecond)
+	require.True(t, p.Choose(later, testRequest(model.Background), home, v, nil).OK())
+}
+
+func TestOwnersShareByFreeSlots(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-a", load(5, 5, 0), load(5, 0, 0), load(5, 5, 0))
+	counts := map[model.InstanceID]int{}
+	for range 300 {
+		counts[p.Choose(testNow, testRequest(model.Normal), nil, v, nil).Owner]++
+	}
+	require.Greater(t, counts["east-a/1"], 180)
+	require.Positive(t, counts["east-a/0"], "a report may mislead, so nobody is left out")
+}
+
+func TestFullHomeSpillsOnlyWhenItIsLate(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	busy := load(10, 10, 0)
+	busy.Queued = [model.RankCount]int{0, 0, 1000}
+	v.set("web", "east-a", busy)
+	v.set("web", "east-b", load(10, 0, 5))
+	require.False(t, p.Choose(testNow, testRequest(model.Normal), nil, v, nil).Spill)
+	require.True(t, p.Choose(testNow, testRequest(model.Background), nil, v, nil).Spill)
+	v.set("web", "east-b", load(10, 0, 0))
+	c := p.Choose(testNow, testRequest(model.Background), nil, v, nil)
+	require.Equal(t, model.ZoneName("east-a"), c.Zone, "the owner decides where nobody else takes it")
+}
+
+func TestRetryBudgetIsATenthOfTraffic(t *testing.T) {
+	b := NewRetryBudget()
+	for b.Allow(testNow, "web") {
+		continue
+	}
+	allowed := 0
+	for range 1000 {
+		b.Earn("web")
+		if b.Allow(testNow, "web") {
+			allowed++
+		}
+	}
+	require.InDelta(t, 100, allowed, 1)
+	require.True(t, b.Allow(testNow, "db"))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-a", load(10, 2, 0), load(10, 3, 0))
+	benchmarkChoose(b, p, v, "web")
+}
+
+func BenchmarkChooseSpill(b *testing.B) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.lose("east-a")
+	v.set("web", "east-b", load(10, 2, 5))
+	benchmarkChoose(b, p, v, "web")
+}
+
+func benchmarkChoose(b *testing.B, p *Planner, v View, service model.ServiceName) {
+	m := testRequest(model.Normal)
+	m.Service = service
+	m.Deadline = testNow.Add(time.Hour)
+	now := testNow
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(time.Microsecond)
+		c := p.Choose(now, m, nil, v, nil)
+		if !c.OK() {
+			b.Fatal(c.Cause)
+		}
+		p.Sent(now, m, c)
+		p.Finished(now, m, c, TransferOf(m))
+	}
+}
+
+func TestChooseDoesNotAllocate(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	m := testRequest(model.Normal)
+	home := []model.ZoneName{"east-b", "east-a"}
+	allocations := testing.AllocsPerRun(1000, func() {
+		c := p.Choose(testNow, m, home, v, nil)
+		p.Sent(testNow, m, c)
+		p.Finished(testNow, m, c, Transfer{})
+	})
+	require.Zero(t, allocations)
+}
--- /dev/null
+++ b/internal/steering/plan.go
@@ -0,0 +1,124 @@
+package steering
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// maxPlansPerKey bounds the plans for lists of home zones with one first zone.
+const maxPlansPerKey = 64
+
+// planKey finds the plans of a service for lists of home zones that begin with
+// one zone.
+type planKey struct {
+	service model.ServiceName
+	first   model.ZoneName
+}
+
+// plan is the order in which zones are tried for a service and a list of home
+// zones.
+type plan struct {
+	home     []model.ZoneName
+	baseline move
+	targets  []candidate // by zone of baseline
+	tiers    [][]candidate
+	service  int
+}
+
+// candidate is a zone that requests may be sent to, and how far it is.
+type candidate struct {
+	cell     *cell
+	needs    []dependency
+	distance distance
+}
+
+// planFor returns the plan of a service for a list of home zones.
+func (p *Planner) planFor(service model.ServiceName, home []model.ZoneName) *plan {
+	if len(home) == 0 {
+		home = p.home[:]
+	}
+	key := planKey{service, home[0]}
+	for _, candidate := range p.plans[key] {
+		if slices.Equal(candidate.home, home) {
+			return candidate
+		}
+	}
+	index, ok := p.layout.serviceIndex[service]
+	if !ok {
+		return nil
+	}
+	built := p.buildPlan(index, home)
+	if len(p.plans[key]) < maxPlansPerKey {
+		p.plans[key] = append(p.plans[key], built)
+	}
+	return built
+}
+
+// buildPlan works a plan out.
+func (p *Planner) buildPlan(service int, home []model.ZoneName) *plan {
+	l := p.layout
+	built := &plan{
+		home:     slices.Clone(home),
+		service:  service,
+		baseline: p.moveOf(len(p.history)-1, l.services[service].name, home),
+	}
+	own, known := l.zoneIndex[p.home[0]]
+	for _, zone := range built.baseline.zones {
+		z := l.zoneIndex[zone]
+		built.targets = append(built.targets, candidate{l.cell(service, z), l.needs(service, z), l.from(own, known, z)})
+	}
+	built.tiers = p.spillTiers(service, l.indexes(home))
+	return built
+}
+
+func (l *layout) from(own int, known bool, zone int) distance {
+	if !known {
+		return otherRegion
+	}
+	return l.distance(own, zone)
+}
+
+func (l *layout) indexes(zones []model.ZoneName) []int {
+	return lo.FilterMap(zones, func(zone model.ZoneName, _ int) (int, bool) {
+		z, ok := l.zoneIndex[zone]
+		return z, ok
+	})
+}
+
+// spillTiers lists the zones with servers in the order in which spill tries
+// them: home zones in their order, then by distance from the first home zone.
+func (p *Planner) spillTiers(service int, homes []int) [][]candidate {
+	l := p.layout
+	own, known := l.zoneIndex[p.home[0]]
+	groups := map[int][]candidate{}
+	for _, z := range l.withServers(service, l.allZones()) {
+		rank := len(l.zones) + int(otherRegion)
+		if at := slices.Index(homes, z); at >= 0 {
+			rank = at
+		} else if len(homes) > 0 {
+			rank = len(l.zones) + int(l.distance(homes[0], z))
+		}
+		c := candidate{cell: l.cell(service, z), needs: l.needs(service, z), distance: l.from(own, known, z)}
+		groups[rank] = append(groups[rank], c)
+	}
+	ranks := lo.Keys(groups)
+	slices.SortFunc(ranks, cmp.Compare[int])
+	return lo.Map(ranks, func(rank, _ int) []candidate { return groups[rank] })
+}
+
+// Baseline returns a service's weights for a list of home zones now. An empty
+// list stands for callers without a group.
+func (p *Planner) Baseline(now model.Instant, service model.ServiceName, home []model.ZoneName) []Weight {
+	if p.layout == nil {
+		return nil
+	}
+	found := p.planFor(service, home)
+	if found == nil {
+		return nil
+	}
+	return found.baseline.weights(now)
+}
--- /dev/null
+++ b/internal/steering/settings.go
@@ -0,0 +1,59 @@
+package steering
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Settings are the time-outs and shares of a Planner. Zero fields take the
+// values of DefaultSettings.
+type Settings struct {
+	Seed uint64 // of the random choices among equals
+
+	SameZone    time.Duration // one-way delay inside a zone
+	SameRegion  time.Duration // one-way delay between zones of a region
+	OtherRegion time.Duration // one-way delay between regions
+
+	RefreshEvery  time.Duration // longest use of a load without asking the View again
+	StaleAfter    time.Duration // age at which a load is unknown
+	HoldBack      time.Duration // mean pause after a refusal
+	HoldBackShare float64       // half width of the jitter, as a share of HoldBack
+
+	// LinkShares are the parts of a link's budget that each rank may use, together
+	// with the less urgent ones.
+	LinkShares [model.RankCount]float64
+	LinkBurst  time.Duration // budget that may be spent at once, as time at full rate
+}
+
+// DefaultSettings returns the settings for the sizes of the brief.
+func DefaultSettings() Settings {
+	return Settings{
+		Seed:          1,
+		SameZone:      100 * time.Microsecond,
+		SameRegion:    500 * time.Microsecond,
+		OtherRegion:   55 * time.Millisecond,
+		RefreshEvery:  50 * time.Millisecond,
+		StaleAfter:    5 * time.Second,
+		HoldBack:      100 * time.Millisecond,
+		HoldBackShare: 0.5,
+		LinkShares:    [model.RankCount]float64{1, 0.9, 0.5},
+		LinkBurst:     200 * time.Millisecond,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	s.Seed = cmp.Or(s.Seed, d.Seed)
+	s.SameZone = cmp.Or(s.SameZone, d.SameZone)
+	s.SameRegion = cmp.Or(s.SameRegion, d.SameRegion)
+	s.OtherRegion = cmp.Or(s.OtherRegion, d.OtherRegion)
+	s.RefreshEvery = cmp.Or(s.RefreshEvery, d.RefreshEvery)
+	s.StaleAfter = cmp.Or(s.StaleAfter, d.StaleAfter)
+	s.HoldBack = cmp.Or(s.HoldBack, d.HoldBack)
+	s.HoldBackShare = cmp.Or(s.HoldBackShare, d.HoldBackShare)
+	s.LinkShares = cmp.Or(s.LinkShares, d.LinkShares)
+	s.LinkBurst = cmp.Or(s.LinkBurst, d.LinkBurst)
+	return s
+}
