Reducer: requests, offers, attempts, configuration, peers and shutdown

Cause: all decisions of an entry instance belong into one pure step function.

A once request is claimed while it waits in the queue. Ruled out: claiming before the queue (a refusal costs a second write) and claiming with the slot held (an idle slot for each round trip to the platform, also when others wait).

Found on the way: the first set of owned servers is empty, so every server that was gained later started slowly and half a zone's slots stayed closed; a server is new only where a change of text added it within five minutes.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -29,9 +29,9 @@
 func (r *Reducer) noteSuspicion(ev *event.AttemptFinished, o *offer) {
 	switch ev.Result {
 	case event.AttemptComplete:
-		r.suspects.Succeeded(ev.At, o.meta.Fingerprint)
+		r.suspects.Completed(ev.At, o.meta.Fingerprint)
 	case event.AttemptBroken, event.AttemptCut:
-		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend)
+		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
 	case event.AttemptNotSent:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
 	}
@@ -40,6 +40,7 @@
 func (r *Reducer) endOffer(ev *event.AttemptFinished, o *offer) {
 	learn := ev.Result == event.AttemptComplete
 	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), learn)
+	o.slot = false
 	r.dropOffer(ev.Request, o)
 }
 
@@ -70,13 +71,14 @@
 		r.giveUp(ev, o, cause)
 		return
 	}
+	o.slot = false
 	if refused := r.admission.Requeue(ev.At, ev.Request, ev.Backend); refused != model.CauseNone {
 		r.refuseOffer(ev.Request, o, cause)
 	}
 }
 
 func (r *Reducer) giveUp(ev *event.AttemptFinished, o *offer, cause model.Cause) {
-	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), false)
+	r.leaveAdmission(ev.At, ev.Request, o)
 	r.refuseOffer(ev.Request, o, cause)
 }
 
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -19,6 +19,7 @@
 	// later refusal may say not-run.
 	uncertain bool
 	settling  bool
+	offered   bool // an owner has the request now
 }
 
 func (c *call) triedOwners() []model.InstanceID { return c.tried[:c.forwards] }
@@ -47,7 +48,7 @@
 		r.out.addRefuse(ev.Request, model.NotRun, cause)
 		return
 	}
-	r.retries.Earn(ev.At, ev.Meta.Service)
+	r.retries.Earn(ev.Meta.Service)
 	r.forward(ev.At, ev.Request, c, model.CauseNone)
 }
 
@@ -73,7 +74,7 @@
 func (r *Reducer) forward(now model.Instant, id model.RequestID, c *call, last model.Cause) {
 	home := r.homes[c.meta.Block]
 	choice := r.planner.Choose(now, c.meta, home, r.group, c.triedOwners())
-	if choice.Cause != model.CauseNone {
+	if !choice.OK() {
 		cause := choice.Cause
 		if last != model.CauseNone {
 			cause = last
@@ -82,9 +83,10 @@
 		return
 	}
 	c.choice = choice
+	c.offered = true
 	c.tried[c.forwards] = choice.Owner
 	c.forwards++
-	r.planner.Sent(now, choice, max(c.meta.BodyBytes, 0))
+	r.planner.Sent(now, c.meta, choice)
 	r.out.addForward(event.Forward{Request: id, Owner: choice.Owner, Zone: choice.Zone, Spill: choice.Spill})
 }
 
@@ -102,8 +104,7 @@
 	if c == nil {
 		return
 	}
-	r.planner.Finished(ev.At, c.choice, 0)
-	r.planner.Observe(ev.At, c.meta.Service, c.choice.Zone, ev.Owner, ev.Outcome, ev.Cause)
+	r.leaveOwner(ev.At, c, ev.Outcome, ev.Cause)
 	if ev.Outcome != model.NotRun {
 		c.uncertain = true
 	}
@@ -114,6 +115,21 @@
 	r.forward(ev.At, ev.Request, c, ev.Cause)
 }
 
+// leaveOwner counts the end of an offer without an answer. The body may have
+// crossed the link.
+func (r *Reducer) leaveOwner(now model.Instant, c *call, outcome model.Outcome, cause model.Cause) {
+	c.offered = false
+	r.planner.Finished(now, c.meta, c.choice, steering.Transfer{Upload: max(c.meta.BodyBytes, 0)})
+	r.planner.Observe(now, steering.Observation{
+		Service: c.meta.Service,
+		Rank:    c.meta.Rank,
+		Zone:    c.choice.Zone,
+		Owner:   c.choice.Owner,
+		Outcome: outcome,
+		Cause:   cause,
+	})
+}
+
 // mayForwardAgain decides whether another owner is asked after a refusal.
 func (r *Reducer) mayForwardAgain(now model.Instant, c *call, cause model.Cause, bodyUsed bool) bool {
 	if c.forwards >= maxForwards || !now.Before(c.meta.Deadline) {
@@ -154,8 +170,7 @@
 	if c == nil {
 		return
 	}
-	r.planner.Finished(ev.At, c.choice, 0)
-	r.planner.Observe(ev.At, c.meta.Service, c.choice.Zone, ev.Owner, model.Unknown, model.CauseOwnerLost)
+	r.leaveOwner(ev.At, c, model.Unknown, model.CauseOwnerLost)
 	if ev.Offered {
 		if c.meta.Kind == model.Once {
 			r.settle(ev.Request, c)
@@ -197,18 +212,16 @@
 	if c == nil {
 		return
 	}
-	if c.forwards > 0 {
-		r.planner.Finished(ev.At, c.choice, ev.AnswerBytes)
-	}
-	if ev.Outcome == model.Served || ev.Outcome == model.Late {
-		r.suspects.Succeeded(ev.At, c.meta.Fingerprint)
+	if c.offered {
+		spent := steering.Transfer{Upload: max(c.meta.BodyBytes, 0), Answer: ev.AnswerBytes}
+		r.planner.Finished(ev.At, c.meta, c.choice, spent)
 	}
 	r.dropCall(ev.Request, c)
 }
 
 func (r *Reducer) callerGone(ev *event.CallerGone) {
 	c := r.calls[ev.Request]
-	if c == nil || c.forwards == 0 {
+	if c == nil || !c.offered {
 		return
 	}
 	r.out.add(&event.WithdrawOffer{Request: ev.Request, Owner: c.choice.Owner})
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,6 +12,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
 
 // configurationLoaded adopts a revision if it is higher than the one in force.
@@ -21,6 +21,7 @@
 		return
 	}
 	first := r.revision == nil
+	r.noteNewServers(ev)
 	r.revision = ev.Revision
 	r.text = ev.Text
 	r.index = config.NewIndex(ev.Text)
@@ -42,6 +43,28 @@
 	r.pump(ev.At)
 }
 
+// newServerPeriod is how long a server counts as new after its addition to the
+// text. A server that is gained later has served other owners and is warm.
+const newServerPeriod = 5 * time.Minute
+
+// noteNewServers remembers which servers a change of text adds. Of the first
+// text that this instance sees, none is new.
+func (r *Reducer) noteNewServers(ev *event.ConfigurationLoaded) {
+	if r.index == nil {
+		return
+	}
+	for _, b := range ev.Text.Backends {
+		if _, known := r.index.Backend(b.Name); !known {
+			r.addedAt[b.Name] = ev.At
+		}
+	}
+}
+
+func (r *Reducer) warm(now model.Instant, name model.BackendName) bool {
+	at, added := r.addedAt[name]
+	return !added || now.Sub(at) > newServerPeriod
+}
+
 // applyGroup turns the membership's output into effects.
 func (r *Reducer) applyGroup(now model.Instant, out membership.Output) {
 	for _, p := range out.Open {
@@ -91,7 +114,9 @@
 			continue
 		}
 		servers = append(servers, admission.Server{Name: b.Name, Service: b.Service, Slots: b.Slots})
-		watched = append(watched, health.Server{Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots})
+		watched = append(watched, health.Server{
+			Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Warm: r.warm(now, b.Name),
+		})
 		owned[name] = true
 		if !r.owned[name] {
 			gained[b.Service] = true
@@ -105,6 +130,9 @@
 	}
 	r.owned = owned
 	r.ownedNames = names
+	settings := r.settings.Health
+	settings.ShiftCap = r.text.Limits.ShiftCap
+	r.health.SetSettings(settings)
 	r.health.Configure(now, watched, r.revision.Stops, r.regionOf)
 	r.admission.Configure(now, r.policy(), servers)
 	for _, s := range servers {
@@ -159,15 +187,23 @@
 
 func (r *Reducer) platformListed(ev *event.PlatformListed) {
 	for _, line := range ev.List {
-		if line.Backend != "" && line.Leaving {
-			r.health.Leaving(ev.At, line.Backend, health.SourcePlatform)
-			r.syncLimit(ev.At, line.Backend)
+		if line.Backend != "" {
+			r.backendListed(ev.At, line)
 		}
 	}
 	r.applyGroup(ev.At, r.group.Listed(ev.At, ev.List))
 	r.pump(ev.At)
 }
 
+func (r *Reducer) backendListed(now model.Instant, line platform.ListedInstance) {
+	if line.Leaving {
+		r.health.Leaving(now, line.Backend, health.SourcePlatform)
+	} else {
+		r.health.Staying(now, line.Backend, health.SourcePlatform)
+	}
+	r.syncLimit(now, line.Backend)
+}
+
 // tick does everything that depends on time alone.
 func (r *Reducer) tick(ev *event.Tick) {
 	now := ev.At
@@ -175,8 +211,9 @@
 	for _, name := range r.ownedNames {
 		r.syncLimit(now, name)
 	}
-	for _, c := range r.health.Changes() {
-		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), c.Why)
+	r.changes = r.health.Changes(r.changes[:0])
+	for _, c := range r.changes {
+		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), string(c.Why))
 	}
 	r.group.SetLoads(now, r.admission.Loads(now))
 	r.group.SetSuspects(r.suspects.Snapshot(now))
@@ -211,7 +248,8 @@
 
 func (r *Reducer) firstOfZone() bool {
 	for _, p := range r.group.Peers() {
-		if p.Zone == r.zone && p.Reachable && p.State == membership.Ready && cmp.Less(p.ID, r.self) {
+		alive := p.Health == membership.HealthAlive && p.Record.State == membership.Ready
+		if alive && p.Record.Zone == r.zone && p.Record.ID < r.self {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/reducer/inspect.go
@@ -0,0 +1,98 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/health"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Entry is an entry instance in the answer to a look-up.
+type Entry struct {
+	Instance model.InstanceID
+	Zone     model.ZoneName
+	Address  string // host:port for callers
+	Home     bool   // in the best zone that the answer names
+}
+
+// Entries returns the entry instances that callers of a home should use, best
+// first.
+func (r *Reducer) Entries(home []model.ZoneName) []Entry {
+	list := r.group.Entries(home)
+	out := make([]Entry, 0, len(list))
+	for _, e := range list {
+		out = append(out, Entry{
+			Instance: e.Instance,
+			Zone:     e.Zone,
+			Address:  e.CallerAddr,
+			Home:     e.Zone == list[0].Zone,
+		})
+	}
+	return out
+}
+
+// Loads summarizes the owned servers by service.
+func (r *Reducer) Loads(now model.Instant) []membership.ServiceLoad { return r.admission.Loads(now) }
+
+// ServerState is what this instance holds of a server that it owns.
+type ServerState struct {
+	Backend config.Backend
+	State   health.State
+	Limit   int
+	InUse   int
+}
+
+// Servers lists the owned servers by name.
+func (r *Reducer) Servers(now model.Instant) []ServerState {
+	inUse := make(map[model.BackendName]int)
+	for _, o := range r.offers {
+		if o.slot {
+			inUse[o.backend]++
+		}
+	}
+	out := make([]ServerState, 0, len(r.ownedNames))
+	for _, name := range r.ownedNames {
+		b, ok := r.index.Backend(name)
+		if !ok {
+			continue
+		}
+		state, _ := r.health.State(now, name)
+		out = append(out, ServerState{Backend: *b, State: state, Limit: r.health.Limit(now, name), InUse: inUse[name]})
+	}
+	return out
+}
+
+// Peers lists the other instances by identifier.
+func (r *Reducer) Peers() []membership.Peer { return r.group.Peers() }
+
+// Self returns this instance's own record.
+func (r *Reducer) Self() membership.Record { return r.group.Self() }
+
+// ZoneLoads lists the loads of every service of the text in a zone that are
+// known, in the order of the text.
+func (r *Reducer) ZoneLoads(zone model.ZoneName) []membership.ServiceLoad {
+	if r.text == nil {
+		return nil
+	}
+	var out []membership.ServiceLoad
+	for _, s := range r.text.Services {
+		if load, _, ok := r.group.ZoneLoad(zone, s.Name); ok {
+			load.Service = s.Name
+			out = append(out, load)
+		}
+	}
+	return out
+}
+
+// InFlight returns how many callers' requests and offers are under way.
+func (r *Reducer) InFlight() (calls, offers int) { return len(r.calls), len(r.offers) }
+
+// LeavingFor returns how long this instance has been leaving, 0 where it is not.
+func (r *Reducer) LeavingFor(now model.Instant) time.Duration {
+	if r.leavingAt == 0 {
+		return 0
+	}
+	return now.Sub(r.leavingAt)
+}
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -17,7 +17,9 @@
 	claimed bool
 	// claiming reports that the ledger has been asked and has not answered.
 	claiming bool
-	running  bool
+	refused  model.Cause // set while the ledger has not answered
+	slot     bool        // holds a slot of backend
+	running  bool        // an attempt at backend is under way
 	backend  model.BackendName
 	started  model.Instant
 	attempts int
@@ -52,11 +54,6 @@
 		r.refuseOffer(ev.Request, o, cause)
 		return
 	}
-	if o.meta.Kind == model.Once {
-		o.claiming = true
-		r.out.addClaim(ev.Request)
-		return
-	}
 	r.admit(ev.At, ev.Request, o)
 }
 
@@ -70,20 +67,25 @@
 		return model.CauseDeadline
 	case r.suspects.Blocked(now, o.meta.Fingerprint):
 		return model.CauseCrashSuspect
-	case o.meta.Kind == model.Once:
-		return r.admission.Check(now, admission.Request{Meta: o.meta, Spill: o.spill})
 	default:
 		return model.CauseNone
 	}
 }
 
-// admit queues the offer and starts what can start.
+// admit queues the offer and starts what can start. A once request is claimed
+// while it waits: a refusal at once costs no write, and an idle slot is held for
+// the ledger only where no other request waits for it.
 func (r *Reducer) admit(now model.Instant, id model.RequestID, o *offer) {
 	cause := r.admission.Offer(now, admission.Request{ID: id, Meta: o.meta, Spill: o.spill})
 	if cause != model.CauseNone {
 		r.refuseOffer(id, o, cause)
+		r.pump(now)
 		return
 	}
+	if o.meta.Kind == model.Once {
+		o.claiming = true
+		r.out.addClaim(id)
+	}
 	r.pump(now)
 }
 
@@ -107,19 +109,42 @@
 		r.admission.Finish(now, s.ID, 0, false)
 		return
 	}
-	o.running = true
+	o.slot = true
 	o.backend = s.Backend
 	o.started = now
+	if !o.claiming {
+		r.dispatch(s.ID, o)
+	}
+}
+
+// dispatch sends a request that holds a slot, and its claim where it needs one.
+func (r *Reducer) dispatch(id model.RequestID, o *offer) {
+	o.running = true
 	o.attempts++
 	r.out.addDispatch(event.Dispatch{
-		Request:         s.ID,
-		Backend:         s.Backend,
+		Request:         id,
+		Backend:         o.backend,
 		FreshConnection: o.meta.Kind == model.Once,
 	})
 }
 
-// refuseOffer ends an offer that holds no slot.
+// leaveAdmission gives back an offer's slot or its place in the queue.
+func (r *Reducer) leaveAdmission(now model.Instant, id model.RequestID, o *offer) {
+	if o.slot {
+		r.admission.Finish(now, id, now.Sub(o.started), false)
+		o.slot = false
+		return
+	}
+	r.admission.Withdraw(now, id)
+}
+
+// refuseOffer ends an offer that is out of admission. While the ledger has not
+// answered, the offer stays: its claim has to be released.
 func (r *Reducer) refuseOffer(id model.RequestID, o *offer, cause model.Cause) {
+	if o.claiming {
+		o.refused = cause
+		return
+	}
 	outcome := model.NotRun
 	if o.uncertain {
 		outcome = model.Unknown
@@ -139,41 +164,63 @@
 		return
 	}
 	o.claiming = false
-	switch ev.Result {
-	case event.ClaimGranted:
+	if ev.Result == event.ClaimGranted {
 		o.claimed = true
-		r.claimGranted(ev.At, ev.Request, o)
-	case event.ClaimFinished:
+	}
+	if o.refused == model.CauseNone {
+		r.useClaim(ev, o)
+	} else {
+		r.endRefused(ev, o)
+	}
+	r.pump(ev.At)
+}
+
+// useClaim goes on with an offer that was waiting for the ledger's word.
+func (r *Reducer) useClaim(ev *event.ClaimResolved, o *offer) {
+	cause := r.claimRefusal(ev, o)
+	switch {
+	case ev.Result == event.ClaimFinished:
+		r.leaveAdmission(ev.At, ev.Request, o)
 		r.out.add(&event.Replay{Request: ev.Request})
 		r.dropOffer(ev.Request, o)
+	case cause != model.CauseNone:
+		r.leaveAdmission(ev.At, ev.Request, o)
+		r.refuseOffer(ev.Request, o, cause)
+	case o.slot:
+		r.dispatch(ev.Request, o)
+	}
+}
+
+// endRefused ends an offer that was refused while the ledger was asked.
+func (r *Reducer) endRefused(ev *event.ClaimResolved, o *offer) {
+	o.uncertain = ev.Result == event.ClaimInProgress || ev.Result == event.ClaimFinished
+	o.claimed = o.claimed || ev.Result == event.ClaimUncertain
+	r.refuseOffer(ev.Request, o, o.refused)
+}
+
+// claimRefusal returns why a request does not run after the ledger's answer.
+func (r *Reducer) claimRefusal(ev *event.ClaimResolved, o *offer) model.Cause {
+	switch ev.Result {
+	case event.ClaimGranted:
+		if r.group.Frozen(ev.At) {
+			return model.CauseNotOwner
+		}
+		return model.CauseNone
 	case event.ClaimInProgress:
-		o.uncertain = true
-		r.refuseOffer(ev.Request, o, model.CauseInProgress)
+		o.uncertain = true // of the earlier attempt with this key
+		return model.CauseInProgress
 	case event.ClaimCancelled:
-		r.refuseOffer(ev.Request, o, model.CauseCancelled)
+		return model.CauseCancelled
 	case event.ClaimMismatch:
-		r.refuseOffer(ev.Request, o, model.CauseDigestMismatch)
+		return model.CauseDigestMismatch
 	case event.ClaimOverBudget:
-		r.refuseOffer(ev.Request, o, model.CauseLedgerBudget)
+		return model.CauseLedgerBudget
 	case event.ClaimUncertain:
-		// This attempt sends nothing, and the release defeats a late claim.
-		o.claimed = true
-		r.refuseOffer(ev.Request, o, model.CauseLedgerDown)
+		o.claimed = true // this attempt sends nothing; the release defeats a late claim
+		return model.CauseLedgerDown
 	default:
-		r.refuseOffer(ev.Request, o, model.CauseLedgerDown)
-	}
-}
-
-func (r *Reducer) claimGranted(now model.Instant, id model.RequestID, o *offer) {
-	if o.withdrawn {
-		r.refuseOffer(id, o, model.CauseCallerGone)
-		return
-	}
-	if r.group.Frozen(now) {
-		r.refuseOffer(id, o, model.CauseNotOwner)
-		return
+		return model.CauseLedgerDown
 	}
-	r.admit(now, id, o)
 }
 
 func (r *Reducer) offerWithdrawn(ev *event.OfferWithdrawn) {
@@ -183,14 +230,14 @@
 	}
 	o.withdrawn = true
 	switch {
-	case o.claiming:
+	case o.refused != model.CauseNone:
 		// Ends when the ledger answers.
 	case o.running && o.meta.Kind == model.Once:
 		// Runs to its end, so that the ledger holds its answer.
 	case o.running:
 		r.out.add(&event.CancelAttempt{Request: ev.Request})
 	default:
-		r.admission.Withdraw(ev.At, ev.Request)
+		r.leaveAdmission(ev.At, ev.Request, o)
 		r.refuseOffer(ev.Request, o, model.CauseCallerGone)
 		r.pump(ev.At)
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -22,6 +22,7 @@
 	Membership membership.Settings
 	Steering   steering.Settings
 	Health     health.Settings
+	Suspects   health.SuspectSettings
 	// PollEvery is the period at which this instance reads the platform where it
 	// is one of the few that poll; the others poll IdlePollFactor times as rarely.
 	PollEvery      time.Duration
@@ -57,10 +58,12 @@
 
 	decisions admission.Decisions
 	probes    []model.BackendName
+	changes   []health.Change
 	out       effects
 
 	owned      map[model.BackendName]bool
-	ownedNames []model.BackendName // sorted
+	ownedNames []model.BackendName                 // sorted
+	addedAt    map[model.BackendName]model.Instant // servers that a change of text added
 
 	nextPoll  model.Instant
 	leavingAt model.Instant
@@ -77,13 +80,14 @@
 		zone:      s.Self.Zone,
 		group:     membership.New(s.Self, s.Membership),
 		planner:   steering.New(s.Self.Zone, s.Steering),
-		retries:   steering.NewRetryBudget(s.Steering),
+		retries:   steering.NewRetryBudget(),
 		admission: admission.New(admission.Policy{}),
 		health:    health.New(s.Health),
-		suspects:  health.NewSuspects(s.Health),
+		suspects:  health.NewSuspects(s.Suspects),
 		calls:     make(map[model.RequestID]*call),
 		offers:    make(map[model.RequestID]*offer),
 		owned:     make(map[model.BackendName]bool),
+		addedAt:   make(map[model.BackendName]model.Instant),
 	}
 }
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -68,15 +68,15 @@
 	view    atomic.Pointer[view]
 	lengths answerLengths
 
-	ctx      context.Context // ends when the instance has left
-	leave    context.CancelFunc
-	tasks    sync.WaitGroup // background work that shutdown waits for
-	polling  atomic.Bool
-	fetching atomic.Bool
-	revision atomic.Pointer[linkpb.Revision] // in force, as peers get it
-	source   atomic.Pointer[config.Revision]
+	ctx       context.Context // ends when the instance has left
+	leave     context.CancelFunc
+	tasks     sync.WaitGroup // background work that shutdown waits for
+	polling   atomic.Bool
+	fetching  atomic.Bool
+	revision  atomic.Pointer[linkpb.Revision] // in force, as peers get it
+	source    atomic.Pointer[config.Revision]
 	adoptedAt atomic.Int64 // Instant at which source came into force
-	unique   string // prefix of request identifiers
+	unique    string       // prefix of request identifiers
 }
 
 // New returns a runtime that has not started.
