Admission and health: slots, floors, shift ramp, ejection, crash suspects

Both packages are pure state machines for the reducer. Ruled out while building: charging floors by the slots in use over time (bursts of owed starts gave an urgent flood 0.55 of the slot time instead of 0.6 at 36 slots); the expected cost is charged at the start and settled at the end instead. A reserve against every less urgent rank was ruled out too: with 3-slot servers normal work that fits was held back; the reserve now grows with the pressure.

--- /dev/null
+++ b/internal/admission/flood_test.go
@@ -0,0 +1,67 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// floodSizes are the servers that one owner holds: of a zone, of a region that
+// lost its other owners, and of a whole service.
+var floodSizes = []struct{ servers, slots int }{{2, 3}, {12, 3}, {2, 9}, {3, 9}}
+
+const floodSeeds = 3
+
+// forEachFlood runs check for every size, service time distribution and seed,
+// with a simulation long enough for some thousand urgent requests.
+func forEachFlood(t *testing.T, check func(t *testing.T, s simulation)) {
+	for _, size := range floodSizes {
+		for _, exponential := range []bool{false, true} {
+			for seed := range uint64(floodSeeds) {
+				name := fmt.Sprintf("%dx%d/exponential=%v/seed=%d", size.servers, size.slots, exponential, seed)
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					check(t, simulation{
+						seed: seed, servers: size.servers, slots: size.slots, exponential: exponential,
+						length:   30000 * simulatedRun / time.Duration(size.servers*size.slots),
+						deadline: 10 * simulatedRun,
+					})
+				})
+			}
+		}
+	}
+}
+
+func TestFloodOfLeastUrgentRank(t *testing.T) {
+	forEachFlood(t, func(t *testing.T, s simulation) {
+		s.load = [model.RankCount]float64{0.25, 0.25, 0}
+		unloaded := s.run()
+		s.load[model.Background] = 10
+		flooded := s.run()
+		for rank := model.Urgent; rank <= model.Normal; rank++ {
+			require.GreaterOrEqual(t, flooded[rank].inTimeShare(), 0.999, "%s served in time", rank)
+		}
+		urgent := float64(flooded[model.Urgent].p99()) / float64(unloaded[model.Urgent].p99())
+		require.LessOrEqual(t, urgent, 1.2, "urgent p99 against unloaded")
+		floor := simulatedFloors[model.Background]
+		require.GreaterOrEqual(t, flooded[model.Background].slotTime/s.capacity(), floor-0.02)
+	})
+}
+
+func TestFloodOfMostUrgentRank(t *testing.T) {
+	forEachFlood(t, func(t *testing.T, s simulation) {
+		s.load = [model.RankCount]float64{10, 1, 1}
+		flooded := s.run()
+		useful := 0.0
+		for rank := range flooded {
+			share := flooded[rank].slotTime / s.capacity()
+			require.InDelta(t, simulatedFloors[rank], share, 0.02, "%s's share of slot time", model.Rank(rank))
+			useful += flooded[rank].usefulTime
+		}
+		require.GreaterOrEqual(t, useful/s.capacity(), 0.95, "goodput")
+	})
+}
--- /dev/null
+++ b/internal/admission/property_test.go
@@ -0,0 +1,234 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// machine drives a Controller at random and keeps its own account of it.
+type machine struct {
+	ctrl      *Controller
+	now       model.Instant
+	policy    Policy
+	owned     map[model.BackendName]Server
+	limits    map[model.BackendName]int
+	queued    map[model.RequestID]bool
+	running   map[model.RequestID]Start
+	nextID    model.RequestID
+	decisions Decisions
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		now:     model.Instant(time.Hour),
+		owned:   map[model.BackendName]Server{},
+		limits:  map[model.BackendName]int{},
+		queued:  map[model.RequestID]bool{},
+		running: map[model.RequestID]Start{},
+		policy: Policy{
+			Floors:       [model.RankCount]float64{0.5, 0.3, 0.1},
+			ShiftCap:     config.ShiftCap{Fraction: 0.5, Window: time.Second},
+			QueuePerSlot: rapid.IntRange(1, 4).Draw(t, "queue"),
+		},
+	}
+	m.ctrl = New(m.policy)
+	m.configure(t)
+	return m
+}
+
+func (m *machine) configure(t *rapid.T) {
+	before := m.owned
+	m.owned = map[model.BackendName]Server{}
+	var list []Server
+	for i := range rapid.IntRange(0, 4).Draw(t, "servers") {
+		server := Server{
+			Name:    model.BackendName(fmt.Sprintf("b%d", i)),
+			Service: model.ServiceName(rapid.SampledFrom([]string{"orders", "maps"}).Draw(t, "service")),
+			Slots:   rapid.IntRange(1, 3).Draw(t, "slots"),
+		}
+		if old, ok := before[server.Name]; !ok || m.limits[server.Name] >= old.Slots {
+			m.limits[server.Name] = server.Slots
+		}
+		m.owned[server.Name] = server
+		list = append(list, server)
+	}
+	m.ctrl.Configure(m.now, m.policy, list)
+	for name, server := range m.owned {
+		m.limits[name] = min(m.limits[name], server.Slots)
+		m.ctrl.SetLimit(m.now, name, m.limits[name])
+	}
+}
+
+func (m *machine) offer(t *rapid.T) {
+	m.nextID++
+	meta := &model.RequestMeta{
+		Service:  model.ServiceName(rapid.SampledFrom([]string{"orders", "maps", "other"}).Draw(t, "service")),
+		Rank:     model.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+		Block:    model.CallerBlock(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "block")),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 2000).Draw(t, "deadline")) * time.Millisecond),
+	}
+	offered := Request{ID: m.nextID, Meta: meta, Spill: rapid.Bool().Draw(t, "spill")}
+	if m.ctrl.Offer(m.now, offered) == model.CauseNone {
+		m.queued[m.nextID] = true
+	}
+}
+
+func (m *machine) anyRequest(t *rapid.T) model.RequestID {
+	return model.RequestID(rapid.Uint64Range(1, uint64(m.nextID)+1).Draw(t, "id"))
+}
+
+func (m *machine) next(t *rapid.T) {
+	m.ctrl.Next(m.now, &m.decisions)
+	for _, refuse := range m.decisions.Refuse {
+		require.True(t, m.queued[refuse.ID], "refused %d does not wait", refuse.ID)
+		delete(m.queued, refuse.ID)
+	}
+	for _, start := range m.decisions.Start {
+		require.True(t, m.queued[start.ID], "started %d does not wait", start.ID)
+		delete(m.queued, start.ID)
+		m.running[start.ID] = start
+		require.LessOrEqual(t, m.inUse(start.Backend), min(m.limits[start.Backend], m.owned[start.Backend].Slots))
+	}
+}
+
+func (m *machine) inUse(name model.BackendName) int {
+	n := 0
+	for _, start := range m.running {
+		if start.Backend == name {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *machine) check(t *rapid.T) {
+	waiting := len(m.queued) - len(m.ctrl.dropped) // dropped ones are refused by Next
+	require.Len(t, m.ctrl.requests, waiting+len(m.running), "requests held")
+	require.Len(t, m.ctrl.expiry.items, waiting)
+	inUse, queued, spills := 0, 0, 0
+	for _, load := range m.ctrl.Loads(m.now) {
+		inUse += load.InUse
+		spills += load.SpillInUse
+		for _, n := range load.Queued {
+			queued += n
+		}
+		require.LessOrEqual(t, load.SpillInUse, m.ctrl.byName[load.Service].ramp.admitted)
+	}
+	require.Equal(t, waiting, queued)
+	require.Equal(t, len(m.running), inUse)
+	require.LessOrEqual(t, spills, inUse)
+}
+
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		actions := map[string]func(*rapid.T){
+			"":          m.check,
+			"configure": m.configure,
+			"offer":     m.offer,
+			"offer2":    m.offer,
+			"next":      m.next,
+			"next2":     m.next,
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"limit": func(t *rapid.T) {
+				name := model.BackendName(rapid.SampledFrom([]string{"b0", "b1", "b2"}).Draw(t, "server"))
+				m.limits[name] = rapid.IntRange(0, m.owned[name].Slots).Draw(t, "limit")
+				m.ctrl.SetLimit(m.now, name, m.limits[name])
+			},
+			"finish": func(t *rapid.T) {
+				id := m.anyRequest(t)
+				m.ctrl.Finish(m.now, id, 10*time.Millisecond, true)
+				delete(m.running, id)
+			},
+			"requeue": func(t *rapid.T) {
+				id := m.anyRequest(t)
+				start, running := m.running[id]
+				m.ctrl.Shed(m.now, start.Backend, 0)
+				cause := m.ctrl.Requeue(m.now, id, start.Backend)
+				delete(m.running, id)
+				if running && cause == model.CauseNone {
+					m.queued[id] = true
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				id := m.anyRequest(t)
+				_, running := m.running[id]
+				wasQueued, wasRunning := m.ctrl.Withdraw(m.now, id)
+				require.Equal(t, running, wasRunning)
+				require.Equal(t, m.queued[id], wasQueued)
+				delete(m.queued, id)
+			},
+		}
+		t.Repeat(actions)
+		m.drain(t)
+	})
+}
+
+// drain finishes everything: nothing may be left over.
+func (m *machine) drain(t *rapid.T) {
+	m.now = m.now.Add(time.Hour)
+	m.next(t)
+	require.Empty(t, m.queued)
+	for id := range m.running {
+		m.ctrl.Finish(m.now, id, time.Millisecond, false)
+	}
+	require.Empty(t, m.ctrl.requests)
+	for _, s := range m.ctrl.services {
+		require.Zero(t, s.ramp.admitted)
+	}
+}
+
+func TestSpillGrowsWithinCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := config.ShiftCap{Fraction: rapid.Float64Range(0.05, 0.6).Draw(t, "fraction"), Window: 8 * time.Second}
+		const slots = 12
+		growth := max(1, int(limit.Fraction*slots))
+		var r ramp
+		r.configure(limit, slots)
+		now := model.Instant(time.Hour)
+		var times []model.Instant
+		var used []int
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 3).Draw(t, "action") == 0 && r.admitted > 0 {
+				r.release(now)
+			} else {
+				r.admit(now, model.Urgent)
+			}
+			require.LessOrEqual(t, r.admitted, max(r.level, lastOf(used)))
+			times, used = append(times, now), append(used, r.admitted)
+		}
+		for i := range times {
+			before := peak(times, used, times[i].Add(-limit.Window/4), times[i])
+			for j := i; j < len(times) && times[j].Sub(times[i]) < limit.Window; j++ {
+				require.LessOrEqual(t, used[j]-before, growth, "growth from %v to %v", times[i], times[j])
+			}
+		}
+	})
+}
+
+func lastOf(used []int) int {
+	if len(used) == 0 {
+		return 0
+	}
+	return used[len(used)-1]
+}
+
+func peak(times []model.Instant, used []int, from, to model.Instant) int {
+	most := 0
+	for i, at := range times {
+		if at >= from && at <= to {
+			most = max(most, used[i])
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/admission/ramp.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// useBuckets is the number of periods of a shift cap's window by which a level
+// that is not used comes down to what is used.
+const useBuckets = 8
+
+// ramp bounds the spill concurrency of a service. Its level is a whole number of
+// slots, starts at 0 and rises by steps of one, only when there is demand. In any
+// half-open window of the cap's length it rises by at most the cap. A cap below
+// one slot takes proportionally longer than a window for a step.
+type ramp struct {
+	interval time.Duration // between two steps; 0 admits no spill
+	period   time.Duration // of use measurement
+
+	slots    int // owned; bounds the level
+	level    int
+	admitted int // queued and running spill
+	lastStep model.Instant
+	stepped  bool
+	wanted   model.Instant // since when a step has been due but for time; 0 without demand
+
+	periodEnd  model.Instant
+	peak       int // most admitted in this period
+	peakBefore int // and in the one before
+
+	// refusedAt is when the cap last refused each rank.
+	refusedAt [model.RankCount]model.Instant
+}
+
+func (r *ramp) configure(limit config.ShiftCap, slots int) {
+	r.slots = slots
+	r.interval = stepInterval(limit, slots)
+	r.period = limit.Window / useBuckets
+	if r.interval == 0 {
+		r.level = 0
+	}
+}
+
+func stepInterval(limit config.ShiftCap, slots int) time.Duration {
+	growth := limit.Fraction * float64(slots)
+	if growth <= 0 || limit.Window <= 0 {
+		return 0
+	}
+	if growth < 1 {
+		return time.Duration(float64(limit.Window) / growth)
+	}
+	return (limit.Window + time.Duration(growth) - 1) / time.Duration(growth)
+}
+
+// seed takes over the level of the owner before.
+func (r *ramp) seed(now model.Instant, level float64) {
+	if r.interval == 0 || int(level) <= r.level {
+		return
+	}
+	r.level = int(level)
+	r.lastStep = now
+	r.stepped = true
+	r.peak = max(r.peak, r.level)
+	r.periodEnd = now.Add(r.period)
+}
+
+// admit takes one request of the rank in, or refuses it.
+func (r *ramp) admit(now model.Instant, rank model.Rank) bool {
+	r.settle(now)
+	if r.moreUrgentRefused(now, rank) {
+		return false
+	}
+	if r.admitted >= r.level && !r.step(now) {
+		r.refusedAt[rank] = now
+		return false
+	}
+	r.admitted++
+	r.peak = max(r.peak, r.admitted)
+	return true
+}
+
+func (r *ramp) release(now model.Instant) {
+	r.settle(now)
+	r.admitted--
+}
+
+// moreUrgentRefused reports whether the cap lately refused a more urgent rank:
+// then what frees is kept for it.
+func (r *ramp) moreUrgentRefused(now model.Instant, rank model.Rank) bool {
+	for _, at := range r.refusedAt[:rank] {
+		if at != 0 && now.Sub(at) < r.period {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *ramp) step(now model.Instant) bool {
+	if r.interval == 0 || r.level >= r.slots {
+		return false
+	}
+	if r.wanted == 0 || now.Sub(r.wanted) > 2*r.interval {
+		r.wanted = now
+	}
+	if now < r.stepDue() {
+		return false
+	}
+	r.level++
+	r.lastStep = now
+	r.stepped = true
+	r.wanted = 0
+	return true
+}
+
+// stepDue is the earliest time of the next step. A first step that is larger
+// than the cap waits its whole interval.
+func (r *ramp) stepDue() model.Instant {
+	if r.stepped {
+		return r.lastStep.Add(r.interval)
+	}
+	if r.interval > r.period*useBuckets {
+		return r.wanted.Add(r.interval)
+	}
+	return 0
+}
+
+// settle lowers the level to the most that was admitted in the last periods.
+func (r *ramp) settle(now model.Instant) {
+	if r.period <= 0 || now < r.periodEnd {
+		return
+	}
+	if now.Sub(r.periodEnd) >= r.period {
+		r.peak, r.peakBefore = r.admitted, r.admitted
+	}
+	r.level = min(r.level, max(r.peak, r.peakBefore))
+	r.peakBefore = r.peak
+	r.peak = r.admitted
+	r.periodEnd = now.Add(r.period)
+}
--- /dev/null
+++ b/internal/health/settings.go
@@ -0,0 +1,83 @@
+package health
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+)
+
+// Defaults of the Settings fields that are left at zero.
+const (
+	defaultConsecutiveFailures = 5
+	defaultRefusedConnections  = 2
+	defaultFailureWindow       = 10 * time.Second
+	defaultFailureShare        = 0.5
+	defaultMinAttempts         = 10
+	defaultEjection            = 5 * time.Second
+	defaultMaxEjection         = 2 * time.Minute
+	defaultForgetAfter         = 5 * time.Minute
+	defaultMaxEjectShare       = 0.5
+	defaultReportShare         = 0.34
+	defaultReportLifetime      = 10 * time.Second
+	defaultProbeInterval       = 5 * time.Second
+	defaultTrialProbeInterval  = time.Second
+	defaultTrialAfter          = 3 * time.Second
+)
+
+// Settings holds the limits by which a Tracker judges backend servers. A field
+// at zero takes its default.
+type Settings struct {
+	// ConsecutiveFailures without a success eject a server.
+	ConsecutiveFailures int
+	// RefusedConnections in a row eject a server and prove it unreachable.
+	RefusedConnections int
+	// FailureShare of at least MinAttempts attempts within FailureWindow ejects.
+	FailureWindow time.Duration
+	FailureShare  float64
+	MinAttempts   int
+	// Ejection is the length of the first ejection; each further one is twice as
+	// long, up to MaxEjection. After ForgetAfter without one it starts again.
+	Ejection    time.Duration
+	MaxEjection time.Duration
+	ForgetAfter time.Duration
+	// MaxEjectShare bounds the ejected share of a service's servers in a zone.
+	MaxEjectShare float64
+	// ReportShare bounds the share of a service's servers in a zone that reports
+	// alone may eject, or put through a slow start.
+	ReportShare float64
+	// ReportLifetime is the age beyond which a report is ignored.
+	ReportLifetime time.Duration
+	// ProbeInterval is the mean time between two probes of a server, and
+	// TrialProbeInterval that of a server whose ejection has run out.
+	ProbeInterval      time.Duration
+	TrialProbeInterval time.Duration
+	// TrialAfter is the time without a successful probe after which a server whose
+	// ejection has run out is tried with one request.
+	TrialAfter time.Duration
+	// ShiftCap is the rate at which the capacity of returned and cold servers of a
+	// service in a zone opens. A zero Window opens it at once.
+	ShiftCap config.ShiftCap
+	// SlowStartStep is the time for one slot where that is faster; 0 leaves it to
+	// ShiftCap.
+	SlowStartStep time.Duration
+}
+
+func (s Settings) withDefaults() Settings {
+	s.ConsecutiveFailures = lo.CoalesceOrEmpty(s.ConsecutiveFailures, defaultConsecutiveFailures)
+	s.RefusedConnections = lo.CoalesceOrEmpty(s.RefusedConnections, defaultRefusedConnections)
+	s.FailureWindow = lo.CoalesceOrEmpty(s.FailureWindow, defaultFailureWindow)
+	s.FailureShare = lo.CoalesceOrEmpty(s.FailureShare, defaultFailureShare)
+	s.MinAttempts = lo.CoalesceOrEmpty(s.MinAttempts, defaultMinAttempts)
+	s.Ejection = lo.CoalesceOrEmpty(s.Ejection, defaultEjection)
+	s.MaxEjection = lo.CoalesceOrEmpty(s.MaxEjection, defaultMaxEjection)
+	s.ForgetAfter = lo.CoalesceOrEmpty(s.ForgetAfter, defaultForgetAfter)
+	s.MaxEjectShare = lo.CoalesceOrEmpty(s.MaxEjectShare, defaultMaxEjectShare)
+	s.ReportShare = lo.CoalesceOrEmpty(s.ReportShare, defaultReportShare)
+	s.ReportLifetime = lo.CoalesceOrEmpty(s.ReportLifetime, defaultReportLifetime)
+	s.ProbeInterval = lo.CoalesceOrEmpty(s.ProbeInterval, defaultProbeInterval)
+	s.TrialProbeInterval = lo.CoalesceOrEmpty(s.TrialProbeInterval, defaultTrialProbeInterval)
+	s.TrialAfter = lo.CoalesceOrEmpty(s.TrialAfter, defaultTrialAfter)
+	return s
+}
