--- /dev/null
+++ b/internal/standin/netfault/listener.go
@@ -0,0 +1,206 @@
+// Package netfault gives the stand-ins a TCP listener that can refuse
+// connections and reset the open ones for a while, on the same address.
+package netfault
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// retryInterval is the wait between attempts to accept or to listen again.
+const retryInterval = 10 * time.Millisecond
+
+// Listener is a net.Listener that can be suspended and that knows its open
+// connections.
+type Listener struct {
+	addr net.Addr
+
+	mu      sync.Mutex
+	changed *sync.Cond   // of tcp or closed
+	tcp     net.Listener // nil while suspended
+	closed  bool
+	conns   map[*Conn]struct{}
+
+	quit    chan struct{}
+	resumes sync.WaitGroup
+}
+
+// Listen listens on addr (host:port; port 0 takes a free one).
+func Listen(addr string) (*Listener, error) {
+	tcp, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	l := &Listener{
+		addr:  tcp.Addr(),
+		tcp:   tcp,
+		conns: make(map[*Conn]struct{}),
+		quit:  make(chan struct{}),
+	}
+	l.changed = sync.NewCond(&l.mu)
+	return l, nil
+}
+
+// Accept implements net.Listener; its connections are of type *Conn. It waits
+// while the listener is suspended.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.current()
+		if err != nil {
+			return nil, err
+		}
+		accepted, err := tcp.Accept()
+		if err != nil {
+			l.pauseIfCurrent(tcp)
+			continue
+		}
+		if c := l.track(tcp, accepted); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// current returns the open listener, or an error once closed.
+func (l *Listener) current() (net.Listener, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.tcp == nil && !l.closed {
+		l.changed.Wait()
+	}
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	return l.tcp, nil
+}
+
+// pauseIfCurrent waits where Accept failed for another reason than a
+// suspension, such as too many open files.
+func (l *Listener) pauseIfCurrent(tcp net.Listener) {
+	l.mu.Lock()
+	failed := l.tcp == tcp && !l.closed
+	l.mu.Unlock()
+	if failed {
+		l.wait(retryInterval)
+	}
+}
+
+// wait returns false when the listener was closed meanwhile.
+func (l *Listener) wait(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.quit:
+		return false
+	}
+}
+
+// track adds a connection, unless a suspension came first.
+func (l *Listener) track(tcp net.Listener, accepted net.Conn) *Conn {
+	c := &Conn{Conn: accepted, listener: l}
+	l.mu.Lock()
+	stale := l.closed || l.tcp != tcp
+	if !stale {
+		l.conns[c] = struct{}{}
+	}
+	l.mu.Unlock()
+	if stale {
+		c.Reset()
+		return nil
+	}
+	return c
+}
+
+func (l *Listener) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// Conns returns the open connections.
+func (l *Listener) Conns() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Suspend refuses new connections and resets the open ones. It returns false
+// where the listener was suspended or closed already.
+func (l *Listener) Suspend() bool {
+	l.mu.Lock()
+	suspended := l.tcp != nil && !l.closed
+	if suspended {
+		_ = l.tcp.Close()
+		l.tcp = nil
+	}
+	l.mu.Unlock()
+	l.ResetAll()
+	return suspended
+}
+
+// ResetAll resets the open connections.
+func (l *Listener) ResetAll() {
+	for _, c := range l.Conns() {
+		c.Reset()
+	}
+}
+
+// ResumeAfter listens again on the same address after a wait, without blocking
+// the caller. It must follow a Suspend that returned true.
+func (l *Listener) ResumeAfter(wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.resumes.Go(func() { l.resume(wait) })
+	}
+}
+
+func (l *Listener) resume(wait time.Duration) {
+	for l.wait(wait) {
+		tcp, err := net.Listen("tcp", l.addr.String())
+		if err == nil {
+			l.resumed(tcp)
+			return
+		}
+		wait = retryInterval
+	}
+}
+
+func (l *Listener) resumed(tcp net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.tcp != nil {
+		_ = tcp.Close()
+		return
+	}
+	l.tcp = tcp
+	l.changed.Broadcast()
+}
+
+// Close implements net.Listener. Open connections stay open.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil
+	}
+	l.closed = true
+	close(l.quit)
+	if l.tcp != nil {
+		_ = l.tcp.Close()
+	}
+	l.changed.Broadcast()
+	l.mu.Unlock()
+	l.resumes.Wait()
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.addr }
