confstore: the configuration in the platform's table, one conditional write a change

Each try is conditional on the head row that it was built from and on the absence of the operation's row, so a lost reply is settled by reading the operation's row and a repetition applies nothing twice. The operation's row is read after the head row.

--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -81,13 +81,15 @@
 		Number:         m.GetNumber(),
 		Source:         m.GetSource(),
 		Hash:           m.GetHash(),
-		Stops:          lo.Map(m.GetStops(), func(s *linkpb.Stop, _ int) Stop { return decodeStop(s) }),
 		Author:         m.GetAuthor(),
 		Reason:         m.GetReason(),
 		AcceptedAt:     timeOf(m.GetAcceptedAt()),
 		OperationID:    m.GetOperationId(),
 		PreviousSource: m.GetPreviousSource(),
 	}
+	for _, stop := range m.GetStops() {
+		r.Stops = append(r.Stops, decodeStop(stop))
+	}
 	if got := HashRevision(r.Source, r.Stops); got != r.Hash {
 		return nil, &HashError{Number: r.Number, Want: r.Hash, Got: got}
 	}
--- /dev/null
+++ b/internal/confstore/store_test.go
@@ -0,0 +1,164 @@
+package confstore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/stretchr/testify/require"
+)
+
+// textWithSlots is a correct text that differs by its slots.
+func textWithSlots(slots int) []byte {
+	return fmt.Appendf(nil, `[zone a]
+region = r
+[service s]
+[route s]
+service = s
+match = GET /s
+[backend s-1]
+service = s
+zone = a
+address = 127.0.0.1:21000
+slots = %d
+[backend s-2]
+service = s
+zone = a
+address = 127.0.0.1:21001
+slots = 1
+`, slots)
+}
+
+func newTestStore(table platform.Table) *Store {
+	return New(table, WithRetries(8, time.Microsecond))
+}
+
+func change(base int64, slots int, operation string) Change {
+	return Change{Base: base, Source: textWithSlots(slots), Author: "ana", Reason: "r", OperationID: operation}
+}
+
+func stop(id string) config.Stop {
+	return config.Stop{ID: id, Scope: config.StopBackend, Target: "s-1", Author: "ana", Reason: "disk", At: time.Unix(9, 0).UTC()}
+}
+
+func TestApplyAndLoad(t *testing.T) {
+	store := newTestStore(newFakeTable(noFaults))
+	ctx := t.Context()
+	_, err := store.Load(ctx)
+	require.ErrorIs(t, err, ErrNoRevision)
+	first, err := store.Apply(ctx, change(0, 1, "op-1"))
+	require.NoError(t, err)
+	second, err := store.Apply(ctx, change(1, 2, "op-2"))
+	require.NoError(t, err)
+	require.Equal(t, first.Source, second.PreviousSource)
+	loaded, err := store.Load(ctx)
+	require.NoError(t, err)
+	require.Equal(t, second, loaded)
+	newer, err := store.LoadIfNewer(ctx, 2)
+	require.NoError(t, err)
+	require.Nil(t, newer)
+	history, err := store.History(ctx, 10)
+	require.NoError(t, err)
+	require.Equal(t, []*config.Revision{second, first}, history)
+	history, err = store.History(ctx, 1)
+	require.NoError(t, err)
+	require.Len(t, history, 1)
+}
+
+func TestApplyReportsTheWinner(t *testing.T) {
+	store := newTestStore(newFakeTable(noFaults))
+	winner, err := store.Apply(t.Context(), change(0, 1, "op-1"))
+	require.NoError(t, err)
+	_, err = store.Apply(t.Context(), change(0, 2, "op-2"))
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, winner, conflict.Winner)
+}
+
+func TestRejectedTextWritesNothing(t *testing.T) {
+	table := newFakeTable(noFaults)
+	_, err := newTestStore(table).Apply(t.Context(), Change{Source: []byte("[zone a]"), OperationID: "op"})
+	var problems *config.Problems
+	require.ErrorAs(t, err, &problems)
+	require.Zero(t, table.commits)
+}
+
+func TestLostRepliesAreSettled(t *testing.T) {
+	for _, f := range []fault{faultUnavailable, faultLostReply, faultLostRequest, faultDelayed} {
+		table := newFakeTable(script(f))
+		store := newTestStore(table)
+		revision, err := store.Apply(t.Context(), change(0, 1, "op-1"))
+		require.NoError(t, err, "fault %d", f)
+		require.EqualValues(t, 1, revision.Number)
+		again, err := store.Apply(t.Context(), change(0, 1, "op-1"))
+		require.NoError(t, err)
+		require.Equal(t, revision, again)
+	}
+}
+
+func TestUnsettledOutcomeIsSaidSo(t *testing.T) {
+	table := newFakeTable(func() fault { return faultLostRequest })
+	store := newTestStore(table)
+	_, err := store.Apply(t.Context(), change(0, 1, "op-1"))
+	var unsettled *UnsettledError
+	require.ErrorAs(t, err, &unsettled)
+	require.Equal(t, 8, table.commits)
+	table.next = noFaults
+	revision, err := store.Apply(t.Context(), change(0, 1, "op-1"))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, revision.Number)
+}
+
+func TestUnavailablePlatformIsNotUnsettled(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := newTestStore(newFakeTable(noFaults)).Apply(ctx, change(0, 1, "op-1"))
+	var unavailable *platform.UnavailableError
+	require.ErrorAs(t, err, &unavailable)
+	var unsettled *UnsettledError
+	require.NotErrorAs(t, err, &unsettled)
+}
+
+func TestStopsAreAnnouncedAndCancelled(t *testing.T) {
+	store := newTestStore(newFakeTable(noFaults))
+	ctx := t.Context()
+	_, err := store.Announce(ctx, stop("a"))
+	require.ErrorIs(t, err, ErrNoRevision)
+	_, err = store.Apply(ctx, change(0, 1, "op-1"))
+	require.NoError(t, err)
+	_, err = store.Apply(ctx, change(1, 2, "op-2"))
+	require.NoError(t, err)
+	announced, err := store.Announce(ctx, stop("a"), stop("b"))
+	require.NoError(t, err)
+	require.Equal(t, []config.Stop{stop("a"), stop("b")}, announced.Stops)
+	require.Equal(t, textWithSlots(1), announced.PreviousSource, "the move of the baseline goes on")
+	again, err := store.Announce(ctx, stop("a"), stop("b"))
+	require.NoError(t, err)
+	require.Equal(t, announced, again)
+
+	cancelled, err := store.Cancel(ctx, Cancellation{StopIDs: []string{"a"}, Author: "rui", Reason: "done", OperationID: "op-3"})
+	require.NoError(t, err)
+	require.Equal(t, []config.Stop{stop("b")}, cancelled.Stops)
+	_, err = store.Cancel(ctx, Cancellation{StopIDs: []string{"a"}, OperationID: "op-4"})
+	var unknown *UnknownStopError
+	require.ErrorAs(t, err, &unknown)
+	wrong := stop("c")
+	wrong.Target = "s-9"
+	_, err = store.Announce(ctx, wrong)
+	var target *config.StopTargetError
+	require.ErrorAs(t, err, &target)
+}
+
+func TestAcceptedAtNeverGoesBack(t *testing.T) {
+	table := newFakeTable(noFaults)
+	late := func() time.Time { return time.Unix(100, 0).UTC() }
+	early := func() time.Time { return time.Unix(50, 0).UTC() }
+	_, err := New(table, WithClock(late)).Apply(t.Context(), change(0, 1, "op-1"))
+	require.NoError(t, err)
+	second, err := New(table, WithClock(early)).Apply(t.Context(), change(1, 2, "op-2"))
+	require.NoError(t, err)
+	require.Equal(t, late(), second.AcceptedAt)
+}
--- /dev/null
+++ b/internal/confstore/table_test.go
@@ -0,0 +1,139 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+)
+
+// fault is what a fakeTable does to one commit.
+type fault int
+
+const (
+	faultNone        fault = iota
+	faultUnavailable       // not applied, and said so
+	faultLostReply         // applied, reply lost
+	faultLostRequest       // not applied, reply lost
+	faultDelayed           // applied at some later call, reply lost
+	faultCount
+)
+
+var errInjected = errors.New("injected")
+
+// fakeTable is an in-memory platform.Table with injected faults.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	delayed []platform.Transaction
+	commits int
+	next    func() fault
+}
+
+func newFakeTable(next func() fault) *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, next: next}
+}
+
+func noFaults() fault { return faultNone }
+
+// randomFaults injects a fault into about a third of the commits.
+func randomFaults(random *rand.Rand) func() fault {
+	return func() fault {
+		if random.IntN(3) > 0 {
+			return faultNone
+		}
+		return fault(random.IntN(int(faultCount)))
+	}
+}
+
+// script injects the given faults, then none.
+func script(faults ...fault) func() fault {
+	return func() fault {
+		if len(faults) == 0 {
+			return faultNone
+		}
+		first := faults[0]
+		faults = faults[1:]
+		return first
+	}
+}
+
+func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, &platform.UnavailableError{Step: "get", Peer: "fake", Err: ctx.Err()}
+	}
+	var rows []platform.Row
+	for _, key := range keys {
+		row := t.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	t.applyDelayed() // between two reads, the worst moment
+	return rows, nil
+}
+
+func (t *fakeTable) Scan(_ context.Context, prefix string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn platform.Transaction) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	uncertain := &platform.UncertainError{Step: "commit", Peer: "fake", Err: errInjected}
+	switch t.next() {
+	case faultUnavailable:
+		return &platform.UnavailableError{Step: "commit", Peer: "fake", Err: errInjected}
+	case faultLostReply:
+		_ = t.apply(txn) // the caller cannot learn whether it was refused
+		return uncertain
+	case faultLostRequest:
+		return uncertain
+	case faultDelayed:
+		t.delayed = append(t.delayed, txn)
+		return uncertain
+	default:
+		return t.apply(txn)
+	}
+}
+
+func (t *fakeTable) applyDelayed() {
+	for _, txn := range t.delayed {
+		_ = t.apply(txn) // a refused one has no effect
+	}
+	t.delayed = nil
+}
+
+func (t *fakeTable) apply(txn platform.Transaction) error {
+	for _, c := range txn.Conditions {
+		if actual := t.rows[c.Key].Version; actual != c.Version {
+			return &platform.ConflictError{Step: "commit", Peer: "fake", Key: c.Key, Wanted: c.Version, Actual: actual}
+		}
+	}
+	for _, w := range txn.Writes {
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+	}
+	return nil
+}
+
+const testTimeout = 10 * time.Second
+
+func contextWithTimeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), testTimeout)
+}
