--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,113 @@
+// Package entry wires one entry instance together and runs it until it has been
+// asked to stop and has finished what it had.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os/signal"
+	"syscall"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/runtime"
+	"github.com/primrosenotch/primrosenotch/internal/settings"
+)
+
+// Run serves until SIGTERM or SIGINT, then leaves gracefully.
+func Run(s settings.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	injector := do.New()
+	provide(injector, s)
+	instance, err := do.Invoke[*instance](injector)
+	if err != nil {
+		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
+	}
+	return instance.run(ctx)
+}
+
+// instance is everything that one process runs.
+type instance struct {
+	settings settings.Settings
+	log      *logrus.Entry
+	runtime  *runtime.Runtime
+	callers  *ingress.Server
+	control  *fiber.App
+}
+
+// listeners are opened before anything starts, so that a taken port is one
+// clear error.
+type listeners struct{ callers, links, control net.Listener }
+
+func (i *instance) listen() (listeners, error) {
+	var l listeners
+	for _, open := range []struct {
+		what string
+		addr string
+		to   *net.Listener
+	}{
+		{"callers", i.settings.Listen.Callers, &l.callers},
+		{"links", i.settings.Listen.Links, &l.links},
+		{"control", i.settings.Listen.Control, &l.control},
+	} {
+		listener, err := net.Listen("tcp", open.addr)
+		if err != nil {
+			return l, fmt.Errorf("listen for %s on %s: %w", open.what, open.addr, err)
+		}
+		*open.to = listener
+	}
+	return l, nil
+}
+
+func (i *instance) run(ctx context.Context) error {
+	l, err := i.listen()
+	if err != nil {
+		return err
+	}
+	i.log.WithField("callers", i.settings.Listen.Callers).Info("started")
+	serving, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return i.callers.Serve(l.callers) })
+	group.Go(func() error { return i.runtime.ServeLinks(serving, l.links) })
+	group.Go(func() error {
+		return i.control.Listener(l.control, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	stop := context.AfterFunc(ctx, i.runtime.Shutdown)
+	defer stop()
+	i.runtime.Run()
+	return i.close(cancel, &group)
+}
+
+// close ends the servers after the runtime has left.
+func (i *instance) close(cancel context.CancelFunc, group *errgroup.Group) error {
+	ctx, stop := context.WithTimeout(context.Background(), i.settings.Serving.Drain)
+	defer stop()
+	if err := i.callers.Shutdown(ctx); err != nil {
+		i.log.WithError(err).Warn("close callers' connections")
+	}
+	cancel()
+	if err := i.control.ShutdownWithContext(ctx); err != nil {
+		i.log.WithError(err).Warn("close control connections")
+	}
+	err := group.Wait()
+	i.log.Info("stopped")
+	return err
+}
+
+// newControl builds the operators' API and the metrics endpoint.
+func newControl(r *runtime.Runtime) *fiber.App {
+	app := fiber.New()
+	control.Register(app, r)
+	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(r.Metrics(), promhttp.HandlerOpts{})))
+	return app
+}
--- /dev/null
+++ b/internal/entry/provide.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"os"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/ledger"
+	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/primrosenotch/primrosenotch/internal/reducer"
+	"github.com/primrosenotch/primrosenotch/internal/runtime"
+	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/upstream"
+)
+
+// provide registers how each part of an instance is made.
+func provide(i do.Injector, s settings.Settings) {
+	do.ProvideValue(i, s)
+	do.Provide(i, newLog)
+	do.Provide(i, newPlatform)
+	do.Provide(i, newRuntime)
+	do.Provide(i, newIngress)
+	do.Provide(i, newInstance)
+}
+
+func newLog(i do.Injector) (*logrus.Entry, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	level, err := logrus.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(level)
+	if s.Log.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log.WithField("instance", s.Instance.ID).WithField("zone", s.Instance.Zone), nil
+}
+
+func newPlatform(i do.Injector) (*platform.Client, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	client := platform.DefaultSettings(s.Platform.Address)
+	client.CallTimeout = s.Platform.Timeout
+	return platform.NewClient(client), nil
+}
+
+func newRuntime(i do.Injector) (*runtime.Runtime, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	client := do.MustInvoke[*platform.Client](i)
+	ledgerSettings := ledger.DefaultSettings()
+	ledgerSettings.TransactionsPerSecond = s.Ledger.WritesPerSecond
+	return runtime.New(runtime.Options{
+		Reducer:       reducerSettings(s),
+		Links:         link.DefaultSettings(),
+		Ledger:        ledgerSettings,
+		Upstream:      upstream.Settings{},
+		Table:         client.Table(),
+		Objects:       client.Objects(),
+		Instances:     client.Instances(),
+		PlatformState: func() control.Platform { return platformState(client) },
+		Log:           do.MustInvoke[*logrus.Entry](i),
+		Drain:         s.Serving.Drain,
+	}), nil
+}
+
+func reducerSettings(s settings.Settings) reducer.Settings {
+	group := membership.DefaultSettings()
+	for id, addr := range s.Peers {
+		group.Seeds = append(group.Seeds, membership.Seed{ID: model.InstanceID(id), Addr: addr})
+	}
+	return reducer.Settings{
+		Self: membership.Record{
+			ID:          model.InstanceID(s.Instance.ID),
+			Zone:        model.ZoneName(s.Instance.Zone),
+			LinkAddr:    s.Listen.Links,
+			CallerAddr:  s.Listen.Callers,
+			ControlAddr: s.Listen.Control,
+		},
+		Membership:     group,
+		PollEvery:      s.Platform.PollEvery,
+		IdlePollFactor: s.Platform.PollFactor,
+		LookupTTL:      s.Serving.LookupTTL,
+	}
+}
+
+// platformState reports the worst breaker of the platform's three services.
+func platformState(client *platform.Client) control.Platform {
+	worst := lo.MaxBy(client.Stats(), func(a, b platform.ServiceStats) bool { return a.Breaker > b.Breaker })
+	state := control.Platform{State: worst.Breaker.String()}
+	if worst.Breaker != platform.BreakerClosed {
+		state.Why = "calls to the " + string(worst.Service) + " service fail"
+	}
+	return state
+}
+
+func newIngress(i do.Injector) (*ingress.Server, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	r := do.MustInvoke[*runtime.Runtime](i)
+	return ingress.New(ingress.Settings{MaxExchanges: s.Serving.MaxRequests}, r, r), nil
+}
+
+func newInstance(i do.Injector) (*instance, error) {
+	r := do.MustInvoke[*runtime.Runtime](i)
+	return &instance{
+		settings: do.MustInvoke[settings.Settings](i),
+		log:      do.MustInvoke[*logrus.Entry](i),
+		runtime:  r,
+		callers:  do.MustInvoke[*ingress.Server](i),
+		control:  newControl(r),
+	}, nil
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 // Journal is a ring of decisions. It is safe for concurrent use.
@@ -70,3 +71,13 @@
 	}
 	return q.Subject == "" || q.Subject == e.Subject
 }
+
+// Since returns the time of the oldest decision that is kept, 0 without any.
+func (j *Journal) Since() model.Instant {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if entries := j.ordered(); len(entries) > 0 {
+		return entries[0].At
+	}
+	return 0
+}
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -71,7 +71,7 @@
 		return
 	}
 	go func() {
-		status, err := r.upstream.Status(r.ctx, backend.Address)
+		status, err := r.upstream.Status(r.ctx, name, backend.Address)
 		ev := &event.ServerReported{At: r.clock.now(), Backend: name, Err: err}
 		if err == nil {
 			ev.Healthy = status.Healthy
@@ -199,6 +199,7 @@
 	r.adoptedAt.Store(int64(r.clock.now()))
 	ev.At = r.clock.now()
 	r.setIndex(config.NewIndex(ev.Text))
+	r.stats.SetText(ev.Text)
 	for _, f := range r.reducer.Step(ev) {
 		r.execute(f)
 	}
--- a/internal/runtime/execute.go
+++ b/internal/runtime/execute.go
@@ -50,7 +50,7 @@
 func (r *Runtime) executeControl(f event.Effect) {
 	switch f := f.(type) {
 	case *event.Gossip:
-		r.links.Gossip(f.To, membership.ToProto(f.Message, r.clock.now()))
+		r.links.Gossip(f.To, membership.ToProto(r.clock.now(), f.Message))
 	case *event.OpenLink:
 		r.links.Open(r.ctx, f.Peer, f.Addr)
 	case *event.CloseLink:
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -5,10 +5,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/model"
-	"github.com/primrosenotch/primrosenotch/internal/stats"
+	"github.com/primrosenotch/primrosenotch/internal/slo"
 )
 
 // metrics are the instance's Prometheus metrics. Labels are bounded by the
@@ -56,14 +55,13 @@
 // observe counts the end of a request.
 func (r *Runtime) observe(c *call, outcome model.Outcome, cause model.Cause, took time.Duration) {
 	m := &c.meta
-	objective := r.objective(m.Service)
-	r.stats.Add(r.clock.now().Time(), stats.Sample{
+	r.stats.Record(slo.Finished{
+		At:      r.clock.now().Time(),
 		Service: m.Service,
 		Rank:    m.Rank,
 		Outcome: outcome,
 		Cause:   cause,
 		Latency: took,
-		Good:    outcome == model.Served && (objective.Latency == 0 || took <= objective.Latency),
 	})
 	rank := m.Rank.String()
 	r.metrics.requests.WithLabelValues(string(m.Service), rank, outcome.String(), string(cause)).Inc()
@@ -78,18 +76,6 @@
 	x.Refuse(model.NotRun, cause, retryAfter(cause))
 }
 
-func (r *Runtime) objective(name model.ServiceName) control.Objective {
-	index := r.view.Load().index
-	if index == nil {
-		return control.Objective{}
-	}
-	service, ok := index.Service(name)
-	if !ok {
-		return control.Objective{}
-	}
-	return control.Objective{Ratio: service.Target.Ratio, Latency: service.Target.Latency}
-}
-
 // loadCollector reports the load of the owned servers when metrics are read.
 type loadCollector struct {
 	runtime                      *Runtime
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -185,8 +185,8 @@
 	return true
 }
 
-func (o *offer) upstreamAttempt(cmd offerCommand) upstream.Attempt {
-	a := upstream.Attempt{
+func (o *offer) upstreamAttempt(cmd offerCommand) *upstream.Attempt {
+	a := &upstream.Attempt{
 		Backend:         cmd.backend,
 		Method:          o.frame.GetMethod(),
 		URI:             o.frame.GetUri(),
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -5,15 +5,19 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
@@ -23,7 +27,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 	"github.com/primrosenotch/primrosenotch/internal/reducer"
-	"github.com/primrosenotch/primrosenotch/internal/stats"
+	"github.com/primrosenotch/primrosenotch/internal/slo"
 	"github.com/primrosenotch/primrosenotch/internal/upstream"
 )
 
@@ -36,7 +40,10 @@
 	Table     platform.Table
 	Objects   platform.Objects
 	Instances platform.Instances
-	Log       *logrus.Entry
+	// PlatformState reports the circuit breaker of the platform's calls; it may be
+	// nil.
+	PlatformState func() control.Platform
+	Log           *logrus.Entry
 	// Drain bounds how long shutdown waits for requests in flight.
 	Drain time.Duration
 }
@@ -55,7 +62,7 @@
 	ledger   *ledger.Ledger
 	upstream *upstream.Client
 	links    *link.Links
-	stats    *stats.Recorder
+	stats    *slo.Recorder
 	metrics  *metrics
 
 	// mu serializes the reducer and guards the fields below it.
@@ -99,7 +106,7 @@
 	o.Reducer.Self.Incarnation = uint64(r.clock.now())
 	o.Reducer.Self.StartedAt = r.clock.now()
 	r.reducer = reducer.New(o.Reducer)
-	r.stats = stats.NewRecorder(time.Now())
+	r.stats = slo.NewRecorder(time.Now())
 	r.metrics = newMetrics(r)
 	r.ledger = ledger.New(o.Table, o.Objects, o.Ledger, r.clock.now)
 	hello := &linkpb.Hello{
@@ -146,7 +153,7 @@
 // GossipReceived implements link.Events.
 func (r *Runtime) GossipReceived(from model.InstanceID, g *linkpb.Gossip) {
 	now := r.clock.now()
-	message, err := membership.FromProto(g, now)
+	message, err := membership.FromProto(now, g)
 	if err != nil {
 		r.log.WithError(err).WithField("peer", from).Warn("membership message refused")
 		return
@@ -156,3 +163,11 @@
 
 // Revision implements link.Events.
 func (r *Runtime) Revision() *linkpb.Revision { return r.revision.Load() }
+
+// ServeLinks accepts links from peers until ctx ends.
+func (r *Runtime) ServeLinks(ctx context.Context, listener net.Listener) error {
+	return r.links.Serve(ctx, listener)
+}
+
+// Metrics returns the registry that the metrics endpoint serves.
+func (r *Runtime) Metrics() prometheus.Gatherer { return r.metrics.registry }
--- /dev/null
+++ b/internal/runtime/source.go
@@ -0,0 +1,184 @@
+package runtime
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/journal"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/reducer"
+)
+
+// Status implements control.Source.
+func (r *Runtime) Status(context.Context) control.Status {
+	now := r.clock.now()
+	zones := r.view.Load().zones()
+	r.mu.Lock()
+	self := r.reducer.Self()
+	peers := r.reducer.Peers()
+	servers := r.reducer.Servers(now)
+	loads := lo.Map(zones, func(z config.Zone, _ int) []membership.ServiceLoad { return r.reducer.ZoneLoads(z.Name) })
+	r.mu.Unlock()
+	status := control.Status{
+		Instance:      self.ID,
+		Zone:          self.Zone,
+		State:         self.State.String(),
+		Incarnation:   self.Incarnation,
+		At:            now.Time(),
+		Configuration: r.configurationStatus(),
+		Platform:      r.platformStatus(),
+		Peers:         lo.Map(peers, func(p membership.Peer, _ int) control.Peer { return peerStatus(now, p) }),
+		Backends:      lo.Map(servers, func(s reducer.ServerState, _ int) control.Backend { return serverStatus(s) }),
+		Stops:         r.stopStatus(servers),
+	}
+	for i, z := range zones {
+		status.Zones = append(status.Zones, zoneStatus(z, loads[i]))
+	}
+	return status
+}
+
+func (r *Runtime) loads() []membership.ServiceLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reducer.Loads(r.clock.now())
+}
+
+func (r *Runtime) configurationStatus() control.Configuration {
+	revision := r.source.Load()
+	if revision == nil {
+		return control.Configuration{}
+	}
+	return control.Configuration{
+		Revision:   revision.Number,
+		Hash:       strconv.FormatUint(revision.Hash, 16),
+		AcceptedAt: revision.AcceptedAt,
+		AdoptedAt:  model.Instant(r.adoptedAt.Load()).Time(),
+	}
+}
+
+func (r *Runtime) platformStatus() control.Platform {
+	if r.options.PlatformState == nil {
+		return control.Platform{}
+	}
+	return r.options.PlatformState()
+}
+
+func peerStatus(now model.Instant, p membership.Peer) control.Peer {
+	out := control.Peer{
+		Instance:    p.Record.ID,
+		Zone:        p.Record.Zone,
+		State:       p.Record.State.String(),
+		Reachable:   p.Health == membership.HealthAlive,
+		Incarnation: p.Record.Incarnation,
+		Revision:    p.Record.Revision,
+		LinkAddr:    p.Record.LinkAddr,
+		CallerAddr:  p.Record.CallerAddr,
+		ControlAddr: p.Record.ControlAddr,
+	}
+	if p.Health == membership.HealthDead || p.Health == membership.HealthListed {
+		out.State = string(p.Health)
+	}
+	if p.Silence >= 0 {
+		out.LastHeard = now.Add(-p.Silence).Time()
+	}
+	return out
+}
+
+func serverStatus(s reducer.ServerState) control.Backend {
+	out := control.Backend{
+		Backend: s.Backend.Name,
+		Service: s.Backend.Service,
+		Health:  s.State.Condition.String(),
+		Limit:   s.Limit,
+		Slots:   s.Backend.Slots,
+		InUse:   s.InUse,
+	}
+	if s.Limit < s.Backend.Slots {
+		out.Why = string(s.State.Why)
+	}
+	return out
+}
+
+func zoneStatus(z config.Zone, loads []membership.ServiceLoad) control.ZoneLoad {
+	out := control.ZoneLoad{Zone: z.Name, Region: z.Region}
+	for _, load := range loads {
+		out.Services = append(out.Services, control.ServiceLoad{
+			Service:    load.Service,
+			Slots:      load.Slots,
+			InUse:      load.InUse,
+			Queued:     control.Ranked(load.Queued),
+			MeanRun:    load.MeanRun,
+			SpillLevel: load.SpillLevel,
+			SpillInUse: load.SpillInUse,
+		})
+	}
+	return out
+}
+
+// stopStatus counts what is still in flight on the owned servers that a planned
+// stop covers.
+func (r *Runtime) stopStatus(servers []reducer.ServerState) []control.Stop {
+	revision := r.source.Load()
+	if revision == nil {
+		return nil
+	}
+	regions := lo.SliceToMap(r.view.Load().zones(), func(z config.Zone) (model.ZoneName, model.RegionName) { return z.Name, z.Region })
+	return lo.Map(revision.Stops, func(s config.Stop, _ int) control.Stop {
+		out := control.StopOf(s)
+		for _, server := range servers {
+			if covers(s, server.Backend, regions) {
+				out.InFlight += server.InUse
+			}
+		}
+		return out
+	})
+}
+
+func covers(s config.Stop, b config.Backend, regions map[model.ZoneName]model.RegionName) bool {
+	switch s.Scope {
+	case config.StopBackend:
+		return s.Target == string(b.Name)
+	case config.StopZone:
+		return s.Target == string(b.Zone)
+	case config.StopRegion:
+		return s.Target == string(regions[b.Zone])
+	default:
+		return false
+	}
+}
+
+// Explain implements control.Source.
+func (r *Runtime) Explain(_ context.Context, q control.ExplainQuery) control.Explanation {
+	found := r.journal.Find(journal.Query{Request: q.Request, Subject: q.Subject})
+	return control.Explanation{
+		Instance: r.self,
+		Since:    r.journal.Since().Time(),
+		Entries: lo.Map(found, func(e event.JournalEntry, _ int) control.Entry {
+			return control.Entry{At: e.At.Time(), Request: e.Request, Subject: e.Subject, What: e.What, Why: e.Why}
+		}),
+	}
+}
+
+// Report implements control.Source.
+func (r *Runtime) Report(_ context.Context, q control.ReportQuery) control.Report {
+	now := r.clock.now().Time()
+	return control.Report{
+		Instance: r.self,
+		Zone:     r.options.Reducer.Self.Zone,
+		At:       now,
+		Since:    r.stats.Since(),
+		Series:   r.stats.Snapshot(now, q.Window),
+	}
+}
+
+// String describes the instance in logs.
+func (r *Runtime) String() string {
+	return fmt.Sprintf("instance %s in zone %s", r.self, r.options.Reducer.Self.Zone)
+}
