Stand-in switches by service, rate caps for reads, exact resumption

Cause: the instance list kept whole past states, which grows with lines times renewals; a link that was cut while it resumed came back although cut.

The list now keeps the history of each line. A suspension calls off earlier resumptions; the relay test that toggles cut shows it. Ruled out: to block the switch until the listener is open again, since the port may be taken for a moment.

Reads and writes have rate caps, answered 429 so that the breaker stays closed.

--- a/internal/platform/breaker.go
+++ b/internal/platform/breaker.go
@@ -90,6 +90,9 @@
 		return
 	}
 	b.failures++
+	if b.state == BreakerOpen {
+		return
+	}
 	if wasProbe || b.failures >= b.settings.Failures {
 		b.open()
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -40,6 +40,10 @@
 
 // Client reaches the platform's three services over HTTP. Each service has its
 // own connections and circuit breaker. It is safe for concurrent use.
+//
+// Each attempt ends at its time-out or at the deadline of the caller's context,
+// whichever is first. A context that is cancelled ends a call before its next
+// attempt, and does not cut one that is under way.
 type Client struct {
 	table     *tableClient
 	objects   *objectsClient
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -15,8 +15,8 @@
 const maxIdleConnection = 20 * time.Second
 
 // ErrThrottled is wrapped by the UnavailableError of a call that the platform
-// refused because its write rate was reached.
-var ErrThrottled = errors.New("write rate reached")
+// refused because its rate was reached.
+var ErrThrottled = errors.New("rate of the platform reached")
 
 // ErrRejected is wrapped by the UnavailableError of a call that the platform
 // found malformed; repeating it cannot help.
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -127,9 +127,8 @@
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 	s.mu.Unlock()
-	if s.listener.Suspend() {
-		s.listener.ResumeAfter(downtime)
-	}
+	s.listener.Suspend()
+	s.listener.ResumeAfter(downtime)
 	s.timing.restart()
 }
 
--- a/internal/standin/netfault/listener.go
+++ b/internal/standin/netfault/listener.go
@@ -22,6 +22,8 @@
 	tcp     net.Listener // nil while suspended
 	closed  bool
 	conns   map[*Conn]struct{}
+	// suspensions counts the calls of Suspend; each calls off earlier resumptions.
+	suspensions int
 
 	quit    chan struct{}
 	resumes sync.WaitGroup
@@ -131,18 +133,17 @@
 	return conns
 }
 
-// Suspend refuses new connections and resets the open ones. It returns false
-// where the listener was suspended or closed already.
-func (l *Listener) Suspend() bool {
+// Suspend refuses new connections and resets the open ones. It calls off a
+// ResumeAfter that has not yet happened.
+func (l *Listener) Suspend() {
 	l.mu.Lock()
-	suspended := l.tcp != nil && !l.closed
-	if suspended {
+	l.suspensions++
+	if l.tcp != nil && !l.closed {
 		_ = l.tcp.Close()
 		l.tcp = nil
 	}
 	l.mu.Unlock()
 	l.ResetAll()
-	return suspended
 }
 
 // ResetAll resets the open connections.
@@ -153,35 +154,38 @@
 }
 
 // ResumeAfter listens again on the same address after a wait, without blocking
-// the caller. It must follow a Suspend that returned true.
+// the caller.
 func (l *Listener) ResumeAfter(wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.closed {
-		l.resumes.Go(func() { l.resume(wait) })
+	if l.closed {
+		return
 	}
+	suspension := l.suspensions
+	l.resumes.Go(func() { l.resume(suspension, wait) })
 }
 
-func (l *Listener) resume(wait time.Duration) {
-	for l.wait(wait) {
-		tcp, err := net.Listen("tcp", l.addr.String())
-		if err == nil {
-			l.resumed(tcp)
-			return
-		}
+// resume ends the suspension with a number, if it is still the latest.
+func (l *Listener) resume(suspension int, wait time.Duration) {
+	for l.wait(wait) && !l.tryResume(suspension) {
 		wait = retryInterval
 	}
 }
 
-func (l *Listener) resumed(tcp net.Listener) {
+// tryResume returns false where it must be tried again.
+func (l *Listener) tryResume(suspension int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed || l.tcp != nil {
-		_ = tcp.Close()
-		return
+	if l.closed || l.tcp != nil || l.suspensions != suspension {
+		return true
+	}
+	tcp, err := net.Listen("tcp", l.addr.String())
+	if err != nil {
+		return false
 	}
 	l.tcp = tcp
 	l.changed.Broadcast()
+	return true
 }
 
 // Close implements net.Listener. Open connections stay open.
--- a/internal/standin/relay/control.go
+++ b/internal/standin/relay/control.go
@@ -10,14 +10,16 @@
 	"github.com/gofiber/fiber/v3"
 )
 
-// The paths of the control service; NAME is a link's name.
+// The paths of the control service; :name is a link's name.
 const (
-	PathLinks    = "/standin/links"               // GET lists the links
-	PathFaults   = "/standin/links/:name/faults"  // GET shows, PUT sets
-	PathSilence  = "/standin/links/:name/silence" // POST silences the open connections
-	controlGrace = time.Second                    // bound of Close
+	PathLinks   = "/standin/links"               // GET lists the links
+	PathFaults  = "/standin/links/:name/faults"  // GET shows, PUT sets
+	PathSilence = "/standin/links/:name/silence" // POST silences the open connections
 )
 
+// shutdownTimeout bounds how long Close waits for calls in progress.
+const shutdownTimeout = time.Second
+
 // LinkReport describes a link to its operator.
 type LinkReport struct {
 	Name     string   `json:"name"`
@@ -66,7 +68,7 @@
 	if c.listener == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), controlGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	err := c.app.ShutdownWithContext(ctx)
 	_ = c.listener.Close()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -27,6 +27,8 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 
+	switching sync.Mutex // serializes SetFaults
+
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 
@@ -120,6 +122,8 @@
 
 // SetFaults replaces all switches.
 func (r *Relay) SetFaults(faults Faults) {
+	r.switching.Lock()
+	defer r.switching.Unlock()
 	before := r.link.set(faults)
 	switch {
 	case r.listener == nil || before.State == faults.State:
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -174,6 +174,7 @@
 	control := relay.NewControl([]*relay.Relay{r})
 	require.NoError(t, control.Start("127.0.0.1:0"))
 	t.Cleanup(func() { require.NoError(t, control.Close()) })
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	call := func(method, path, body string) (int, string) {
 		request, err := http.NewRequestWithContext(t.Context(), method, "http://"+control.Addr()+path, strings.NewReader(body))
 		require.NoError(t, err)
@@ -195,3 +196,21 @@
 	status, _ = call(http.MethodGet, "/standin/links/none/faults", "")
 	require.Equal(t, http.StatusNotFound, status)
 }
+
+func TestCutDuringResumptionStaysCut(t *testing.T) {
+	r := startRelay(t, relay.Faults{})
+	for range 20 {
+		r.SetFaults(relay.Faults{State: relay.StateCut})
+		r.SetFaults(relay.Faults{})
+		r.SetFaults(relay.Faults{State: relay.StateCut})
+	}
+	require.Never(t, func() bool {
+		c, err := net.Dial("tcp", r.Addr())
+		return err == nil && c.Close() == nil
+	}, silence, interval)
+	r.SetFaults(relay.Faults{})
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", r.Addr())
+		return err == nil && c.Close() == nil
+	}, patience, interval)
+}
--- a/internal/standin/tablestore/control.go
+++ b/internal/standin/tablestore/control.go
@@ -36,7 +36,8 @@
 
 // handleLines shows the list without its lag.
 func (s *Server) handleLines(c fiber.Ctx) error {
-	return c.JSON(wire.InstancesAnswer{Instances: s.instances.list(time.Now())})
+	now := time.Now()
+	return c.JSON(wire.InstancesAnswer{Instances: s.instances.list(now, now)})
 }
 
 func (s *Server) handleSetLine(c fiber.Ctx) error {
--- a/internal/standin/tablestore/counters.go
+++ b/internal/standin/tablestore/counters.go
@@ -12,7 +12,7 @@
 	ObjectGets   int64 `json:"object_gets"`
 	Lists        int64 `json:"lists"`
 	Registers    int64 `json:"registers"`
-	Refused      int64 `json:"refused"` // by an outage or the write cap
+	Refused      int64 `json:"refused"` // by an outage or a rate cap
 	LostRequests int64 `json:"lost_requests"`
 	LostReplies  int64 `json:"lost_replies"`
 }
--- a/internal/standin/tablestore/faults.go
+++ b/internal/standin/tablestore/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +19,32 @@
 	OutageError  Outage = "error"  // each call is answered 503, marked as not applied
 )
 
+// Service names one of the platform's services.
+type Service string
+
+// The platform's services.
+const (
+	ServiceTable     Service = "table"
+	ServiceObjects   Service = "objects"
+	ServiceInstances Service = "instances"
+)
+
+// access says whether a call reads or writes.
+type access int
+
+const (
+	read access = iota
+	write
+
+	accessCount
+)
+
 // Faults are the fault switches. The zero value is a platform without faults.
 type Faults struct {
 	Outage Outage `json:"outage"`
+	// Services are the services to which the outage, the latency and the losses
+	// apply; none means all of them.
+	Services []Service `json:"services,omitempty"`
 	// LatencyMillis and JitterMillis delay each call before it takes effect:
 	// the fixed part and the bound of a uniformly distributed part.
 	LatencyMillis int64 `json:"latency_ms"`
@@ -33,8 +57,10 @@
 	LostRequests float64 `json:"lost_requests"`
 	// ListLagMillis is how far the instance list lags.
 	ListLagMillis int64 `json:"list_lag_ms"`
-	// WritesPerSecond caps commits, object writes and registrations; 0 is no cap.
+	// WritesPerSecond caps commits, object writes and registrations together;
+	// ReadsPerSecond caps all other calls. 0 is no cap.
 	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
 	// Seed restarts the random choices when the switches are set.
 	Seed uint64 `json:"seed"`
 }
@@ -43,12 +69,12 @@
 func (f Faults) ListLag() time.Duration { return time.Duration(f.ListLagMillis) * time.Millisecond }
 
 // faultSwitches holds the switches in force with their random source and the
-// write limiter.
+// rate limiters.
 type faultSwitches struct {
 	mu     sync.Mutex
 	faults Faults
 	rng    *rand.Rand
-	writes *rate.Limiter
+	limits [accessCount]*rate.Limiter
 }
 
 func newFaultSwitches(f Faults) *faultSwitches {
@@ -62,10 +88,15 @@
 	defer s.mu.Unlock()
 	s.faults = f
 	s.rng = rand.New(rand.NewPCG(f.Seed, f.Seed))
-	s.writes = nil
-	if f.WritesPerSecond > 0 {
-		s.writes = rate.NewLimiter(rate.Limit(f.WritesPerSecond), max(1, int(f.WritesPerSecond)))
+	s.limits[write] = newLimiter(f.WritesPerSecond)
+	s.limits[read] = newLimiter(f.ReadsPerSecond)
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
 	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 }
 
 func (s *faultSwitches) get() Faults {
@@ -84,20 +115,22 @@
 }
 
 // choose draws the faults of one call.
-func (s *faultSwitches) choose(write bool) callFaults {
+func (s *faultSwitches) choose(service Service, kind access) callFaults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	overCap := !s.limits[kind].Allow()
+	if len(s.faults.Services) > 0 && !slices.Contains(s.faults.Services, service) {
+		return callFaults{overCap: overCap}
+	}
 	c := callFaults{
 		outage:      s.faults.Outage,
 		delay:       time.Duration(s.faults.LatencyMillis) * time.Millisecond,
 		loseRequest: s.rng.Float64() < s.faults.LostRequests,
 		loseReply:   s.rng.Float64() < s.faults.LostReplies,
+		overCap:     overCap,
 	}
 	if s.faults.JitterMillis > 0 {
 		c.delay += time.Duration(s.rng.Int64N(int64(time.Duration(s.faults.JitterMillis) * time.Millisecond)))
 	}
-	if write && s.writes != nil {
-		c.overCap = !s.writes.Allow()
-	}
 	return c
 }
--- a/internal/standin/tablestore/instances.go
+++ b/internal/standin/tablestore/instances.go
@@ -9,35 +9,32 @@
 	"github.com/primrosenotch/primrosenotch/internal/platform/wire"
 )
 
-// listHistory is how long past states of the instance list are kept; the lag
-// of the list cannot exceed it.
+// listHistory is how long past lines are kept; the lag of the list cannot
+// exceed it.
 const listHistory = 5 * time.Minute
 
-// maxListVersions bounds the past states that are kept.
-const maxListVersions = 4096
-
-// instanceLine is one line with its expiry; expires is zero for lines that do
-// not expire.
-type instanceLine struct {
+// lineVersion is a line as it was from a moment on.
+type lineVersion struct {
+	from     time.Time
 	instance wire.Instance
-	expires  time.Time
+	expires  time.Time // zero where the line does not expire
+	removed  bool
 }
 
-// listVersion is the list as it was from a moment on.
-type listVersion struct {
-	from  time.Time
-	lines map[string]instanceLine
+// listedAt reports whether the line is on the list at a moment.
+func (v lineVersion) listedAt(at time.Time) bool {
+	return !v.removed && (v.expires.IsZero() || v.expires.After(at))
 }
 
-// instances is the instance list. It keeps its past states so that a read can
-// be answered as the list was some time ago.
+// instances is the instance list. It keeps the history of each line, so that a
+// read can be answered as the list was some time ago.
 type instances struct {
-	mu       sync.Mutex
-	versions []listVersion // oldest first, never empty
+	mu    sync.Mutex
+	lines map[string][]lineVersion // oldest first, never empty
 }
 
-func newInstances(now time.Time) *instances {
-	return &instances{versions: []listVersion{{from: now}}}
+func newInstances() *instances {
+	return &instances{lines: make(map[string][]lineVersion)}
 }
 
 // lineKey identifies a line: entry instances and backend servers have
@@ -51,65 +48,63 @@
 
 // set adds or replaces a line. A ttl of 0 keeps it until it is removed.
 func (l *instances) set(in wire.Instance, ttl time.Duration, now time.Time) {
-	line := instanceLine{instance: in}
+	version := lineVersion{from: now, instance: in}
 	if ttl > 0 {
-		line.expires = now.Add(ttl)
+		version.expires = now.Add(ttl)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lines := l.copyLatest()
-	lines[lineKey(in)] = line
-	l.append(lines, now)
+	l.add(version)
 }
 
 // remove deletes a line by what names it.
 func (l *instances) remove(in wire.Instance, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lines := l.copyLatest()
-	delete(lines, lineKey(in))
-	l.append(lines, now)
+	l.add(lineVersion{from: now, instance: in, removed: true})
 }
 
-func (l *instances) copyLatest() map[string]instanceLine {
-	latest := l.versions[len(l.versions)-1].lines
-	lines := make(map[string]instanceLine, len(latest)+1)
-	for key, line := range latest {
-		lines[key] = line
-	}
-	return lines
+func (l *instances) add(version lineVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := lineKey(version.instance)
+	l.lines[key] = trimLine(append(l.lines[key], version), version.from.Add(-listHistory))
 }
 
-// append adds a state and drops those that no read can ask for.
-func (l *instances) append(lines map[string]instanceLine, now time.Time) {
-	l.versions = append(l.versions, listVersion{from: now, lines: lines})
-	oldest := now.Add(-listHistory)
-	drop := max(0, len(l.versions)-maxListVersions)
-	for drop < len(l.versions)-1 && l.versions[drop+1].from.Before(oldest) {
+// trimLine drops the versions that were replaced before oldest.
+func trimLine(versions []lineVersion, oldest time.Time) []lineVersion {
+	drop := 0
+	for drop < len(versions)-1 && versions[drop+1].from.Before(oldest) {
 		drop++
 	}
-	l.versions = slices.Delete(l.versions, 0, drop)
+	return slices.Delete(versions, 0, drop)
 }
 
-// list returns the lines that had not expired at a moment, sorted.
-func (l *instances) list(at time.Time) []wire.Instance {
+// list returns the lines that were listed at a moment, sorted by key.
+func (l *instances) list(at, now time.Time) []wire.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	listed := []wire.Instance{}
-	for _, line := range l.linesAt(at) {
-		if line.expires.IsZero() || line.expires.After(at) {
-			listed = append(listed, line.instance)
+	for key, versions := range l.lines {
+		if version, ok := versionAt(versions, at); ok && version.listedAt(at) {
+			listed = append(listed, version.instance)
 		}
+		l.forgetIfOld(key, now.Add(-listHistory))
 	}
 	slices.SortFunc(listed, func(a, b wire.Instance) int { return strings.Compare(lineKey(a), lineKey(b)) })
 	return listed
 }
 
-func (l *instances) linesAt(at time.Time) map[string]instanceLine {
-	for i := len(l.versions) - 1; i >= 0; i-- {
-		if !l.versions[i].from.After(at) {
-			return l.versions[i].lines
+func versionAt(versions []lineVersion, at time.Time) (lineVersion, bool) {
+	for i := len(versions) - 1; i >= 0; i-- {
+		if !versions[i].from.After(at) {
+			return versions[i], true
 		}
 	}
-	return nil
+	return lineVersion{}, false
+}
+
+// forgetIfOld drops a line that left the list before oldest.
+func (l *instances) forgetIfOld(key string, oldest time.Time) {
+	versions := l.lines[key]
+	last := versions[len(versions)-1]
+	if last.from.Before(oldest) && !last.listedAt(oldest) {
+		delete(l.lines, key)
+	}
 }
--- a/internal/standin/tablestore/server.go
+++ b/internal/standin/tablestore/server.go
@@ -41,7 +41,7 @@
 		app:       fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ServerHeader: ""}),
 		table:     newTable(),
 		objects:   newObjects(),
-		instances: newInstances(time.Now()),
+		instances: newInstances(),
 		switches:  newFaultSwitches(faults),
 		served:    make(chan error, 1),
 		closing:   make(chan struct{}),
--- a/internal/standin/tablestore/service.go
+++ b/internal/standin/tablestore/service.go
@@ -10,22 +10,19 @@
 
 // routes registers the protocol of the platform's services.
 func (s *Server) routes() {
-	s.app.Post(wire.PathGet, s.read(s.handleGet))
-	s.app.Post(wire.PathScan, s.read(s.handleScan))
-	s.app.Post(wire.PathCommit, s.write(s.handleCommit))
-	s.app.Get(wire.PathObject, s.read(s.handleGetObject))
-	s.app.Put(wire.PathObject, s.write(s.handlePutObject))
-	s.app.Get(wire.PathInstances, s.read(s.handleList))
-	s.app.Post(wire.PathInstances, s.write(s.handleRegister))
+	s.app.Post(wire.PathGet, s.withFaults(ServiceTable, read, s.handleGet))
+	s.app.Post(wire.PathScan, s.withFaults(ServiceTable, read, s.handleScan))
+	s.app.Post(wire.PathCommit, s.withFaults(ServiceTable, write, s.handleCommit))
+	s.app.Get(wire.PathObject, s.withFaults(ServiceObjects, read, s.handleGetObject))
+	s.app.Put(wire.PathObject, s.withFaults(ServiceObjects, write, s.handlePutObject))
+	s.app.Get(wire.PathInstances, s.withFaults(ServiceInstances, read, s.handleList))
+	s.app.Post(wire.PathInstances, s.withFaults(ServiceInstances, write, s.handleRegister))
 }
 
-func (s *Server) read(handler fiber.Handler) fiber.Handler  { return s.withFaults(false, handler) }
-func (s *Server) write(handler fiber.Handler) fiber.Handler { return s.withFaults(true, handler) }
-
 // withFaults runs a call under the fault switches in force.
-func (s *Server) withFaults(write bool, handler fiber.Handler) fiber.Handler {
+func (s *Server) withFaults(service Service, kind access, handler fiber.Handler) fiber.Handler {
 	return func(c fiber.Ctx) error {
-		chosen := s.switches.choose(write)
+		chosen := s.switches.choose(service, kind)
 		if chosen.outage == OutageClosed {
 			s.counters.refused.Add(1)
 			return dropConnection(c)
@@ -41,7 +38,7 @@
 		}
 		if chosen.overCap {
 			s.counters.refused.Add(1)
-			return notApplied(c, fiber.StatusTooManyRequests, "write cap reached")
+			return notApplied(c, fiber.StatusTooManyRequests, "rate cap reached")
 		}
 		err := handler(c)
 		if chosen.loseReply {
@@ -141,8 +138,9 @@
 
 func (s *Server) handleList(c fiber.Ctx) error {
 	s.counters.lists.Add(1)
-	at := time.Now().Add(-s.switches.get().ListLag())
-	return c.JSON(wire.InstancesAnswer{Instances: s.instances.list(at)})
+	now := time.Now()
+	at := now.Add(-s.switches.get().ListLag())
+	return c.JSON(wire.InstancesAnswer{Instances: s.instances.list(at, now)})
 }
 
 func (s *Server) handleRegister(c fiber.Ctx) error {
