--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -264,6 +264,37 @@
 	require.False(t, status(t, s).Healthy)
 }
 
+func TestStatusDownClosesTheConnection(t *testing.T) {
+	s := start(t, backend.Config{Slots: 1, Faults: backend.Faults{StatusDown: true}})
+	request := newRequest(t, t.Context(), s, backend.PathStatus, "", nil)
+	_, err := newClient(t).Do(request)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestSlowdownMultipliesServiceTimes(t *testing.T) {
+	const mean, slowdown = 20 * time.Millisecond, 3
+	s := start(t, backend.Config{Slots: 1, Time: backend.ServiceTime{Mean: mean}, Faults: backend.Faults{Slowdown: slowdown}})
+	begin := time.Now()
+	send(t, newClient(t), newRequest(t, t.Context(), s, "/", "r", nil))
+	require.GreaterOrEqual(t, time.Since(begin), slowdown*mean)
+}
+
+func TestCloseLetsWorkFinish(t *testing.T) {
+	s := backend.New(backend.Config{Slots: 1, Time: backend.ServiceTime{Mean: 100 * time.Millisecond}})
+	require.NoError(t, s.Start("127.0.0.1:0"))
+	request, client := newRequest(t, t.Context(), s, "/", "r", nil), newClient(t)
+	closed := make(chan error, 1)
+	go func() {
+		for s.Status().InUse == 0 {
+			time.Sleep(interval)
+		}
+		closed <- s.Close()
+	}()
+	answer, _ := send(t, client, request)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.NoError(t, <-closed)
+}
+
 func TestColdStartEndsWithServedRequests(t *testing.T) {
 	s := start(t, backend.Config{Slots: 1, Cold: backend.ColdStart{Duration: time.Hour, Factor: 3, Requests: 2}})
 	client := newClient(t)
