cli: check, apply, get, diff, history, stop, status, explain and report

Every command prints text or JSON and ends with an exit code that the help lists. Sessions are compared with golden files; report can also be one HTML page with an SVG plot.

--- /dev/null
+++ b/internal/cli/clients.go
@@ -0,0 +1,65 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/samber/do/v2"
+)
+
+// callTimeout bounds one call to an entry instance, so that a silent one does
+// not use up the whole command's time.
+const callTimeout = 3 * time.Second
+
+// clients builds, on first use, what a command needs to reach the platform and
+// the entry instances.
+type clients struct {
+	injector *do.RootScope
+}
+
+func newClients(env *Environment, global *globalOptions) *clients {
+	injector := do.New()
+	do.ProvideValue(injector, env)
+	do.ProvideValue(injector, global)
+	do.Provide(injector, newTable)
+	do.Provide(injector, newStore)
+	do.Provide(injector, newFleet)
+	return &clients{injector: injector}
+}
+
+func newTable(i do.Injector) (platform.Table, error) {
+	global := do.MustInvoke[*globalOptions](i)
+	if global.Platform == "" {
+		return nil, &usageError{What: "the command needs the platform: give --platform HOST:PORT or set PRIMROSENOTCH_PLATFORM"}
+	}
+	table, err := do.MustInvoke[*Environment](i).OpenTable(global.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("open platform %s: %w", global.Platform, err)
+	}
+	return table, nil
+}
+
+func newStore(i do.Injector) (*confstore.Store, error) {
+	table, err := do.Invoke[platform.Table](i)
+	if err != nil {
+		return nil, err
+	}
+	env := do.MustInvoke[*Environment](i)
+	return confstore.New(table, confstore.WithClock(env.Now)), nil
+}
+
+func newFleet(i do.Injector) (*control.Fleet, error) {
+	global := do.MustInvoke[*globalOptions](i)
+	if len(global.Entries) == 0 {
+		return nil, &usageError{What: "the command needs an entry instance: give --entry HOST:PORT or set PRIMROSENOTCH_ENTRY"}
+	}
+	timeout := min(global.Timeout, callTimeout)
+	return control.NewFleet(control.NewClient(timeout), global.Entries), nil
+}
+
+func (c *clients) store() (*confstore.Store, error) { return do.Invoke[*confstore.Store](c.injector) }
+
+func (c *clients) fleet() (*control.Fleet, error) { return do.Invoke[*control.Fleet](c.injector) }
--- /dev/null
+++ b/internal/cli/conflict.go
@@ -0,0 +1,42 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+)
+
+// conflictError adds to a conflict what the winner has changed.
+type conflictError struct {
+	err    error
+	winner conflictView
+}
+
+// Error implements error.
+func (e *conflictError) Error() string { return e.err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *conflictError) Unwrap() error { return e.err }
+
+// conflictView is the revision in force and how it differs from the base of the
+// change that was refused.
+type conflictView struct {
+	revisionView
+	Base    int64           `json:"base"`
+	Changes []config.Change `json:"changes"`
+}
+
+func newConflict(err error, base, winner *config.Revision) error {
+	v := conflictView{revisionView: newRevisionView(winner), Base: numberOf(base)}
+	previous, _ := parseRevision(base) // a text that this version rejects counts as empty
+	current, _ := parseRevision(winner)
+	v.Changes = orEmpty(config.Diff(previous, current))
+	return &conflictError{err: err, winner: v}
+}
+
+func (v *conflictView) writeText(w io.Writer) {
+	fmt.Fprintf(w, "revision %d by %s at %s came first: %s\n", v.Number, v.Author, formatTime(v.AcceptedAt), v.Reason)
+	fmt.Fprintf(w, "changed since revision %d:\n", v.Base)
+	writeChanges(w, v.Changes)
+}
--- /dev/null
+++ b/internal/cli/diff.go
@@ -0,0 +1,168 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/confstore"
+)
+
+type diffCommand struct {
+	s     *session
+	Stops []string `long:"stop" value-name:"SCOPE:NAME" description:"preview a planned stop; may be repeated"`
+	From  string   `long:"from" value-name:"FILE" description:"compare with a file instead of the text in force"`
+	Args  struct {
+		File string `positional-arg-name:"FILE" description:"the text"`
+	} `positional-args:"true"`
+}
+
+func (*diffCommand) examples() string {
+	return `  primrosenotch diff shop.ini
+  primrosenotch diff --stop zone:munich-a --stop backend:checkout-09
+  primrosenotch diff new.ini --from old.ini
+`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error {
+	if c.Args.File == "" && len(c.Stops) == 0 {
+		return &usageError{What: "name a file, or a planned stop with --stop SCOPE:NAME"}
+	}
+	base, before, err := c.base()
+	if err != nil {
+		return err
+	}
+	after := before
+	if c.Args.File != "" {
+		if after, _, err = c.s.readText(c.Args.File); err != nil {
+			return err
+		}
+	}
+	var stops []config.Stop
+	if base != nil {
+		stops = base.Stops
+	}
+	planned, err := parseStops(after, c.Stops)
+	if err != nil {
+		return err
+	}
+	return c.s.print(newDiffView(base, before, after, stops, append(stops[:len(stops):len(stops)], planned...)))
+}
+
+// base returns what the preview starts from: the revision in force, or a file.
+// Before the first revision both results are nil.
+func (c *diffCommand) base() (*config.Revision, *config.Text, error) {
+	if c.From != "" {
+		text, _, err := c.s.readText(c.From)
+		return nil, text, err
+	}
+	store, err := c.s.clients.store()
+	if err != nil {
+		return nil, nil, err
+	}
+	revision, err := store.Load(c.s.ctx)
+	if errors.Is(err, confstore.ErrNoRevision) && c.Args.File != "" {
+		return nil, nil, nil
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	text, err := parseRevision(revision)
+	return revision, text, err
+}
+
+func parseStops(text *config.Text, targets []string) ([]config.Stop, error) {
+	var stops []config.Stop
+	for _, target := range targets {
+		scope, name, err := config.ParseStopTarget(target)
+		if err != nil {
+			return nil, err
+		}
+		stop := config.Stop{Scope: scope, Target: name}
+		if err := config.CheckStop(text, stop); err != nil {
+			return nil, err
+		}
+		stops = append(stops, stop)
+	}
+	return stops, nil
+}
+
+// diffView is the preview of a change.
+type diffView struct {
+	Base    int64                  `json:"base"` // revision, 0 for a file or none
+	Changes []config.Change        `json:"changes"`
+	Impacts []config.ServiceImpact `json:"impacts"`
+}
+
+func newDiffView(base *config.Revision, before, after *config.Text, stopsBefore, stopsAfter []config.Stop) *diffView {
+	impacts := config.ImpactOfChange(before, after, stopsBefore, stopsAfter)
+	v := &diffView{Base: numberOf(base), Changes: []config.Change{}, Impacts: orEmpty(impacts)}
+	if before != after {
+		v.Changes = orEmpty(config.Diff(before, after))
+	}
+	return v
+}
+
+func (v *diffView) writeText(w io.Writer) {
+	if v.Base > 0 {
+		fmt.Fprintf(w, "compared with revision %d\n", v.Base)
+	}
+	if len(v.Changes) == 0 && len(v.Impacts) == 0 {
+		fmt.Fprintln(w, "nothing changes")
+		return
+	}
+	writeChanges(w, v.Changes)
+	writeImpacts(w, v.Impacts)
+}
+
+var changeSigns = map[config.ChangeKind]string{config.Added: "+", config.Removed: "-", config.Changed: "~"}
+
+func writeChanges(w io.Writer, changes []config.Change) {
+	for _, c := range changes {
+		fmt.Fprintf(w, "%s [%s] ", changeSigns[c.Kind], c.Section)
+		switch c.Kind {
+		case config.Added:
+			fmt.Fprintln(w, c.New)
+		case config.Removed:
+			fmt.Fprintln(w, c.Old)
+		default:
+			fmt.Fprintf(w, "%s: %s -> %s\n", c.Key, orDash(c.Old), orDash(c.New))
+		}
+	}
+}
+
+func writeImpacts(w io.Writer, impacts []config.ServiceImpact) {
+	if len(impacts) == 0 {
+		return
+	}
+	fmt.Fprintln(w)
+	t := newTextTable(w, "SERVICE", "ZONE", "SLOTS BEFORE", "AFTER")
+	for _, impact := range impacts {
+		for _, zone := range impact.Zones {
+			t.row(string(impact.Service), string(zone.Zone), fmt.Sprint(zone.Before), fmt.Sprint(zone.After))
+		}
+		t.row(string(impact.Service), "all", fmt.Sprint(impact.Before), fmt.Sprint(impact.After))
+	}
+	t.flush()
+	fmt.Fprintln(w)
+	for _, impact := range impacts {
+		fmt.Fprintln(w, describeImpact(impact))
+	}
+}
+
+func describeImpact(i config.ServiceImpact) string {
+	urgent := "urgent work still fits"
+	if !i.UrgentFits {
+		urgent = "URGENT WORK NO LONGER FITS"
+	}
+	move := "nothing has to move"
+	switch {
+	case i.NoReceiver:
+		move = "NO OTHER ZONE CAN TAKE THE WORK"
+	case i.MoveTime > 0:
+		move = fmt.Sprintf("the move takes up to %s under the shift cap", i.MoveTime)
+	}
+	return fmt.Sprintf("%s: %.1f%% of the slots left; %s; %s", i.Service, i.ShareLeft*100, urgent, move)
+}
--- /dev/null
+++ b/internal/cli/environment.go
@@ -0,0 +1,48 @@
+// Package cli is the operators' command line: it checks and applies the
+// operators' text, announces planned stops, and reads back what the entry
+// instances have decided and why.
+package cli
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+)
+
+// Environment is what the commands use of the world outside the process.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Now    func() time.Time
+	// Author is the default for --author.
+	Author string
+	// NewID returns a unique identifier for an operation or planned stop.
+	NewID    func() string
+	ReadFile func(name string) ([]byte, error)
+	// OpenTable returns the platform's table service at host:port.
+	OpenTable func(address string) (platform.Table, error)
+}
+
+// globalOptions are accepted by every command.
+type globalOptions struct {
+	Platform string        `long:"platform" value-name:"HOST:PORT" env:"PRIMROSENOTCH_PLATFORM" description:"the platform's table service"`
+	Entries  []string      `long:"entry" value-name:"HOST:PORT" env:"PRIMROSENOTCH_ENTRY" env-delim:"," description:"control address of an entry instance; may be repeated, the others are found from its peers"`
+	Format   string        `long:"format" choice:"text" choice:"json" choice:"html" default:"text" description:"form of the output; html is for report only"`
+	Timeout  time.Duration `long:"timeout" default:"10s" description:"time for the whole command"`
+}
+
+const (
+	formatText = "text"
+	formatJSON = "json"
+	formatHTML = "html"
+)
+
+// session is one run of the command line.
+type session struct {
+	ctx     context.Context
+	env     *Environment
+	global  *globalOptions
+	clients *clients
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,89 @@
+package cli
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+type explainCommand struct {
+	s    *session
+	Args struct {
+		Name string `positional-arg-name:"ID|NAME" description:"X-Request-Id of an answer, or the name of an instance, backend server, zone or service"`
+	} `positional-args:"true" required:"true"`
+}
+
+func (*explainCommand) examples() string {
+	return `  primrosenotch explain 0b9f6d1e --entry 10.1.0.10:7400     a request, by its X-Request-Id
+  primrosenotch explain checkout-03 --entry 10.1.0.10:7400  a backend server
+`
+}
+
+// Execute implements flags.Commander. It asks for the name both as a request and
+// as a subject, so that operators need not know which it is.
+func (c *explainCommand) Execute([]string) error {
+	fleet, err := c.s.clients.fleet()
+	if err != nil {
+		return err
+	}
+	answers := fleet.Explain(c.s.ctx, control.ExplainQuery{Request: c.Args.Name})
+	answers = append(answers, fleet.Explain(c.s.ctx, control.ExplainQuery{Subject: c.Args.Name})...)
+	explanations, silent, err := collect(answers)
+	if err != nil {
+		return err
+	}
+	return c.s.print(newExplainView(c.Args.Name, explanations, silent))
+}
+
+// explainView is what explain prints.
+type explainView struct {
+	Name    string           `json:"name"`
+	Entries []explainedEntry `json:"entries"` // oldest first
+	Silent  []silentInstance `json:"silent"`
+}
+
+type explainedEntry struct {
+	Instance model.InstanceID `json:"instance"`
+	control.Entry
+}
+
+func newExplainView(name string, explanations []control.Explanation, silent []silentInstance) *explainView {
+	v := &explainView{Name: name, Entries: []explainedEntry{}}
+	for _, explanation := range explanations {
+		for _, entry := range explanation.Entries {
+			v.Entries = append(v.Entries, explainedEntry{Instance: explanation.Instance, Entry: entry})
+		}
+	}
+	slices.SortStableFunc(v.Entries, compareEntries)
+	v.Entries = slices.Compact(v.Entries) // an entry about both was found twice
+	slices.SortFunc(silent, func(a, b silentInstance) int { return cmp.Compare(a.Address, b.Address) })
+	v.Silent = orEmpty(slices.CompactFunc(silent, func(a, b silentInstance) bool { return a.Address == b.Address }))
+	return v
+}
+
+func compareEntries(a, b explainedEntry) int {
+	return cmp.Or(
+		a.At.Compare(b.At),
+		cmp.Compare(a.Instance, b.Instance),
+		cmp.Compare(a.Subject, b.Subject),
+		cmp.Compare(a.Request, b.Request),
+		cmp.Compare(a.What, b.What),
+	)
+}
+
+func (v *explainView) writeText(w io.Writer) {
+	if len(v.Entries) == 0 {
+		fmt.Fprintf(w, "no reachable instance holds a decision about %s\n", v.Name)
+	} else {
+		t := newTextTable(w, "AT", "INSTANCE", "SUBJECT", "WHAT", "WHY")
+		for _, e := range v.Entries {
+			t.row(e.At.UTC().Format("2006-01-02 15:04:05.000Z"), string(e.Instance), orDash(e.Subject), e.What, e.Why)
+		}
+		t.flush()
+	}
+	writeSilent(w, v.Silent)
+}
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/stretchr/testify/require"
+)
+
+var errInjected = errors.New("connection refused")
+
+// fakeTable is an in-memory platform.Table with switches for faults.
+type fakeTable struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	down      bool // every call fails
+	replyLost bool // commits take effect, but their reply is lost and reads fail
+}
+
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return nil, &platform.UnavailableError{Step: "get", Peer: "platform:7000", Err: errInjected}
+	}
+	var rows []platform.Row
+	for _, key := range keys {
+		row := t.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (*fakeTable) Scan(context.Context, string, int) ([]platform.Row, error) {
+	return nil, errors.ErrUnsupported
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn platform.Transaction) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if actual := t.rows[c.Key].Version; actual != c.Version {
+			return &platform.ConflictError{Step: "commit", Peer: "platform:7000", Key: c.Key, Wanted: c.Version, Actual: actual}
+		}
+	}
+	for _, w := range txn.Writes {
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[w.Key].Version + 1}
+	}
+	if t.replyLost {
+		t.down = true
+		return &platform.UncertainError{Step: "commit", Peer: "platform:7000", Err: errInjected}
+	}
+	return nil
+}
+
+// fakeInstance serves the control API with fixed answers.
+type fakeInstance struct {
+	status  control.Status
+	entries []control.Entry
+	report  control.Report
+}
+
+func (f *fakeInstance) Status(context.Context) control.Status { return f.status }
+
+func (f *fakeInstance) Explain(_ context.Context, query control.ExplainQuery) control.Explanation {
+	answer := control.Explanation{Instance: f.status.Instance}
+	for _, e := range f.entries {
+		if query.Request != "" && e.Request == query.Request || query.Subject != "" && e.Subject == query.Subject {
+			answer.Entries = append(answer.Entries, e)
+		}
+	}
+	return answer
+}
+
+func (f *fakeInstance) Report(context.Context, control.ReportQuery) control.Report { return f.report }
+
+// serve runs an instance's API on a loopback port until the test ends.
+func serve(t *testing.T, instance *fakeInstance) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	app := fiber.New()
+	control.Register(app, instance)
+	done := make(chan error, 1)
+	go func() { done <- app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) }()
+	t.Cleanup(func() {
+		require.NoError(t, app.Shutdown())
+		require.NoError(t, <-done)
+	})
+	return listener.Addr().String()
+}
--- a/internal/slo/burn.go
+++ b/internal/slo/burn.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/samber/lo"
 )
 
 // Windows are the spans over which burn rates are computed, shortest first. The
@@ -77,9 +79,15 @@
 }
 
 // Evaluate merges the series of several instances and returns their burn by
-// service and rank. Where instances have different objectives, since a text is
-// not in force everywhere yet, the last one given wins.
+// service and rank.
 func Evaluate(now time.Time, reports []control.Report) []Burn {
+	return lo.Map(mergeSeries(reports), func(s *control.Series, _ int) Burn { return evaluateSeries(now, s) })
+}
+
+// mergeSeries puts the buckets of several instances together, by service and
+// rank. Where instances have different objectives, since a text is not in force
+// everywhere yet, the last one given wins.
+func mergeSeries(reports []control.Report) []*control.Series {
 	merged := map[seriesKey]*control.Series{}
 	for _, report := range reports {
 		for _, s := range report.Series {
@@ -93,21 +101,16 @@
 			into.Buckets = append(into.Buckets, s.Buckets...)
 		}
 	}
-	var burns []Burn
-	for _, s := range merged {
-		burns = append(burns, evaluateSeries(now, s))
-	}
-	slices.SortFunc(burns, func(a, b Burn) int {
+	return slices.SortedFunc(maps.Values(merged), func(a, b *control.Series) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
 	})
-	return burns
 }
 
 func evaluateSeries(now time.Time, s *control.Series) Burn {
 	burn := Burn{Service: s.Service, Rank: s.Rank, Objective: s.Objective, BudgetLeft: 1}
 	var sum control.Bucket
 	for _, window := range Windows {
-		sum = sumSince(s.Buckets, now.Add(-window))
+		sum = sumBetween(s.Buckets, now.Add(-window), now.Add(tiers[0].width))
 		burn.Windows = append(burn.Windows, windowBurn(window, &sum, s.Objective))
 	}
 	longest := burn.Windows[len(burn.Windows)-1]
@@ -124,11 +127,12 @@
 	return burn
 }
 
-// sumSince adds up the buckets whose middle lies after a point in time.
-func sumSince(buckets []control.Bucket, oldest time.Time) control.Bucket {
+// sumBetween adds up the buckets whose middle lies after from and not after to.
+func sumBetween(buckets []control.Bucket, from, to time.Time) control.Bucket {
 	var sum control.Bucket
 	for i := range buckets {
-		if buckets[i].Start.Add(buckets[i].Width / 2).After(oldest) {
+		middle := buckets[i].Start.Add(buckets[i].Width / 2)
+		if middle.After(from) && !middle.After(to) {
 			addBucket(&sum, &buckets[i])
 		}
 	}
