config: a third of the memory for parsing 130,000 blocks

Cause: lists of blocks grew by doubling. They are sized beforehand now. BenchmarkParse on this machine, allocated for each parse of a 2.2 MB text: 64.1 MB before, 25.2 MB after. The time (121 and 172 ms) varied with the load of the machine and says nothing.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/samber/lo"
 )
 
 const floorTolerance = 1e-9 // rounding of the sum of three fractions
@@ -152,7 +153,8 @@
 // overlaps an earlier one exactly if it overlaps the last one that was not itself
 // contained in another.
 func (p *parser) checkBlocks() {
-	var blocks []locatedBlock
+	total := lo.SumBy(p.callers, func(c located[CallerGroup]) int { return len(c.value.Blocks) })
+	blocks := make([]locatedBlock, 0, total)
 	for _, c := range p.callers {
 		for _, prefix := range c.value.Blocks {
 			blocks = append(blocks, locatedBlock{prefix, c.at})
--- a/internal/config/index_test.go
+++ b/internal/config/index_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -116,3 +117,23 @@
 		x.MatchRoute("DELETE", "/orders/7")
 	}
 }
+
+// BenchmarkParse reads a text of 130,000 blocks in 110 groups.
+func BenchmarkParse(b *testing.B) {
+	text := benchmarkText()
+	small := mustParse(b, smallText)
+	for i := range text.Callers {
+		slices.SortFunc(text.Callers[i].Blocks, netip.Prefix.Compare)
+		text.Callers[i].Home = []model.ZoneName{"munich-a"}
+	}
+	text.Zones, text.Services, text.Routes = small.Zones, small.Services, small.Routes
+	text.Backends, text.Limits = small.Backends, small.Limits
+	source := []byte(render(text))
+	b.SetBytes(int64(len(source)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Parse("bench.ini", source); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/config/scan.go
+++ b/internal/config/scan.go
@@ -63,6 +63,7 @@
 func scan(file string, source []byte, problems *Problems) []*section {
 	s := &scanner{file: file, problems: problems}
 	source = bytes.TrimPrefix(source, utf8BOM)
+	s.clean.Grow(len(source))
 	for line := range bytes.SplitSeq(source, []byte("\n")) {
 		s.line++
 		s.scanLine(string(bytes.TrimSpace(line)))
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -141,7 +141,9 @@
 
 func (p *parser) readCallers(s *section) {
 	group := CallerGroup{Name: model.CallerBlock(s.name)}
-	for _, item := range splitList(p.required(s, keyBlocks, "add blocks = PREFIX, PREFIX")) {
+	items := splitList(p.required(s, keyBlocks, "add blocks = PREFIX, PREFIX"))
+	group.Blocks = make([]netip.Prefix, 0, len(items))
+	for _, item := range items {
 		prefix, err := parseBlock(item)
 		if err != nil {
 			p.report(s, keyBlocks, fmt.Sprintf("%q is not a block of addresses", item), err.Error())
--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -139,7 +139,7 @@
 
 // splitList splits a comma-separated list and drops blanks.
 func splitList(s string) []string {
-	var items []string
+	items := make([]string, 0, strings.Count(s, ",")+1)
 	for item := range strings.SplitSeq(s, ",") {
 		if item = strings.TrimSpace(item); item != "" {
 			items = append(items, item)
