config, control: dependents in an impact, one problem a faulty line, wider fan-out

An impact names the services that need the one that loses slots. A line whose value was rejected by the scan is no longer reported as missing too; the golden file of problems loses that one line for this reason. Fleet.Explain takes several queries in one pass, and calls run 256 wide, since at 32 wide a lost region's time-outs would use up the command's time before the reachable instances were asked (worked out from the sizes, not measured).

--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/samber/lo"
 )
 
 type diffCommand struct {
@@ -164,5 +167,9 @@
 	case i.MoveTime > 0:
 		move = fmt.Sprintf("the move takes up to %s under the shift cap", i.MoveTime)
 	}
-	return fmt.Sprintf("%s: %.1f%% of the slots left; %s; %s", i.Service, i.ShareLeft*100, urgent, move)
+	line := fmt.Sprintf("%s: %.1f%% of the slots left; %s; %s", i.Service, i.ShareLeft*100, urgent, move)
+	if len(i.Dependents) > 0 {
+		line += "; needed by " + strings.Join(lo.Map(i.Dependents, func(s model.ServiceName, _ int) string { return string(s) }), ", ")
+	}
+	return line
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -30,8 +30,7 @@
 	if err != nil {
 		return err
 	}
-	answers := fleet.Explain(c.s.ctx, control.ExplainQuery{Request: c.Args.Name})
-	answers = append(answers, fleet.Explain(c.s.ctx, control.ExplainQuery{Subject: c.Args.Name})...)
+	answers := fleet.Explain(c.s.ctx, control.ExplainQuery{Request: c.Args.Name}, control.ExplainQuery{Subject: c.Args.Name})
 	explanations, silent, err := collect(answers)
 	if err != nil {
 		return err
@@ -52,7 +51,7 @@
 }
 
 func newExplainView(name string, explanations []control.Explanation, silent []silentInstance) *explainView {
-	v := &explainView{Name: name, Entries: []explainedEntry{}}
+	v := &explainView{Name: name, Entries: []explainedEntry{}, Silent: orEmpty(silent)}
 	for _, explanation := range explanations {
 		for _, entry := range explanation.Entries {
 			v.Entries = append(v.Entries, explainedEntry{Instance: explanation.Instance, Entry: entry})
@@ -60,8 +59,6 @@
 	}
 	slices.SortStableFunc(v.Entries, compareEntries)
 	v.Entries = slices.Compact(v.Entries) // an entry about both was found twice
-	slices.SortFunc(silent, func(a, b silentInstance) int { return cmp.Compare(a.Address, b.Address) })
-	v.Silent = orEmpty(slices.CompactFunc(silent, func(a, b silentInstance) bool { return a.Address == b.Address }))
 	return v
 }
 
--- a/internal/config/impact.go
+++ b/internal/config/impact.go
@@ -35,6 +35,9 @@
 	MoveTime time.Duration `json:"move_time_ns"`
 	// NoReceiver reports that slots are lost and no zone can take their work.
 	NoReceiver bool `json:"no_receiver"`
+	// Dependents are the services that need this one, directly or through others:
+	// their headroom falls with it.
+	Dependents []model.ServiceName `json:"dependents"`
 }
 
 // Impact returns what planned stops take from each service that they touch.
@@ -54,11 +57,30 @@
 			continue
 		}
 		impact.judge(new.Limits)
+		impact.Dependents = dependentsOf(new, service)
 		impacts = append(impacts, impact)
 	}
 	return impacts
 }
 
+// dependentsOf returns the services that depend on one, by name.
+func dependentsOf(text *Text, service model.ServiceName) []model.ServiceName {
+	dependents := []model.ServiceName{}
+	wanted := []model.ServiceName{service}
+	for len(wanted) > 0 {
+		var next []model.ServiceName
+		for _, s := range text.Services {
+			if slices.Contains(s.DependsOn, wanted[0]) && !slices.Contains(dependents, s.Name) {
+				next = append(next, s.Name)
+			}
+		}
+		dependents = append(dependents, next...)
+		wanted = append(wanted[1:], next...)
+	}
+	slices.Sort(dependents)
+	return dependents
+}
+
 // zoneSlots is a service's slots by zone.
 type zoneSlots map[model.ZoneName]int
 
--- a/internal/config/scan.go
+++ b/internal/config/scan.go
@@ -20,8 +20,9 @@
 }
 
 type sourceKey struct {
-	name string
-	line int
+	name   string
+	line   int
+	faulty bool // its line was reported and has no value
 }
 
 // title is the section's header without brackets.
@@ -46,6 +47,11 @@
 	return slices.ContainsFunc(s.keys, func(k sourceKey) bool { return k.name == key })
 }
 
+// faulty reports whether the line of a key was reported by the scan.
+func (s *section) faulty(key string) bool {
+	return slices.ContainsFunc(s.keys, func(k sourceKey) bool { return k.name == key && k.faulty })
+}
+
 // scanner finds the lines of sections and keys and prepares a source that
 // ini.v1 accepts: lines that are reported as problems are left out, and each
 // header is replaced by the section's position.
@@ -124,16 +130,17 @@
 		s.report(name, "the key holds a quote, bracket or comment sign", "write the key without it")
 		return
 	}
-	if strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`") {
-		s.report(name, "quoted values over several lines are not supported", "write the value on one line without quotes")
-		return
-	}
 	current := s.sections[len(s.sections)-1]
 	if current.has(name) {
 		s.report(name, fmt.Sprintf("the key was given before on line %d", current.lineOf(name)), "keep one of the two")
 		return
 	}
-	current.keys = append(current.keys, sourceKey{name: name, line: s.line})
+	faulty := strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`")
+	current.keys = append(current.keys, sourceKey{name: name, line: s.line, faulty: faulty})
+	if faulty {
+		s.report(name, "quoted values over several lines are not supported", "write the value on one line without quotes")
+		return
+	}
 	s.clean.WriteString(line)
 }
 
--- a/internal/config/sections.go
+++ b/internal/config/sections.go
@@ -18,7 +18,7 @@
 		return ""
 	}
 	value := s.values.Key(key).Value()
-	if value == "" {
+	if value == "" && !s.faulty(key) {
 		p.report(s, key, "the key has no value", "give it one, or remove the line")
 	}
 	return value
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,7 +9,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const maxConcurrentCalls = 32
+// maxConcurrentCalls is above the number of instances of a region, so that a lost
+// region takes one call's time-out rather than many.
+const maxConcurrentCalls = 256
 
 // Member is one entry instance that is to be asked.
 type Member struct {
@@ -93,10 +95,20 @@
 	return askAll(ctx, f.Members(ctx), f.client.Status)
 }
 
-// Explain asks every member for journal entries, in the order of Members.
-func (f *Fleet) Explain(ctx context.Context, query ExplainQuery) []Answer[Explanation] {
+// Explain asks every member for the journal entries of each query, in the order
+// of Members.
+func (f *Fleet) Explain(ctx context.Context, queries ...ExplainQuery) []Answer[Explanation] {
 	return askAll(ctx, f.Members(ctx), func(ctx context.Context, address string) (*Explanation, error) {
-		return f.client.Explain(ctx, address, query)
+		var all Explanation
+		for _, query := range queries {
+			one, err := f.client.Explain(ctx, address, query)
+			if err != nil {
+				return nil, err
+			}
+			all.Instance, all.Since = one.Instance, one.Since
+			all.Entries = append(all.Entries, one.Entries...)
+		}
+		return &all, nil
 	})
 }
 
