config: a revision says when its text was accepted

Cause: the baseline's move starts at a revision's AcceptedAt. A planned stop makes a new revision too, so an instance that learns only the newest one would start the move again from the text before: a jump back that no cap holds. TextAcceptedAt stays with the text; a revision of planned stops, or of the same text again, keeps it and PreviousSource. Putting the text's time into AcceptedAt was ruled out, since history would lose the time of a cancellation.

The content hash still covers text and planned stops only.

--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -60,6 +60,7 @@
 		AcceptedAt:     nanoseconds(r.AcceptedAt),
 		OperationId:    r.OperationID,
 		PreviousSource: r.PreviousSource,
+		TextAcceptedAt: nanoseconds(r.TextAcceptedAt),
 	}
 }
 
@@ -86,6 +87,7 @@
 		AcceptedAt:     timeOf(m.GetAcceptedAt()),
 		OperationID:    m.GetOperationId(),
 		PreviousSource: m.GetPreviousSource(),
+		TextAcceptedAt: timeOf(m.GetTextAcceptedAt()),
 	}
 	for _, stop := range m.GetStops() {
 		r.Stops = append(r.Stops, decodeStop(stop))
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -125,4 +125,7 @@
 	// PreviousSource is the text before this revision, from which the move of the
 	// baseline at the shift cap's rate starts. Empty for the first revision.
 	PreviousSource []byte
+	// TextAcceptedAt is when Source was accepted: the start of that move. It is
+	// before AcceptedAt where only planned stops have changed since.
+	TextAcceptedAt time.Time
 }
--- a/internal/confstore/change.go
+++ b/internal/confstore/change.go
@@ -1,6 +1,7 @@
 package confstore
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -44,11 +45,8 @@
 		if numberOf(current) != change.Base {
 			return nil, &ConflictError{Base: change.Base, Winner: current}
 		}
-		next := &config.Revision{Source: change.Source, Author: change.Author, Reason: change.Reason}
-		if current != nil {
-			next.Stops = current.Stops
-			next.PreviousSource = current.Source
-		}
+		next := withText(current, change.Source)
+		next.Author, next.Reason = change.Author, change.Reason
 		return next, nil
 	})
 }
@@ -100,10 +98,28 @@
 	})
 }
 
-// withStops keeps the text and the text before it, so that a move of the
-// baseline that is under way goes on.
+// withText keeps the planned stops. The same text again does not count as a
+// change, so that a move of the baseline that is under way goes on.
+func withText(current *config.Revision, source []byte) *config.Revision {
+	switch {
+	case current == nil:
+		return &config.Revision{Source: source}
+	case bytes.Equal(current.Source, source):
+		return withStops(current, current.Stops)
+	default:
+		return &config.Revision{Source: source, PreviousSource: current.Source, Stops: current.Stops}
+	}
+}
+
+// withStops keeps the text, the text before it and the time of that change, so
+// that a move of the baseline that is under way goes on.
 func withStops(current *config.Revision, stops []config.Stop) *config.Revision {
-	return &config.Revision{Source: current.Source, PreviousSource: current.PreviousSource, Stops: stops}
+	return &config.Revision{
+		Source:         current.Source,
+		PreviousSource: current.PreviousSource,
+		TextAcceptedAt: current.TextAcceptedAt,
+		Stops:          stops,
+	}
 }
 
 func announcementID(stops []config.Stop) (string, error) {
--- a/internal/confstore/commit.go
+++ b/internal/confstore/commit.go
@@ -126,6 +126,9 @@
 	if current != nil && current.AcceptedAt.After(next.AcceptedAt) {
 		next.AcceptedAt = current.AcceptedAt
 	}
+	if next.TextAcceptedAt.IsZero() {
+		next.TextAcceptedAt = next.AcceptedAt
+	}
 }
 
 func (op *operation) write(ctx context.Context, head headRow, next *config.Revision) error {
