membership: replace silent links; take a message on a link given up as its LinkUp

Cause: a random fault test found that an instance kept an old record of a restarted peer: the peer had given the silent link up, a message revived it, and what changed between was never sent. Links that carry nothing are now replaced, and any message on a link that counts as down starts it afresh. Ruled out: the ownership rule (both sides agreed once the record arrived). Checked: the properties pass 1000 random cases each (trial with -rapid.checks=1000), FuzzReceive ran 15 s without a finding.

--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -187,6 +187,7 @@
 	g.begin(now)
 	g.lastTick = now
 	g.detect()
+	g.replaceSilentLinks()
 	g.forgetOld()
 	g.summarize()
 	g.suspects.expire(now)
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -23,6 +23,7 @@
 	loadsSent   uint64    // generation of the own loads
 	zonesSent   map[model.ZoneName]zoneSent
 	suspectsGen uint64
+	redialAt    model.Instant // earliest next replacement of a silent link
 }
 
 type zoneSent struct{ epoch, loadsEpoch uint64 }
@@ -52,14 +53,18 @@
 func (g *Group) LinkUp(now model.Instant, peer model.InstanceID) Output {
 	g.begin(now)
 	l := g.link(peer)
-	l.up = true
 	l.incarnation = 0
+	g.linkUp(l)
+	return g.finish()
+}
+
+func (g *Group) linkUp(l *link) {
+	l.up = true
 	l.reset()
-	if g.heartbeats[peer] {
+	if g.heartbeats[l.peer] {
 		g.introduce(l)
 	}
 	g.generation++
-	return g.finish()
 }
 
 // introduce makes the next message on a link carry everything.
@@ -87,6 +92,26 @@
 	g.linkOrder = slices.DeleteFunc(g.linkOrder, func(l *link) bool { return l.peer == peer })
 }
 
+// replaceSilentLinks gives up links that work by their own account but carry
+// nothing, and asks for new ones: something between the two ends may have lost
+// track of the connection.
+func (g *Group) replaceSilentLinks() {
+	for _, l := range g.linkOrder {
+		m, ok := g.members[l.peer]
+		addr, open := g.opened[l.peer]
+		if !ok || !open || !l.up || g.now < l.redialAt || !g.silentTooLong(m) {
+			continue
+		}
+		l.up = false
+		l.reset()
+		l.redialAt = g.now.Add(g.settings.RedialEvery)
+		g.generation++
+		g.out.Close = append(g.out.Close, l.peer)
+		g.out.Open = append(g.out.Open, PeerAddr{ID: l.peer, Addr: addr})
+		g.note(l.peer, "replaced link", "silent")
+	}
+}
+
 func (g *Group) linkIsUp(peer model.InstanceID) bool {
 	l, ok := g.links[peer]
 	return ok && l.up
--- a/internal/membership/output.go
+++ b/internal/membership/output.go
@@ -6,7 +6,9 @@
 type Output struct {
 	Messages []Addressed
 	// Open lists peers to which a link is wanted from now on; both ends ask for it.
-	Open  []PeerAddr
+	Open []PeerAddr
+	// Close lists links to give up, before Open is looked at: a peer in both gets a
+	// new link, since the old one carries nothing.
 	Close []model.InstanceID
 	// OwnershipChanged reports that Owned, Owner or Owners give other answers now.
 	OwnershipChanged bool
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -20,7 +20,9 @@
 		l.pending = append(l.pending, g.order...)
 	}
 	l.incarnation = message.Incarnation
-	l.up = true
+	if !l.up {
+		g.linkUp(l) // given up here, or its LinkUp was lost
+	}
 	g.heard(m)
 	for i := range message.Records {
 		g.merge(l, &message.Records[i])
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -22,6 +22,7 @@
 	LoadEvery       time.Duration // least time between two changes of the own loads
 	ZoneEvery       time.Duration // period of a zone's summary
 	ZoneSilence     time.Duration // age of a zone's summary that, with a death there, cuts the zone off
+	RedialEvery     time.Duration // least time between two replacements of a silent link
 	FetchEvery      time.Duration // least time between two requests for the same revision
 
 	RingDegree int // heartbeat peers inside a large zone
@@ -72,6 +73,7 @@
 		LoadEvery:       500 * time.Millisecond,
 		ZoneEvery:       time.Second,
 		ZoneSilence:     4 * time.Second,
+		RedialEvery:     2 * time.Second,
 		FetchEvery:      300 * time.Millisecond,
 		RingDegree:      6,
 		Bridges:         2,
@@ -95,6 +97,7 @@
 	s.LoadEvery = cmp.Or(s.LoadEvery, d.LoadEvery)
 	s.ZoneEvery = cmp.Or(s.ZoneEvery, d.ZoneEvery)
 	s.ZoneSilence = cmp.Or(s.ZoneSilence, d.ZoneSilence)
+	s.RedialEvery = cmp.Or(s.RedialEvery, d.RedialEvery)
 	s.FetchEvery = cmp.Or(s.FetchEvery, d.FetchEvery)
 	s.RingDegree = cmp.Or(s.RingDegree, d.RingDegree)
 	s.Bridges = cmp.Or(s.Bridges, d.Bridges)
