--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -28,7 +28,7 @@
 	settings Settings
 	nodes    []*node
 	byID     map[model.InstanceID]*node
-	queue    []delivery
+	queue    deliveries
 	seq      int
 	cut      func(a, b *node) bool // no new links
 }
@@ -42,6 +42,7 @@
 	opened      map[model.InstanceID]bool
 	links       map[model.InstanceID]bool
 	mute        map[model.InstanceID]bool // links that carry nothing any more
+	waiting     []delivery                // messages that arrived during a pause
 	sent        int                       // bytes
 	missed      []model.InstanceID        // links that broke during a pause
 	received    int
@@ -52,13 +53,6 @@
 	startedAt   model.Instant
 }
 
-type delivery struct {
-	at       model.Instant
-	seq      int
-	from, to *node
-	message  *Message
-}
-
 // testText has zones named "<region>-<letter>", one region for each two zones.
 func testText(zones, backendsPerZone int) *config.Text {
 	text := &config.Text{Services: []config.Service{{Name: "web"}}}
@@ -96,6 +90,7 @@
 	n.running = true
 	n.paused = false
 	n.missed = nil
+	n.waiting = nil
 	n.opened = map[model.InstanceID]bool{}
 	n.links = map[model.InstanceID]bool{}
 	n.mute = map[model.InstanceID]bool{}
@@ -149,7 +144,7 @@
 		return
 	}
 	c.seq++
-	c.queue = append(c.queue, delivery{at: c.now.Add(c.delay(n, to)), seq: c.seq, from: n, to: to, message: a.Message})
+	c.queue.push(delivery{at: c.now.Add(c.delay(n, to)), seq: c.seq, from: n, to: to, message: a.Message})
 }
 
 func (c *cluster) dial(n *node, id model.InstanceID) {
@@ -169,9 +164,10 @@
 	}
 	delete(a.links, b.id)
 	delete(b.links, a.id)
-	c.queue = slices.DeleteFunc(c.queue, func(d delivery) bool {
-		return (d.from == a && d.to == b) || (d.from == b && d.to == a)
-	})
+	between := func(d delivery) bool { return (d.from == a && d.to == b) || (d.from == b && d.to == a) }
+	c.queue.drop(between)
+	a.waiting = slices.DeleteFunc(a.waiting, between)
+	b.waiting = slices.DeleteFunc(b.waiting, between)
 	muted := a.mute[b.id]
 	delete(a.mute, b.id)
 	delete(b.mute, a.id)
@@ -193,6 +189,10 @@
 
 func (c *cluster) resume(n *node) {
 	n.paused = false
+	for _, d := range n.waiting {
+		c.queue.push(d)
+	}
+	n.waiting = nil
 	for _, peer := range n.missed {
 		c.do(n, n.group.LinkDown(c.now, peer))
 	}
@@ -263,20 +263,14 @@
 // paused instance wait.
 func (c *cluster) deliver(until model.Instant) {
 	for {
-		at := -1
-		for i, d := range c.queue {
-			if d.at > until || d.to.paused {
-				continue
-			}
-			if at < 0 || d.at < c.queue[at].at || (d.at == c.queue[at].at && d.seq < c.queue[at].seq) {
-				at = i
-			}
-		}
-		if at < 0 {
+		d, ok := c.queue.pop(until)
+		if !ok {
 			return
 		}
-		d := c.queue[at]
-		c.queue = slices.Delete(c.queue, at, at+1)
+		if d.to.paused {
+			d.to.waiting = append(d.to.waiting, d)
+			continue
+		}
 		c.now = max(c.now, d.at)
 		d.to.received += proto.Size(ToProto(c.now, d.message))
 		if d.to.running {
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -31,6 +31,7 @@
 	linkOrder []*link // by identifier of the peer
 
 	topologyDirty bool
+	zoneIsSmall   bool                      // the own zone has few enough instances to tell others each one's loads
 	heartbeats    map[model.InstanceID]bool // peers that get heartbeats and are monitored
 	reports       map[model.InstanceID]bool // bridges that only get this instance's loads
 	opened        map[model.InstanceID]string
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -187,17 +187,7 @@
 	if !ok {
 		return false
 	}
-	return m.record.Zone == g.self.record.Zone || g.zoneIsSmall(g.self.record.Zone)
-}
-
-func (g *Group) zoneIsSmall(zone model.ZoneName) bool {
-	count := 0
-	for _, m := range g.order {
-		if m.live() && m.record.Zone == zone {
-			count++
-		}
-	}
-	return count <= g.settings.SmallZone
+	return m.record.Zone == g.self.record.Zone || g.zoneIsSmall
 }
 
 func (g *Group) send(l *link, records []Record) {
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -40,6 +40,7 @@
 func (g *Group) addZonePeers() {
 	all := g.inZone(g.self.record.Zone, (*member).present)
 	live := g.inZone(g.self.record.Zone, (*member).live)
+	g.zoneIsSmall = len(live) <= g.settings.SmallZone
 	for _, list := range [][]*member{live, all} {
 		for _, m := range ringPeers(list, g.self, g.settings.RingDegree) {
 			g.heartbeats[m.record.ID] = true
@@ -87,7 +88,8 @@
 }
 
 // addBridgePeers pairs the i-th bridge of this zone with the i-th bridge of each
-// other zone. A zone without live instances is probed through one after another.
+// other zone. A zone without live instances is probed through one after another,
+// also by instances that are no bridges where only they may know of it.
 func (g *Group) addBridgePeers() {
 	own := g.bridgesOf(g.self.record.Zone)
 	for _, zone := range g.memberZones() {
@@ -95,6 +97,9 @@
 			continue
 		}
 		theirs := g.bridgesOf(zone)
+		if g.onlyListed(zone) {
+			g.heartbeats[theirs[0].record.ID] = true
+		}
 		for i := range g.settings.Bridges {
 			if len(own) == 0 || len(theirs) == 0 {
 				break
@@ -106,6 +111,13 @@
 	}
 }
 
+// onlyListed reports whether this instance knows a zone from lists and seeds
+// alone.
+func (g *Group) onlyListed(zone model.ZoneName) bool {
+	list := g.inZone(zone, (*member).present)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(m *member) bool { return m.known })
+}
+
 func (g *Group) memberZones() []model.ZoneName {
 	var zones []model.ZoneName
 	for _, m := range g.order {
