--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -25,7 +25,8 @@
 	stoppedZone map[model.ZoneName]bool // a planned stop covers the zone
 
 	members map[model.InstanceID]*member
-	order   []*member // by identifier
+	order   []*member                    // by identifier
+	zones   map[model.ZoneName][]*member // by identifier
 
 	links     map[model.InstanceID]*link
 	linkOrder []*link // by identifier of the peer
@@ -56,6 +57,7 @@
 		settings:   s.withDefaults(),
 		wanted:     self.State,
 		members:    map[model.InstanceID]*member{},
+		zones:      map[model.ZoneName][]*member{},
 		links:      map[model.InstanceID]*link{},
 		heartbeats: map[model.InstanceID]bool{},
 		reports:    map[model.InstanceID]bool{},
@@ -65,6 +67,7 @@
 	g.self.known = true
 	self.State = Starting
 	self.Sequence = max(self.Sequence, 1)
+	g.setZone(g.self, self.Zone)
 	g.self.record = self
 	g.revision = self.Revision
 	g.suspects.init()
@@ -88,7 +91,7 @@
 	if m.record.LinkAddr == seed.Addr && m.record.Zone == seed.Zone {
 		return
 	}
-	m.record.Zone = seed.Zone
+	g.setZone(m, seed.Zone)
 	m.record.LinkAddr = seed.Addr
 	g.topologyDirty = true
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -90,15 +90,34 @@
 	g.members[id] = m
 	at, _ := slices.BinarySearchFunc(g.order, m, byID)
 	g.order = slices.Insert(g.order, at, m)
+	g.setZone(m, "")
 	return m
 }
 
+// setZone moves a member to another zone's list.
+func (g *Group) setZone(m *member, zone model.ZoneName) {
+	g.leaveZone(m)
+	m.record.Zone = zone
+	list := g.zones[zone]
+	at, _ := slices.BinarySearchFunc(list, m, byID)
+	g.zones[zone] = slices.Insert(list, at, m)
+}
+
+func (g *Group) leaveZone(m *member) {
+	zone := m.record.Zone
+	g.zones[zone] = slices.DeleteFunc(g.zones[zone], func(other *member) bool { return other == m })
+	if len(g.zones[zone]) == 0 {
+		delete(g.zones, zone)
+	}
+}
+
 func (g *Group) forget(m *member) {
 	if _, open := g.opened[m.record.ID]; open {
 		delete(g.opened, m.record.ID)
 		g.out.Close = append(g.out.Close, m.record.ID)
 	}
 	delete(g.members, m.record.ID)
+	g.leaveZone(m)
 	g.order = slices.DeleteFunc(g.order, func(other *member) bool { return other == m })
 	for _, l := range g.linkOrder {
 		delete(l.sent, m.record.ID)
--- a/internal/membership/owners.go
+++ b/internal/membership/owners.go
@@ -45,6 +45,7 @@
 // groupOwners lists the owners by service and zone.
 func (g *Group) groupOwners() {
 	o := &g.ownership
+	o.regroup = false
 	o.groups = map[ownerKey]*ownerGroup{}
 	totals := map[totalKey]int{}
 	for i, owner := range o.owners {
@@ -102,6 +103,9 @@
 // Owners lists the owners of a service's servers in a zone, by identifier. The
 // list is valid until the next call and must not be changed.
 func (g *Group) Owners(service model.ServiceName, zone model.ZoneName) []Owner {
+	if g.ownership.regroup {
+		g.groupOwners()
+	}
 	group, ok := g.ownership.groups[ownerKey{service, zone}]
 	if !ok {
 		return nil
--- a/internal/membership/ownership.go
+++ b/internal/membership/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/samber/lo"
 	"github.com/zeebo/xxh3"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
@@ -12,16 +13,27 @@
 // ownership is who owns which backend server by this instance's view.
 type ownership struct {
 	dirty    bool
+	replaced bool // the text is new
 	backends []config.Backend
 	hashes   []uint64
 	index    map[model.BackendName]int
+	zones    []zoneBackends
 	owners   []*member // of each backend server, nil for none
 	owning   bool      // this instance used its share when it was last worked out
 	owned    []model.BackendName
 	groups   map[ownerKey]*ownerGroup
+	regroup  bool   // groups is older than owners
 	weights  uint64 // digest of the weight steps that owners were worked out with
 }
 
+// zoneBackends is the backend servers of one zone and the candidates that their
+// owners were last picked from.
+type zoneBackends struct {
+	zone       model.ZoneName
+	backends   []int
+	candidates []*member
+}
+
 func (o *ownership) init() {
 	o.index = map[model.BackendName]int{}
 	o.groups = map[ownerKey]*ownerGroup{}
@@ -37,7 +49,14 @@
 		o.hashes[i] = xxh3.HashString(string(name))
 		o.index[name] = i
 	}
+	byZone := lo.GroupBy(lo.Range(len(o.backends)), func(i int) model.ZoneName { return o.backends[i].Zone })
+	o.zones = nil
+	for _, zone := range sortedNames(lo.Keys(byZone)) {
+		o.zones = append(o.zones, zoneBackends{zone: zone, backends: byZone[zone]})
+	}
 	o.dirty = true
+	o.replaced = true
+	o.regroup = true
 }
 
 // updateOwnership works the owners out again where something they depend on
@@ -51,11 +70,12 @@
 	if !o.dirty && owning == o.owning {
 		return
 	}
-	changed := owning != o.owning
+	changed := owning != o.owning || o.replaced
 	if o.dirty {
 		changed = g.assign() || changed
 	}
 	o.dirty = false
+	o.replaced = false
 	o.owning = owning
 	if !changed {
 		return
@@ -65,25 +85,35 @@
 	g.out.OwnershipChanged = true
 }
 
-// assign works out the owner of every backend server and reports whether any
-// changed.
+// assign works out the owners of every zone whose candidates changed and
+// reports whether any did.
 func (g *Group) assign() bool {
 	o := &g.ownership
-	o.weights = g.weightDigest()
-	candidates := map[model.ZoneName][]*member{}
+	weights := g.weightDigest()
+	reweighed := weights != o.weights
+	o.weights = weights
 	changed := false
-	for i := range o.backends {
-		zone := o.backends[i].Zone
-		list, ok := candidates[zone]
-		if !ok {
-			list = g.candidates(zone)
-			candidates[zone] = list
+	for i := range o.zones {
+		z := &o.zones[i]
+		candidates := g.candidates(z.zone)
+		if !reweighed && slices.Equal(candidates, z.candidates) {
+			continue
 		}
-		owner := ownerOf(o.hashes[i], list, g.settings.Ownership, g.now)
+		z.candidates = candidates
+		changed = g.assignZone(z) || changed
+	}
+	o.regroup = o.regroup || changed
+	return changed
+}
+
+func (g *Group) assignZone(z *zoneBackends) bool {
+	o := &g.ownership
+	changed := false
+	for _, i := range z.backends {
+		owner := ownerOf(o.hashes[i], z.candidates, g.settings.Ownership, g.now)
 		changed = changed || owner != o.owners[i]
 		o.owners[i] = owner
 	}
-	g.groupOwners()
 	return changed
 }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -128,6 +128,7 @@
 func (g *Group) adopt(l *link, m *member, r *Record) {
 	old := m.record
 	wasDead, wasKnown := m.dead, m.known
+	g.setZone(m, r.Zone)
 	m.record = *r
 	m.record.Revision = max(r.Revision, old.Revision)
 	m.known = true
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -79,7 +79,6 @@
 		Bridges:         2,
 		SmallZone:       4,
 		MaxEntries:      8,
-		BridgeChoice:    ByUptime,
 	}
 }
 
--- a/internal/membership/summary.go
+++ b/internal/membership/summary.go
@@ -66,8 +66,8 @@
 }
 
 func (g *Group) diedSince(z *zoneSummary) bool {
-	for _, m := range g.order {
-		if m.record.Zone == z.zone && m.dead && m.endedAt >= z.heardAt {
+	for _, m := range g.zones[z.zone] {
+		if m.dead && m.endedAt >= z.heardAt {
 			return true
 		}
 	}
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -53,10 +54,11 @@
 	}
 }
 
+// inZone lists the members of a zone that satisfy a condition, by identifier.
 func (g *Group) inZone(zone model.ZoneName, match func(*member) bool) []*member {
 	var list []*member
-	for _, m := range g.order {
-		if m.record.Zone == zone && match(m) {
+	for _, m := range g.zones[zone] {
+		if match(m) {
 			list = append(list, m)
 		}
 	}
@@ -119,13 +121,7 @@
 }
 
 func (g *Group) memberZones() []model.ZoneName {
-	var zones []model.ZoneName
-	for _, m := range g.order {
-		if m.present() {
-			zones = append(zones, m.record.Zone)
-		}
-	}
-	return sortedNames(zones)
+	return sortedNames(slices.Collect(maps.Keys(g.zones)))
 }
 
 // bridgesOf lists the instances of a zone that talk to other zones.
