--- a/internal/steering/baseline.go
+++ b/internal/steering/baseline.go
@@ -115,6 +115,9 @@
 }
 
 func (m *move) part(i int, progress float64) float64 {
+	if progress >= 1 {
+		return m.to[i]
+	}
 	return m.from[i] + (m.to[i]-m.from[i])*progress
 }
 
--- a/internal/steering/plan.go
+++ b/internal/steering/plan.go
@@ -68,7 +68,12 @@
 	}
 	own, known := l.zoneIndex[p.home[0]]
 	for _, zone := range built.baseline.zones {
-		z := l.zoneIndex[zone]
+		z, ok := l.zoneIndex[zone]
+		if !ok {
+			gone := &cell{settings: &p.settings, service: l.services[service].name, zone: zone}
+			built.targets = append(built.targets, candidate{cell: gone, distance: otherRegion})
+			continue
+		}
 		built.targets = append(built.targets, candidate{l.cell(service, z), l.needs(service, z), l.from(own, known, z)})
 	}
 	built.tiers = p.spillTiers(service, l.indexes(home))
--- a/internal/steering/spill.go
+++ b/internal/steering/spill.go
@@ -61,7 +61,7 @@
 		return 0, model.CauseQueueFull
 	case free <= 0:
 		return 0, model.CauseDependency
-	case c.spillRoom() < 1:
+	case c.spillRoom() <= 0:
 		return 0, model.CauseShiftCap
 	case !p.withinLink(r, t):
 		return 0, model.CauseLinkBudget
