--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -25,12 +25,14 @@
 	stoppedZone map[model.ZoneName]bool // a planned stop covers the zone
 
 	members map[model.InstanceID]*member
-	order   []*member // by identifier
+	order   []*member                    // by identifier
+	zones   map[model.ZoneName][]*member // by identifier
 
 	links     map[model.InstanceID]*link
 	linkOrder []*link // by identifier of the peer
 
 	topologyDirty bool
+	zoneIsSmall   bool                      // the own zone has few enough instances to tell others each one's loads
 	heartbeats    map[model.InstanceID]bool // peers that get heartbeats and are monitored
 	reports       map[model.InstanceID]bool // bridges that only get this instance's loads
 	opened        map[model.InstanceID]string
@@ -55,6 +57,7 @@
 		settings:   s.withDefaults(),
 		wanted:     self.State,
 		members:    map[model.InstanceID]*member{},
+		zones:      map[model.ZoneName][]*member{},
 		links:      map[model.InstanceID]*link{},
 		heartbeats: map[model.InstanceID]bool{},
 		reports:    map[model.InstanceID]bool{},
@@ -64,6 +67,7 @@
 	g.self.known = true
 	self.State = Starting
 	self.Sequence = max(self.Sequence, 1)
+	g.setZone(g.self, self.Zone)
 	g.self.record = self
 	g.revision = self.Revision
 	g.suspects.init()
@@ -87,7 +91,7 @@
 	if m.record.LinkAddr == seed.Addr && m.record.Zone == seed.Zone {
 		return
 	}
-	m.record.Zone = seed.Zone
+	g.setZone(m, seed.Zone)
 	m.record.LinkAddr = seed.Addr
 	g.topologyDirty = true
 }
@@ -187,6 +191,7 @@
 	g.begin(now)
 	g.lastTick = now
 	g.detect()
+	g.replaceSilentLinks()
 	g.forgetOld()
 	g.summarize()
 	g.suspects.expire(now)
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -20,7 +20,9 @@
 		l.pending = append(l.pending, g.order...)
 	}
 	l.incarnation = message.Incarnation
-	l.up = true
+	if !l.up {
+		g.linkUp(l) // given up here, or its LinkUp was lost
+	}
 	g.heard(m)
 	for i := range message.Records {
 		g.merge(l, &message.Records[i])
@@ -126,6 +128,7 @@
 func (g *Group) adopt(l *link, m *member, r *Record) {
 	old := m.record
 	wasDead, wasKnown := m.dead, m.known
+	g.setZone(m, r.Zone)
 	m.record = *r
 	m.record.Revision = max(r.Revision, old.Revision)
 	m.known = true
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -21,7 +21,9 @@
 	JoinDelay       time.Duration // from announcing Ready to owning, so that others release first
 	LoadEvery       time.Duration // least time between two changes of the own loads
 	ZoneEvery       time.Duration // period of a zone's summary
+	ZoneLoadEvery   time.Duration // least time between two changes of the loads in a zone's summary
 	ZoneSilence     time.Duration // age of a zone's summary that, with a death there, cuts the zone off
+	RedialEvery     time.Duration // least time between two replacements of a silent link
 	FetchEvery      time.Duration // least time between two requests for the same revision
 
 	RingDegree int // heartbeat peers inside a large zone
@@ -71,13 +73,14 @@
 		JoinDelay:       200 * time.Millisecond,
 		LoadEvery:       500 * time.Millisecond,
 		ZoneEvery:       time.Second,
+		ZoneLoadEvery:   2 * time.Second,
 		ZoneSilence:     4 * time.Second,
+		RedialEvery:     2 * time.Second,
 		FetchEvery:      300 * time.Millisecond,
 		RingDegree:      6,
 		Bridges:         2,
 		SmallZone:       4,
 		MaxEntries:      8,
-		BridgeChoice:    ByUptime,
 	}
 }
 
@@ -94,7 +97,9 @@
 	s.JoinDelay = cmp.Or(s.JoinDelay, d.JoinDelay)
 	s.LoadEvery = cmp.Or(s.LoadEvery, d.LoadEvery)
 	s.ZoneEvery = cmp.Or(s.ZoneEvery, d.ZoneEvery)
+	s.ZoneLoadEvery = cmp.Or(s.ZoneLoadEvery, d.ZoneLoadEvery)
 	s.ZoneSilence = cmp.Or(s.ZoneSilence, d.ZoneSilence)
+	s.RedialEvery = cmp.Or(s.RedialEvery, d.RedialEvery)
 	s.FetchEvery = cmp.Or(s.FetchEvery, d.FetchEvery)
 	s.RingDegree = cmp.Or(s.RingDegree, d.RingDegree)
 	s.Bridges = cmp.Or(s.Bridges, d.Bridges)
