--- /dev/null
+++ b/internal/httpheader/list.go
@@ -0,0 +1,44 @@
+// Package httpheader holds HTTP header fields as an ordered list that is
+// independent of any HTTP library, and knows which fields an intermediary must
+// not forward.
+package httpheader
+
+import "strings"
+
+// Field is one header field line.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// List is a header in the order in which it was received. A name may occur
+// more than once. Names are compared without regard to case.
+type List []Field
+
+// Get returns the value of the first field called name, or "" without one.
+func (l List) Get(name string) string {
+	for i := range l {
+		if strings.EqualFold(l[i].Name, name) {
+			return l[i].Value
+		}
+	}
+	return ""
+}
+
+// Without returns the list without the fields called name. It reuses the
+// memory of l.
+func (l List) Without(name string) List {
+	kept := l[:0]
+	for _, f := range l {
+		if !strings.EqualFold(f.Name, name) {
+			kept = append(kept, f)
+		}
+	}
+	return kept
+}
+
+// With returns the list with exactly one field called name. It reuses the
+// memory of l.
+func (l List) With(name, value string) List {
+	return append(l.Without(name), Field{Name: name, Value: value})
+}
--- /dev/null
+++ b/internal/tcpstate/peer_test.go
@@ -0,0 +1,31 @@
+package tcpstate
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPeekFollowsThePeer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	server, err := ln.Accept()
+	require.NoError(t, err)
+	defer server.Close()
+
+	require.Equal(t, Quiet, Peek(server))
+	_, err = client.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return Peek(server) == Readable }, 5*time.Second, time.Millisecond)
+	b := make([]byte, 2)
+	n, err := server.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, 1, n, "a peek leaves the data")
+	require.NoError(t, client.Close())
+	require.Eventually(t, func() bool { return Peek(server) == Closed }, 5*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Client sends requests to backend servers. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	dialer   net.Dialer
+	mu       sync.RWMutex
+	pools    map[netip.AddrPort]*pool
+	stop     context.CancelFunc
+	stopped  chan struct{}
+}
+
+// New returns a client that runs until Shutdown.
+func New(settings Settings) *Client {
+	s := settings.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		settings: s,
+		dialer:   net.Dialer{Timeout: s.DialTimeout},
+		pools:    make(map[netip.AddrPort]*pool),
+		stop:     cancel,
+		stopped:  make(chan struct{}),
+	}
+	go c.expireIdle(ctx)
+	return c
+}
+
+// Shutdown closes every idle connection. Attempts in flight go on; their
+// connections are closed as they end.
+func (c *Client) Shutdown() error {
+	c.stop()
+	<-c.stopped
+	for _, p := range c.allPools() {
+		p.condemn(time.Now().Add(time.Hour))
+	}
+	return nil
+}
+
+// Condemn closes the pooled connections of a backend server that were opened
+// before now, and returns how many were idle.
+func (c *Client) Condemn(address netip.AddrPort) int {
+	return c.poolOf(address).condemn(time.Now())
+}
+
+// Count returns how many connections to a backend server are open and idle.
+func (c *Client) Count(address netip.AddrPort) Connections {
+	return c.poolOf(address).count()
+}
+
+// Forget drops the pool of a backend server that left the configuration.
+func (c *Client) Forget(address netip.AddrPort) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.condemn(time.Now())
+	}
+}
+
+func (c *Client) poolOf(address netip.AddrPort) *pool {
+	c.mu.RLock()
+	p := c.pools[address]
+	c.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p = c.pools[address]; p == nil {
+		p = &pool{address: address}
+		c.pools[address] = p
+	}
+	return p
+}
+
+func (c *Client) allPools() []*pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	all := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		all = append(all, p)
+	}
+	return all
+}
+
+func (c *Client) expireIdle(ctx context.Context) {
+	defer close(c.stopped)
+	ticker := time.NewTicker(c.settings.IdleTimeout / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, p := range c.allPools() {
+				p.expire(now, c.settings.IdleTimeout)
+			}
+		}
+	}
+}
+
+// connect returns a pooled connection, or a new one.
+func (c *Client) connect(ctx context.Context, a *Attempt) (*conn, Step, error) {
+	p := c.poolOf(a.Address)
+	if !a.FreshConnection {
+		if cn := p.take(time.Now(), c.settings.IdleTimeout); cn != nil {
+			return cn, "", nil
+		}
+	}
+	if err := p.reserve(c.settings.MaxOpenPerAddress); err != nil {
+		return nil, StepLimit, err
+	}
+	raw, err := c.dialer.DialContext(ctx, "tcp", a.Address.String())
+	if err != nil {
+		p.unreserve()
+		return nil, StepDial, err
+	}
+	return newConn(raw, p, time.Now(), c.settings.ProgressTimeout), "", nil
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/tcpstate"
+)
+
+var errConnectionLimit = errors.New("too many open connections")
+
+// pool holds the idle connections of one backend server.
+type pool struct {
+	address netip.AddrPort
+	mu      sync.Mutex
+	idle    []*conn // longest idle first
+	open    int     // idle connections and those in use
+	// condemned is the time up to which opened connections are not trusted.
+	condemned time.Time
+}
+
+// take returns the most recently used idle connection that is still usable, or
+// nil. Unusable ones are closed.
+func (p *pool) take(now time.Time, idleTimeout time.Duration) *conn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		if now.Sub(c.idleFrom) < idleTimeout && tcpstate.Peek(c.Conn) == tcpstate.Quiet {
+			return c
+		}
+		p.discard(c)
+	}
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return c
+}
+
+// reserve counts a connection that is about to be opened.
+func (p *pool) reserve(limit int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= limit && len(p.idle) == 0 {
+		return errConnectionLimit
+	}
+	if p.open >= limit {
+		p.closeOldestLocked()
+	}
+	p.open++
+	return nil
+}
+
+func (p *pool) closeOldestLocked() {
+	oldest := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	p.open--
+	_ = oldest.Conn.Close()
+}
+
+// unreserve undoes reserve after a failed dial.
+func (p *pool) unreserve() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// put returns a connection whose last answer was complete.
+func (p *pool) put(c *conn, now time.Time, maxIdle int) {
+	c.idleFrom = now
+	p.mu.Lock()
+	if len(p.idle) < maxIdle && c.opened.After(p.condemned) {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	p.discard(c)
+}
+
+// discard closes a connection that is not in the idle list.
+func (p *pool) discard(c *conn) {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+	_ = c.Conn.Close()
+}
+
+// condemn closes every idle connection that was opened up to now; those in use
+// are closed when they come back.
+func (p *pool) condemn(now time.Time) int {
+	p.mu.Lock()
+	p.condemned = now
+	closing := p.idle
+	p.idle = nil
+	p.open -= len(closing)
+	p.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Conn.Close()
+	}
+	return len(closing)
+}
+
+// expire closes the connections that have been idle for too long.
+func (p *pool) expire(now time.Time, idleTimeout time.Duration) {
+	p.mu.Lock()
+	n := 0
+	for n < len(p.idle) && now.Sub(p.idle[n].idleFrom) >= idleTimeout {
+		n++
+	}
+	closing := append([]*conn(nil), p.idle[:n]...)
+	p.idle = append(p.idle[:0], p.idle[n:]...)
+	p.open -= n
+	p.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Conn.Close()
+	}
+}
+
+// Connections is a count of connections to one backend server.
+type Connections struct {
+	Open int // idle ones and those in use
+	Idle int
+}
+
+func (p *pool) count() Connections {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Connections{Open: p.open, Idle: len(p.idle)}
+}
--- /dev/null
+++ b/internal/upstream/status.go
@@ -0,0 +1,75 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/valyala/fasthttp"
+)
+
+// statusPath is where backend servers report their health and load.
+const statusPath = "/_status"
+
+// maxStatusBytes bounds the body of a status report.
+const maxStatusBytes = 4096
+
+// Status is a backend server's own word on its health and load.
+type Status struct {
+	Healthy  bool `json:"healthy"`
+	Draining bool `json:"draining"`
+	Cold     bool `json:"cold"`
+	InUse    int  `json:"in_use"`
+	Slots    int  `json:"slots"`
+}
+
+// Status asks a backend server for its health and load over a new connection,
+// so that an old one gone silent does not speak for the server.
+func (c *Client) Status(ctx context.Context, backend model.BackendName, address netip.AddrPort) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.StatusTimeout)
+	defer cancel()
+	attempt := &Attempt{
+		Backend:         backend,
+		Address:         address,
+		Method:          fasthttp.MethodGet,
+		URI:             []byte(statusPath),
+		DeadlineLeft:    c.settings.StatusTimeout,
+		FreshConnection: true,
+	}
+	answer, sendErr := c.Send(ctx, attempt)
+	if sendErr != nil {
+		return Status{}, sendErr
+	}
+	defer answer.Body.Close()
+	status, err := decodeStatus(answer)
+	if err != nil {
+		return Status{}, &SendError{
+			Result:  event.AttemptCut,
+			Sent:    true,
+			Step:    StepStatus,
+			Backend: backend,
+			Peer:    address,
+			Err:     err,
+		}
+	}
+	return status, nil
+}
+
+func decodeStatus(answer *Answer) (Status, error) {
+	var status Status
+	if answer.Status != fasthttp.StatusOK {
+		return status, fmt.Errorf("status code %d", answer.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxStatusBytes))
+	if err != nil {
+		return status, err
+	}
+	if err := json.Unmarshal(text, &status); err != nil {
+		return status, fmt.Errorf("decode: %w", err)
+	}
+	return status, nil
+}
