--- /dev/null
+++ b/internal/ingress/helper_test.go
@@ -0,0 +1,82 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		// The library's clock for Date fields runs as long as the process.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		// Its housekeeping looks for the stop only every ten seconds.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
+}
+
+// serveFunc is a Handler.
+type serveFunc func(ctx context.Context, x *Exchange)
+
+func (f serveFunc) Serve(ctx context.Context, x *Exchange) { f(ctx, x) }
+
+// start runs a server for the length of the test and returns its address.
+func start(t testing.TB, settings Settings, h serveFunc) (*Server, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(settings, h)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		require.NoError(t, s.Shutdown(ctx))
+		require.NoError(t, <-served)
+		require.Zero(t, s.InFlight())
+	})
+	return s, ln.Addr().String()
+}
+
+// caller is one caller's connection.
+type caller struct {
+	t  *testing.T
+	c  net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	t.Cleanup(func() { c.Close() })
+	return &caller{t: t, c: c, br: bufio.NewReader(c)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.c, text)
+	require.NoError(c.t, err)
+}
+
+// answer reads one answer; err is that of reading its body.
+func (c *caller) answer(method string) (resp *http.Response, body string, err error) {
+	c.t.Helper()
+	resp, err = http.ReadResponse(c.br, &http.Request{Method: method})
+	require.NoError(c.t, err)
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// answerText hands over a whole answer.
+func answerText(x *Exchange, text string) error {
+	return x.Respond(&Answer{Status: 200, BodyBytes: int64(len(text)), Body: strings.NewReader(text), Backend: "b1"})
+}
--- /dev/null
+++ b/internal/ingress/request.go
@@ -0,0 +1,222 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/valyala/fasthttp"
+)
+
+// maxTraceBytes bounds an X-Request-Id that is taken over from the caller.
+const maxTraceBytes = 128
+
+// maxDeadline bounds the deadline that a caller may ask for.
+const maxDeadline = time.Hour
+
+// newExchange reads all of a request but a large body.
+func newExchange(s *Server, ctx *fasthttp.RequestCtx) (*Exchange, error) {
+	header := readHeader(&ctx.Request.Header)
+	uri := ctx.URI()
+	x := &Exchange{
+		Method:         string(ctx.Method()),
+		Path:           string(uri.Path()),
+		URI:            originalURI(uri),
+		Remote:         remoteAddr(ctx.RemoteAddr()),
+		Trace:          traceOf(&ctx.Request.Header),
+		IdempotencyKey: header.Get(httpheader.IdempotencyKey),
+		DeadlineHint:   deadlineHint(header.Get(httpheader.DeadlineMillis)),
+		server:         s,
+		ctx:            ctx,
+		started:        time.Now(),
+	}
+	x.Header = withForwardedFor(header.Forwardable(), x.Remote)
+	if err := x.readBody(); err != nil {
+		return x, err
+	}
+	return x, nil
+}
+
+// originalURI returns path and query as received, also for a request in
+// absolute form.
+func originalURI(uri *fasthttp.URI) []byte {
+	path, query := uri.PathOriginal(), uri.QueryString()
+	full := make([]byte, 0, len(path)+1+len(query))
+	full = append(full, path...)
+	if len(query) > 0 {
+		full = append(full, '?')
+		full = append(full, query...)
+	}
+	return full
+}
+
+// readHeader copies the header with one allocation for all its text.
+func readHeader(h *fasthttp.RequestHeader) httpheader.List {
+	size, count := 0, 0
+	for name, value := range h.All() {
+		size += len(name) + len(value)
+		count++
+	}
+	text := make([]byte, 0, size)
+	for name, value := range h.All() {
+		text = append(text, name...)
+		text = append(text, value...)
+	}
+	all := string(text)
+	list := make(httpheader.List, 0, count+1)
+	for name, value := range h.All() {
+		n, v := len(name), len(value)
+		list = append(list, httpheader.Field{Name: all[:n], Value: all[n : n+v]})
+		all = all[n+v:]
+	}
+	return list
+}
+
+// withForwardedFor appends the caller's address to X-Forwarded-For.
+func withForwardedFor(l httpheader.List, remote netip.Addr) httpheader.List {
+	address := remote.String()
+	if before := l.Get(httpheader.ForwardedFor); before != "" {
+		address = before + ", " + address
+	}
+	return l.With(httpheader.ForwardedFor, address)
+}
+
+func remoteAddr(a net.Addr) netip.Addr {
+	tcp, ok := a.(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	return tcp.AddrPort().Addr().Unmap()
+}
+
+// traceOf takes over a sane X-Request-Id or makes a new one.
+func traceOf(h *fasthttp.RequestHeader) string {
+	id := h.Peek(httpheader.RequestID)
+	if isSaneTrace(id) {
+		return string(id)
+	}
+	return uuid.NewString()
+}
+
+func isSaneTrace(id []byte) bool {
+	if len(id) == 0 || len(id) > maxTraceBytes {
+		return false
+	}
+	for _, c := range id {
+		if !isTraceByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func isTraceByte(c byte) bool {
+	switch {
+	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		return true
+	case c == '-', c == '_', c == '.', c == ':', c == '/', c == '+', c == '=':
+		return true
+	default:
+		return false
+	}
+}
+
+// deadlineHint reads X-Deadline-Ms; anything but a positive number is no hint.
+func deadlineHint(text string) time.Duration {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+}
+
+// readBody reads a small body whole and leaves a large one to be streamed.
+func (x *Exchange) readBody() error {
+	length := int64(x.ctx.Request.Header.ContentLength())
+	stream := x.ctx.RequestBodyStream()
+	if stream == nil || length == 0 {
+		x.Replayable = true
+		return nil
+	}
+	x.startBody()
+	source := &requestStream{r: stream, left: length}
+	if length > SmallBodyBytes {
+		x.BodyBytes, x.BodyStream = length, source
+		return nil
+	}
+	if length < 0 {
+		source.left = -1
+		return x.readChunked(source)
+	}
+	x.Body = make([]byte, length)
+	if _, err := io.ReadFull(source, x.Body); err != nil {
+		return fmt.Errorf("read request body: %w", err)
+	}
+	x.BodyBytes, x.Replayable = length, true
+	return nil
+}
+
+// readChunked settles whether a body of unknown length is small.
+func (x *Exchange) readChunked(source io.Reader) error {
+	prefix, err := io.ReadAll(io.LimitReader(source, SmallBodyBytes+1))
+	if err != nil {
+		return fmt.Errorf("read request body: %w", err)
+	}
+	if len(prefix) <= SmallBodyBytes {
+		x.Body, x.BodyBytes, x.Replayable = prefix, int64(len(prefix)), true
+		return nil
+	}
+	x.BodyBytes = -1
+	x.BodyStream = &joinedReader{prefix: prefix, rest: source}
+	return nil
+}
+
+func (x *Exchange) startBody() {
+	if c, ok := x.ctx.Conn().(*progressConn); ok {
+		c.startBody()
+	}
+}
+
+// requestStream makes a body that ends early an error: fasthttp ends a cut body
+// of declared length with io.EOF.
+type requestStream struct {
+	r    io.Reader
+	left int64 // bytes still due, negative when unknown
+}
+
+// Read implements io.Reader.
+func (s *requestStream) Read(p []byte) (int, error) {
+	n, err := s.r.Read(p)
+	if s.left >= 0 {
+		s.left -= int64(n)
+	}
+	if errors.Is(err, io.EOF) && s.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// joinedReader reads a prefix and then the rest, dropping the prefix's memory.
+type joinedReader struct {
+	prefix []byte
+	rest   io.Reader
+}
+
+// Read implements io.Reader.
+func (r *joinedReader) Read(p []byte) (int, error) {
+	if len(r.prefix) == 0 {
+		return r.rest.Read(p)
+	}
+	n := copy(p, r.prefix)
+	r.prefix = r.prefix[n:]
+	if len(r.prefix) == 0 {
+		r.prefix = nil
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,155 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/valyala/fasthttp"
+)
+
+// Server is the callers' HTTP server.
+type Server struct {
+	settings  Settings
+	handler   Handler
+	http      *fasthttp.Server
+	watcher   *watcher
+	directory atomic.Pointer[Directory]
+
+	inFlight       atomic.Int64
+	lookups        atomic.Int64
+	refusedLookups atomic.Int64
+	overloaded     atomic.Int64
+	draining       atomic.Bool
+}
+
+// New returns a server that passes requests to handler.
+func New(settings Settings, handler Handler) *Server {
+	uuid.EnableRandPool()
+	s := &Server{
+		settings: settings.withDefaults(),
+		handler:  handler,
+		watcher:  newWatcher(),
+	}
+	app := fiber.New(fiber.Config{
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		BodyLimit:                    SmallBodyBytes,
+		Concurrency:                  s.settings.MaxConnections,
+		ReadTimeout:                  s.settings.HeaderTimeout,
+		IdleTimeout:                  s.settings.IdleTimeout,
+		ReadBufferSize:               s.settings.MaxHeaderBytes,
+		DisableDefaultContentType:    true,
+	})
+	app.Get(EntriesPath, s.lookup)
+	app.Use(s.serve)
+	s.http = app.Server()
+	s.http.CloseOnShutdown = true
+	s.http.ErrorHandler = refuseMalformed
+	s.http.Handler = s.finishHeader(app.Handler())
+	return s
+}
+
+// SetDirectory replaces what look-ups are answered from.
+func (s *Server) SetDirectory(d Directory) { s.directory.Store(&d) }
+
+// InFlight returns the number of exchanges that have not ended.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Stats are counts since the start.
+type Stats struct {
+	Overloaded     int64 // exchanges refused at MaxExchanges
+	RefusedLookups int64 // look-ups refused at MaxLookups
+}
+
+// Stats returns the server's counts.
+func (s *Server) Stats() Stats {
+	return Stats{Overloaded: s.overloaded.Load(), RefusedLookups: s.refusedLookups.Load()}
+}
+
+// Serve accepts connections until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.watcher.run(ctx)
+	wrapped := &listener{Listener: ln, timeout: s.settings.ProgressTimeout, minBytes: s.settings.ProgressBytes}
+	if err := s.http.Serve(wrapped); err != nil {
+		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
+
+// StartDraining makes every further answer end its connection, so that callers
+// move to other entry instances. Requests are still served.
+func (s *Server) StartDraining() { s.draining.Store(true) }
+
+// Shutdown stops accepting connections and waits for the exchanges in flight,
+// or for the context to end.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.StartDraining()
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("stop serving callers, %d in flight: %w", s.InFlight(), err)
+	}
+	return nil
+}
+
+// finishHeader makes sure that every answer echoes the request identifier, also
+// where the router has answered by itself.
+func (s *Server) finishHeader(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		next(ctx)
+		if len(ctx.Response.Header.Peek(httpheader.RequestID)) == 0 {
+			writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+		}
+		if s.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+// refuseMalformed answers a request that could not be parsed.
+func refuseMalformed(ctx *fasthttp.RequestCtx, _ error) {
+	writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+}
+
+// serve handles every request that is not a look-up.
+func (s *Server) serve(c fiber.Ctx) error {
+	ctx := c.RequestCtx()
+	if strings.HasPrefix(string(ctx.Path()), reservedPrefix) {
+		writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseNoRoute, 0)
+		return nil
+	}
+	x, err := newExchange(s, ctx)
+	if err != nil {
+		writeRefusal(&ctx.Response, x.Trace, model.NotRun, model.CauseInvalidRequest, 0)
+		ctx.SetConnectionClose()
+		return nil
+	}
+	if s.inFlight.Add(1) > int64(s.settings.MaxExchanges) {
+		s.inFlight.Add(-1)
+		s.overloaded.Add(1)
+		return x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
+	}
+	s.run(x)
+	return nil
+}
+
+// run passes an exchange to the handler.
+func (s *Server) run(x *Exchange) {
+	ctx, cancel := context.WithCancel(context.Background())
+	x.cancel = cancel
+	s.watcher.add(x)
+	s.handler.Serve(ctx, x)
+	if !x.answered {
+		_ = x.ctx.Conn().Close()
+	}
+	if !x.ctx.Response.IsBodyStream() {
+		x.settle(nil)
+	}
+}
