--- /dev/null
+++ b/cmd/primrosenotch-load/main.go
@@ -0,0 +1,38 @@
+// Command primrosenotch-load offers load to entry instances, records how it was
+// served, and compares and plots the results.
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default&^flags.PrintErrors)
+	addCommands(parser)
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = os.Stdout.WriteString(usage.Message + "\n")
+	default:
+		logrus.Error(err)
+		os.Exit(1)
+	}
+}
+
+func addCommands(parser *flags.Parser) {
+	add := func(name, short, long string, command any) {
+		if _, err := parser.AddCommand(name, short, long, command); err != nil {
+			panic(err)
+		}
+	}
+	add("run", "Run an experiment", "Runs an experiment and writes its result as JSON. Fails if any answer was wrong or cut.", &runCommand{})
+	add("compare", "Compare two results", "Prints two result files side by side.", &compareCommand{})
+	add("plot", "Plot a result", "Draws latency and outcomes over time, as svg or png.", &plotCommand{})
+	add("baseline", "Run a plain proxy", "Forwards to fixed backend servers, to compare with.", &baselineCommand{})
+}
