Fewer allocations on the way through ingress and upstream

Cause: one allocation for each header name and value, for each look at an idle socket, and for the check after an answer's last byte.

--- a/internal/httpheader/list_test.go
+++ b/internal/httpheader/list_test.go
@@ -22,3 +22,13 @@
 	require.Equal(t, List{{"A", "b"}, {"Via", "3"}}, l.With("Via", "3"))
 	require.Equal(t, "", List(nil).Get("Via"))
 }
+
+func TestBuilderKeepsOrderAndEmptyValues(t *testing.T) {
+	for range 2 { // the second one reuses the memory of the first
+		b := NewBuilder()
+		b.Add([]byte("A"), []byte("1"))
+		b.Add([]byte("B"), nil)
+		b.Add([]byte("A"), []byte("22"))
+		require.Equal(t, List{{"A", "1"}, {"B", ""}, {"A", "22"}}, b.List(1))
+	}
+}
--- a/internal/ingress/answerstream.go
+++ b/internal/ingress/answerstream.go
@@ -6,7 +6,7 @@
 	"io"
 )
 
-// ErrAnswerCut reports a body that ended before its declared length.
+// ErrAnswerCut reports a body that did not end at its declared length.
 var ErrAnswerCut = errors.New("the answer's body was cut")
 
 // answerStream passes a streamed answer to the HTTP library. Only a complete
@@ -92,18 +92,25 @@
 	return nil
 }
 
-// expectEOF checks that a body has nothing after its declared length.
-func expectEOF(r io.Reader) error {
-	var b [1]byte
-	n, err := r.Read(b[:])
-	switch {
-	case n > 0:
-		return errors.New("the answer is longer than declared")
-	case err == nil || err == io.EOF: //nolint:errorlint // a wrapped io.EOF is a broken body
-		return nil
-	default:
-		return err
+// readDeclared reads a body up to its end, which must be at its declared
+// length. The result is not nil without an error.
+func readDeclared(r io.Reader, declared int64) ([]byte, error) {
+	if r == nil {
+		return []byte{}, requireLength(0, declared)
+	}
+	body := make([]byte, declared+1)
+	n := 0
+	for n < len(body) {
+		k, err := r.Read(body[n:])
+		n += k
+		if err == io.EOF { //nolint:errorlint // a wrapped io.EOF is a broken body
+			return body[:n], requireLength(int64(n), declared)
+		}
+		if err != nil {
+			return nil, answerReadError(err, n)
+		}
 	}
+	return nil, fmt.Errorf("%w: more than the declared %d bytes", ErrAnswerCut, declared)
 }
 
 func closeBody(r io.Reader) error {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -104,21 +104,11 @@
 	if a.BodyBytes < 0 || a.BodyBytes > SmallBodyBytes || x.Method == fasthttp.MethodHead {
 		return nil, nil
 	}
-	body := make([]byte, a.BodyBytes)
-	if a.Body == nil {
-		return body, requireLength(0, a.BodyBytes)
-	}
-	n, err := io.ReadFull(a.Body, body)
-	if err == nil {
-		err = expectEOF(a.Body)
-	}
+	body, err := readDeclared(a.Body, a.BodyBytes)
 	if cerr := closeBody(a.Body); err == nil {
 		err = cerr
 	}
-	if err != nil {
-		return nil, answerReadError(err, n)
-	}
-	return body, nil
+	return body, err
 }
 
 func (x *Exchange) respondWhole(a *Answer, body []byte) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -56,26 +56,12 @@
 	return full
 }
 
-// readHeader copies the header with one allocation for all its text.
 func readHeader(h *fasthttp.RequestHeader) httpheader.List {
-	size, count := 0, 0
+	b := httpheader.NewBuilder()
 	for name, value := range h.All() {
-		size += len(name) + len(value)
-		count++
+		b.Add(name, value)
 	}
-	text := make([]byte, 0, size)
-	for name, value := range h.All() {
-		text = append(text, name...)
-		text = append(text, value...)
-	}
-	all := string(text)
-	list := make(httpheader.List, 0, count+1)
-	for name, value := range h.All() {
-		n, v := len(name), len(value)
-		list = append(list, httpheader.Field{Name: all[:n], Value: all[n : n+v]})
-		all = all[n+v:]
-	}
-	return list
+	return b.List(1)
 }
 
 // withForwardedFor appends the caller's address to X-Forwarded-For.
@@ -129,6 +115,9 @@
 
 // deadlineHint reads X-Deadline-Ms; anything but a positive number is no hint.
 func deadlineHint(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms <= 0 {
 		return 0
--- a/internal/ingress/watcher.go
+++ b/internal/ingress/watcher.go
@@ -56,7 +56,7 @@
 
 func (w *watcher) check(now time.Time) {
 	for _, r := range w.olderThan(now.Add(-goneCheckPeriod)) {
-		if tcpstate.Peek(r.conn) == tcpstate.Closed {
+		if tcpstate.NewProbe(r.conn).Peek() == tcpstate.Closed {
 			r.x.cancel()
 			w.remove(r.x)
 		}
--- a/internal/tcpstate/peer.go
+++ b/internal/tcpstate/peer.go
@@ -18,33 +18,46 @@
 	Closed                // the peer closed or reset the connection
 )
 
-// Peek returns the state of the receive side. Connections that give no access
-// to their socket count as Quiet. It never blocks.
-func Peek(c net.Conn) State {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return Quiet
+// Probe peeks at one connection again and again. It is not safe for concurrent
+// use.
+type Probe struct {
+	raw   syscall.RawConn // nil where the connection gives no access to its socket
+	peek  func(fd uintptr)
+	state State
+	b     [1]byte
+}
+
+// NewProbe returns a probe of a connection.
+func NewProbe(c net.Conn) *Probe {
+	p := new(Probe)
+	p.peek = p.peekSocket
+	if sc, ok := c.(syscall.Conn); ok {
+		// An error means that the connection is closed, which Peek finds out too.
+		p.raw, _ = sc.SyscallConn()
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return Closed
+	return p
+}
+
+// Peek returns the state of the receive side. It never blocks. A connection
+// that gives no access to its socket counts as Quiet.
+func (p *Probe) Peek() State {
+	if p.raw == nil {
+		return Quiet
 	}
-	state := Quiet
-	if err := raw.Control(func(fd uintptr) { state = peekSocket(int(fd)) }); err != nil {
+	if err := p.raw.Control(p.peek); err != nil {
 		return Closed
 	}
-	return state
+	return p.state
 }
 
-func peekSocket(fd int) State {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+func (p *Probe) peekSocket(fd uintptr) {
+	n, _, err := syscall.Recvfrom(int(fd), p.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case n > 0:
-		return Readable
+		p.state = Readable
 	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
-		return Quiet
+		p.state = Quiet
 	default:
-		return Closed
+		p.state = Closed
 	}
 }
--- a/internal/tcpstate/peer_test.go
+++ b/internal/tcpstate/peer_test.go
@@ -18,14 +18,15 @@
 	require.NoError(t, err)
 	defer server.Close()
 
-	require.Equal(t, Quiet, Peek(server))
+	probe := NewProbe(server)
+	require.Equal(t, Quiet, probe.Peek())
 	_, err = client.Write([]byte("x"))
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return Peek(server) == Readable }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return probe.Peek() == Readable }, 5*time.Second, time.Millisecond)
 	b := make([]byte, 2)
 	n, err := server.Read(b)
 	require.NoError(t, err)
 	require.Equal(t, 1, n, "a peek leaves the data")
 	require.NoError(t, client.Close())
-	require.Eventually(t, func() bool { return Peek(server) == Closed }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return probe.Peek() == Closed }, 5*time.Second, time.Millisecond)
 }
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -37,11 +37,11 @@
 }
 
 func copyHeader(resp *fasthttp.Response) httpheader.List {
-	list := make(httpheader.List, 0, resp.Header.Len())
+	b := httpheader.NewBuilder()
 	for name, value := range resp.Header.All() {
-		list = append(list, httpheader.Field{Name: string(name), Value: string(value)})
+		b.Add(name, value)
 	}
-	return list.Forwardable()
+	return b.List(0).Forwardable()
 }
 
 // answerBody reads one answer's body and gives its connection back to the pool
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/tcpstate"
 )
 
 // ErrNoProgress is returned where a connection neither took nor gave a byte
@@ -24,6 +26,7 @@
 type conn struct {
 	net.Conn
 	pool     *pool
+	probe    *tcpstate.Probe
 	br       *bufio.Reader
 	bw       *bufio.Writer
 	opened   time.Time
@@ -42,7 +45,7 @@
 }
 
 func newConn(c net.Conn, p *pool, now time.Time, progress time.Duration) *conn {
-	cn := &conn{Conn: c, pool: p, opened: now, progress: progress}
+	cn := &conn{Conn: c, pool: p, probe: tcpstate.NewProbe(c), opened: now, progress: progress}
 	cn.br = bufio.NewReaderSize(cn, bufferBytes)
 	cn.bw = bufio.NewWriterSize(cn, bufferBytes)
 	return cn
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,7 +29,7 @@
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleFrom) < idleTimeout && tcpstate.Peek(c.Conn) == tcpstate.Quiet {
+		if now.Sub(c.idleFrom) < idleTimeout && c.probe.Peek() == tcpstate.Quiet {
 			return c
 		}
 		p.discard(c)
