--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,8 +39,8 @@
 	received  atomic.Int64 // bytes of the current answer
 	uploading atomic.Bool  // a body is being sent while the answer is awaited
 	answered  atomic.Bool  // the answer arrived while uploading
-	// readErr is the last error of Read: fasthttp reports a time-out before the
-	// first byte as io.EOF, which would hide a silent connection.
+	// readErr is the last error of Read, since fasthttp reports what goes wrong
+	// before the first byte as io.EOF.
 	readErr error
 }
 
