--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -51,7 +51,7 @@
 
 	server   *Server
 	ctx      *fasthttp.RequestCtx
-	started  time.Time
+	watched  watched
 	cancel   context.CancelFunc
 	answered bool
 	settled  sync.Once
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -34,7 +34,6 @@
 		DeadlineHint:   deadlineHint(header.Get(httpheader.DeadlineMillis)),
 		server:         s,
 		ctx:            ctx,
-		started:        time.Now(),
 	}
 	x.Header = withForwardedFor(header.Forwardable(), x.Remote)
 	if err := x.readBody(); err != nil {
