--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -113,9 +114,17 @@
 	}
 }
 
-// refuseMalformed answers a request that could not be parsed.
-func refuseMalformed(ctx *fasthttp.RequestCtx, _ error) {
+// refuseMalformed answers a request whose header could not be read.
+func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
 	writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+	var tooLarge *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
+	}
 }
 
 // serve handles every request that is not a look-up.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -41,6 +41,23 @@
 	require.Len(t, resp.Header.Get("X-Request-Id"), 36)
 }
 
+func TestHeaderBounds(t *testing.T) {
+	_, address := start(t, Settings{MaxHeaderBytes: 1024, HeaderTimeout: 100 * time.Millisecond}, func(_ context.Context, x *Exchange) {
+		_ = answerText(x, "ok")
+	})
+	for header, status := range map[string]int{
+		"X-Large: " + strings.Repeat("x", 2000) + "\r\n\r\n": 431,
+		"X-Slow: ": 408,
+	} {
+		c := dial(t, address)
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n" + header)
+		resp, _, err := c.answer("GET")
+		require.NoError(t, err)
+		require.Equal(t, status, resp.StatusCode)
+		require.Equal(t, "not-run", resp.Header.Get("X-Outcome"))
+	}
+}
+
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
 	release := make(chan struct{})
 	entered := make(chan struct{})
