Health: connections lost together are one failure towards an ejection

Connections that something on the path forgot fail together while new ones work; counting each would eject a sound server, and its return then takes the shift cap's time. Counting only one would let a dead server take whole batches, so failures in a row also narrow its limit. Trying the narrowing from the first failure on was ruled out: one 5xx would take a third of a 3-slot server.

--- a/internal/health/eject.go
+++ b/internal/health/eject.go
@@ -29,10 +29,8 @@
 			t.eject(now, s, reason)
 			continue
 		}
-		if !s.held {
-			s.held = true
-			t.dirty = true
-		}
+		s.held = true
+		t.dirty = true
 	}
 }
 
@@ -75,7 +73,7 @@
 	s.held = false
 	s.trial = false
 	s.level = 0
-	s.failures = 0
+	s.clearFailures()
 	s.window = failureWindow{}
 	t.setCondition(now, s, Ejected, why)
 }
--- a/internal/health/outcome.go
+++ b/internal/health/outcome.go
@@ -27,45 +27,72 @@
 	return nothingSaid
 }
 
-// Outcome records the end of an attempt at a server. With draining the server
-// said on the answer that it is leaving.
+// Attempt is one attempt at a server that has ended.
+type Attempt struct {
+	Backend model.BackendName
+	Result  event.AttemptResult
+	Started model.Instant
+	// Draining reports that the server said on the answer that it is leaving.
+	Draining bool
+}
+
+// Outcome records the end of an attempt that overlapped no other.
 func (t *Tracker) Outcome(now model.Instant, name model.BackendName, result event.AttemptResult, draining bool) {
-	s := t.byName[name]
+	t.Attempted(now, Attempt{Backend: name, Result: result, Started: now, Draining: draining})
+}
+
+// Attempted records the end of an attempt.
+//
+// Attempts that were under way together and lost their connections together are
+// one failure: something between the two ends may have dropped the connections
+// while new ones work. The others only narrow the server's limit until its next
+// success.
+func (t *Tracker) Attempted(now model.Instant, a Attempt) {
+	s := t.byName[a.Backend]
 	if s == nil {
 		return
 	}
-	if draining {
+	if a.Draining {
 		s.saidLeaving = now
-		t.Leaving(now, name, SourceServer)
+		t.Leaving(now, s.Name, SourceServer)
 	}
-	switch verdictOf(result) {
+	switch verdictOf(a.Result) {
 	case succeeded:
 		t.success(now, s)
 	case failed:
 		s.refused = 0
-		t.failure(now, s)
+		t.failure(now, s, a)
 	case refused:
 		s.refused++
-		t.failure(now, s)
+		t.failure(now, s, a)
 	}
 }
 
+// lostConnection reports whether the attempt ended with its connection.
+func (a *Attempt) lostConnection() bool {
+	return a.Result == event.AttemptBroken || a.Result == event.AttemptCut || a.Result == event.AttemptTimeout
+}
+
 func (t *Tracker) success(now model.Instant, s *server) {
-	s.failures = 0
+	t.dirty = t.dirty || s.strain > 0 || s.held
+	s.clearFailures()
 	s.refused = 0
 	s.lastSuccess = now
 	s.window.add(now, t.settings.FailureWindow/2, false)
-	if s.held {
-		s.held = false
-		t.dirty = true
-	}
+	s.held = false
 	if s.condition == Probing && s.trial {
 		t.startSlowly(now, s, ReasonTrial, 1)
 	}
 }
 
-func (t *Tracker) failure(now model.Instant, s *server) {
+func (t *Tracker) failure(now model.Instant, s *server, a Attempt) {
+	s.strain++
+	t.dirty = true
+	if a.lostConnection() && a.Started < s.lastFailure {
+		return
+	}
 	s.failures++
+	s.lastFailure = now
 	s.window.add(now, t.settings.FailureWindow/2, true)
 	if s.condition == Probing && s.trial {
 		t.eject(now, s, ReasonTrialFailed)
--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -180,6 +180,30 @@
 	})
 }
 
+// TestConnectionsLostTogether loses all connections of a server at once, as when
+// something on the path forgot them: the server is narrowed, not ejected, and the
+// next success restores it. One that goes on failing is ejected.
+func TestConnectionsLostTogether(t *testing.T) {
+	tracker := New(Settings{})
+	tracker.Configure(epoch, threeSlotServers(3), nil, nil)
+	lose := func(from, to float64) {
+		for range 9 {
+			tracker.Attempted(at(to), Attempt{Backend: "permits-1", Result: event.AttemptTimeout, Started: at(from)})
+		}
+	}
+	lose(1, 2)
+	require.Equal(t, 1, tracker.Limit(at(2), "permits-1"))
+	tracker.Outcome(at(3), "permits-1", event.AttemptComplete, false)
+	require.Equal(t, 3, tracker.Limit(at(3), "permits-1"))
+	for i := range defaultConsecutiveFailures {
+		state, _ := tracker.State(at(4), "permits-1")
+		require.Equal(t, Healthy, state.Condition)
+		lose(float64(4+i), float64(5+i))
+	}
+	state, _ := tracker.State(at(9), "permits-1")
+	require.Equal(t, Ejected, state.Condition)
+}
+
 func TestProbesAreSpread(t *testing.T) {
 	tracker := New(Settings{})
 	tracker.Configure(epoch, threeSlotServers(50), nil, nil)
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -25,10 +25,13 @@
 	since     model.Instant
 	drains    drainSet
 
-	failures int // in a row
-	refused  int // connections in a row
-	window   failureWindow
-	held     bool // would be ejected but for the bound
+	failures int // in a row, those that happened together counted once
+	strain   int // failures in a row
+	// lastFailure is when failures last grew.
+	lastFailure model.Instant
+	refused     int // connections in a row
+	window      failureWindow
+	held        bool // would be ejected but for the bound
 
 	ejections    int // since the count was last forgotten
 	ejectedUntil model.Instant
@@ -93,11 +96,18 @@
 	return 0
 }
 
+// openSlots is what failures in a row, from the second on, leave of the slots: at
+// least one.
 func (s *server) openSlots() int {
 	if s.held {
 		return min(1, s.Slots)
 	}
-	return s.Slots
+	return min(s.Slots, max(s.Slots+1-s.strain, 1))
+}
+
+func (s *server) clearFailures() {
+	s.failures = 0
+	s.strain = 0
 }
 
 // narrowed applies the number of slots that the server itself reports, which may
--- a/internal/health/slowstart.go
+++ b/internal/health/slowstart.go
@@ -12,7 +12,7 @@
 	s.level = min(level, s.Slots)
 	s.trial = false
 	s.held = false
-	s.failures = 0
+	s.clearFailures()
 	s.window = failureWindow{}
 	t.setCondition(now, s, SlowStart, why)
 	if level > 0 {
