Admission: reserve idle slots for arrivals until the next release

The reserve kept a fixed partition: with 36 3-slot slots, a quarter urgent and a tenfold flood of normal work, goodput was 0.79 of capacity, and 0.58 with 6 slots.

--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -14,7 +14,7 @@
 	// idleBuckets without any traffic reset the averages.
 	idleBuckets = 600
 	// staffing is the number of standard deviations by which a reserve exceeds the
-	// mean concurrency (square-root staffing).
+	// mean number of arrivals (square-root staffing).
 	staffing = 2.33
 	// Between these shares of the capacity that ranks ask for, what is reserved
 	// for the more urgent of them grows from nothing to all.
@@ -66,7 +66,7 @@
 // concurrency is the recent mean concurrency that the rank's offers ask for.
 func (a *arrivals) concurrency(rank int) float64 { return max(a.fast[rank], a.slow[rank]) }
 
-// staffed is the concurrency that a mean concurrency rarely exceeds.
+// staffed is a number of Poisson arrivals that is rarely exceeded at the mean.
 func staffed(mean float64) float64 { return mean + staffing*math.Sqrt(mean) }
 
 // pressure is the part of a reserve that applies at a demand, as a share of the
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -139,9 +139,7 @@
 	s.recount(now, &c.policy)
 	s.ramp.configure(c.policy.ShiftCap, s.slots)
 	s.maxQueue = c.policy.QueuePerSlot * s.slots
-	for _, route := range s.routes {
-		route.longest = 0
-	}
+	s.dropUnusedRoutes()
 }
 
 // SetLimit sets how many slots of a server may be in use, 0 to its Slots; at 0
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -52,6 +52,7 @@
 type routeEstimate struct {
 	runEstimate
 	longest time.Duration // longest time to the deadline seen at an offer
+	unused  int           // configurations since the last offer
 }
 
 // expected is the mean run time in nanoseconds, the service's before the
--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -16,6 +16,15 @@
 
 const floodSeeds = 3
 
+// leastGoodput is the share of slot time that is to be useful while a less urgent
+// rank floods: more with more slots, since the reserve is then a smaller part.
+func (s simulation) leastGoodput() float64 {
+	if s.servers*s.slots < 18 {
+		return 0.65
+	}
+	return 0.85
+}
+
 // forEachFlood runs check for every size, service time distribution and seed,
 // with a simulation long enough for some thousand urgent requests.
 func forEachFlood(t *testing.T, check func(t *testing.T, s simulation)) {
@@ -49,6 +58,16 @@
 		require.LessOrEqual(t, urgent, 1.2, "urgent p99 against unloaded")
 		floor := simulatedFloors[model.Background]
 		require.GreaterOrEqual(t, flooded[model.Background].slotTime/s.capacity(), floor-0.02)
+		require.GreaterOrEqual(t, s.goodput(flooded), s.leastGoodput(), "goodput")
+	})
+}
+
+func TestFloodOfNormalRank(t *testing.T) {
+	forEachFlood(t, func(t *testing.T, s simulation) {
+		s.load = [model.RankCount]float64{0.25, 10, 0.1}
+		flooded := s.run()
+		require.GreaterOrEqual(t, flooded[model.Urgent].inTimeShare(), 0.999, "urgent served in time")
+		require.GreaterOrEqual(t, s.goodput(flooded), s.leastGoodput(), "goodput")
 	})
 }
 
@@ -56,12 +75,10 @@
 	forEachFlood(t, func(t *testing.T, s simulation) {
 		s.load = [model.RankCount]float64{10, 1, 1}
 		flooded := s.run()
-		useful := 0.0
 		for rank := range flooded {
 			share := flooded[rank].slotTime / s.capacity()
 			require.InDelta(t, simulatedFloors[rank], share, 0.02, "%s's share of slot time", model.Rank(rank))
-			useful += flooded[rank].usefulTime
 		}
-		require.GreaterOrEqual(t, useful/s.capacity(), 0.95, "goodput")
+		require.GreaterOrEqual(t, s.goodput(flooded), 0.95, "goodput")
 	})
 }
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -37,6 +37,7 @@
 	r.slots = slots
 	r.interval = stepInterval(limit, slots)
 	r.period = limit.Window / useBuckets
+	r.level = min(r.level, slots)
 	if r.interval == 0 {
 		r.level = 0
 	}
--- a/internal/admission/schedule.go
+++ b/internal/admission/schedule.go
@@ -55,14 +55,18 @@
 }
 
 // withinReserve reports whether the rank may take one more slot and leave more
-// urgent ranks the ones kept for them.
+// urgent ranks the idle ones kept for them.
 func (s *service) withinReserve(now model.Instant, rank int) bool {
 	used := 1 - s.excess(now)
-	for _, n := range s.inUse[rank:] {
+	for _, n := range s.inUse {
 		used += n
 	}
 	return used <= s.capacity-s.kept(rank)
 }
 
+// reserveRounding added to a reserve before its fraction is dropped keeps a whole
+// slot for all but small fractions.
+const reserveRounding = 0.8
+
 // kept is the reserve of a rank in whole slots.
-func (s *service) kept(rank int) int { return int(s.reserve[rank] + 0.5) }
+func (s *service) kept(rank int) int { return int(s.reserve[rank] + reserveRounding) }
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -12,6 +12,10 @@
 // that a block with cheap requests keeps its turn for a short time only.
 const maxQuantumRuns = 8
 
+// maxUnusedRoute is the number of configurations after which a route without a
+// request is forgotten.
+const maxUnusedRoute = 100
+
 // service is the state of one service: its servers and the one queue before
 // them.
 type service struct {
@@ -33,7 +37,7 @@
 
 	credits  floorCredits
 	arrivals arrivals
-	reserve  [model.RankCount]float64 // slots kept from a rank for more urgent ones
+	reserve  [model.RankCount]float64 // idle slots that a rank leaves to more urgent ones
 
 	// pressure by rank is 0 where its demand and that of more urgent ranks fits
 	// into the capacity, and 1 where it does not.
@@ -95,18 +99,19 @@
 	return excess
 }
 
-// updateReserve sizes for each rank the slots that it leaves to more urgent
-// ranks: what their recent arrivals rarely exceed, and at most their floors. A
-// rank that fits into the capacity together with the more urgent ones leaves
-// less, since it then does not keep them waiting.
+// updateReserve sizes for each rank the idle slots that it leaves to more urgent
+// ranks: what arrives of them until the next slot is freed rarely exceeds it. It
+// is at most their floors. A rank that fits into the capacity together with the
+// more urgent ones leaves less, since it then does not keep them waiting.
 func (s *service) updateReserve() {
 	capacity := float64(max(s.capacity, 1))
-	mean, floors := 0.0, 0.0
+	mean, lasting, floors := 0.0, 0.0, 0.0
 	for rank := range s.reserve {
-		urgent := min(staffed(mean), floors*capacity)
+		urgent := min(staffed(mean/capacity), floors*capacity)
 		mean += s.arrivals.concurrency(rank)
+		lasting += s.arrivals.slow[rank]
 		floors += s.floors[rank]
-		s.pressure[rank] = pressure(mean / capacity)
+		s.pressure[rank] = pressure(lasting / capacity)
 		s.reserve[rank] = urgent * s.pressure[rank]
 	}
 }
@@ -174,9 +179,22 @@
 		estimate = &routeEstimate{}
 		s.routes[name] = estimate
 	}
+	estimate.unused = 0
 	return estimate
 }
 
+// dropUnusedRoutes forgets the routes without a request over the last
+// configurations.
+func (s *service) dropUnusedRoutes() {
+	for name, route := range s.routes {
+		route.longest = 0
+		route.unused++
+		if route.unused > maxUnusedRoute {
+			delete(s.routes, name)
+		}
+	}
+}
+
 func (s *service) observe(r *request, ran time.Duration) {
 	r.route.observe(ran)
 	s.runs.observe(ran)
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -185,3 +185,12 @@
 func (s simulation) capacity() float64 {
 	return float64(s.servers*s.slots) * float64(s.length) * 0.9
 }
+
+// goodput is the share of capacity that went into requests served in time.
+func (s simulation) goodput(results [model.RankCount]simulated) float64 {
+	useful := 0.0
+	for _, result := range results {
+		useful += result.usefulTime
+	}
+	return useful / s.capacity()
+}
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -46,7 +46,7 @@
 		}
 		taken += min(s.demand(other, horizon), max(0, left-taken-floor))
 	}
-	return max(taken, float64(s.kept(rank))*horizon)
+	return min(taken+float64(s.kept(rank))*horizon, max(left, 0))
 }
 
 // guaranteed is the part of the demand of a rank that its floor covers.
