--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -197,6 +197,18 @@
 	return loads
 }
 
+// InUse returns how many requests run at the server; also while it finishes what
+// it had when it ceased to be owned.
+func (c *Controller) InUse(name model.BackendName) int {
+	if server := c.servers[name]; server != nil {
+		return server.inUse
+	}
+	return 0
+}
+
+// Idle reports whether nothing is queued or running.
+func (c *Controller) Idle() bool { return len(c.requests) == 0 }
+
 func (s *service) load() membership.ServiceLoad {
 	load := membership.ServiceLoad{
 		Service:       s.name,
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -61,6 +62,7 @@
 	}
 	m.ctrl.Configure(m.now, m.policy, list)
 	for name, server := range m.owned {
+		require.Equal(t, m.inUse(name), m.ctrl.InUse(name))
 		m.limits[name] = min(m.limits[name], server.Slots)
 		m.ctrl.SetLimit(m.now, name, m.limits[name])
 	}
@@ -121,7 +123,12 @@
 		}
 		require.LessOrEqual(t, load.SpillInUse, m.ctrl.byName[load.Service].ramp.admitted)
 	}
+	for _, s := range m.ctrl.services {
+		spill := lo.CountBy(lo.Values(m.ctrl.requests), func(r *request) bool { return r.spill && r.service == s })
+		require.Equal(t, spill, s.ramp.admitted, "spill counted by the ramp of %s", s.name)
+	}
 	require.Equal(t, waiting, queued)
+	require.Equal(t, len(m.ctrl.requests) == 0, m.ctrl.Idle())
 	require.Equal(t, len(m.running), inUse)
 	require.LessOrEqual(t, spills, inUse)
 }
--- /dev/null
+++ b/internal/admission/ramp_test.go
@@ -0,0 +1,61 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// spillController owns one server and has offered nothing yet.
+func spillController(now model.Instant, slots int, fraction float64, queuePerSlot int) *Controller {
+	p := Policy{ShiftCap: config.ShiftCap{Fraction: fraction, Window: 30 * time.Second}, QueuePerSlot: queuePerSlot}
+	c := New(p)
+	c.Configure(now, p, []Server{{Name: "orders-1", Service: "orders", Slots: slots}})
+	return c
+}
+
+func offerSpill(c *Controller, now model.Instant, id model.RequestID, spill bool, rank model.Rank) model.Cause {
+	meta := &model.RequestMeta{Service: "orders", Rank: rank, Deadline: now.Add(time.Hour)}
+	return c.Offer(now, Request{ID: id, Meta: meta, Spill: spill})
+}
+
+func TestNewOwnerGoesOnFromSeededLevel(t *testing.T) {
+	now := model.Instant(time.Hour)
+	c := spillController(now, 9, 0.1, 0)
+	c.Seed(now, "orders", 3, now.Add(-time.Minute))
+	for id := model.RequestID(1); id <= 3; id++ {
+		require.Equal(t, model.CauseNone, offerSpill(c, now, id, true, model.Urgent))
+	}
+	require.Equal(t, model.CauseShiftCap, offerSpill(c, now, 4, true, model.Urgent))
+	load := c.Loads(now)[0]
+	require.InDelta(t, 3, load.SpillLevel, 0)
+	require.Equal(t, now.Add(-time.Minute), load.BaselineSince)
+}
+
+func TestSpillRefusedForAFullQueueLeavesTheRamp(t *testing.T) {
+	now := model.Instant(time.Hour)
+	c := spillController(now, 1, 1, 1)
+	var d Decisions
+	for id := model.RequestID(1); id <= 2; id++ {
+		require.Equal(t, model.CauseNone, offerSpill(c, now, id, false, model.Urgent))
+		c.Next(now, &d)
+	}
+	require.Equal(t, model.CauseQueueFull, offerSpill(c, now, 3, true, model.Urgent))
+	require.Zero(t, c.byName["orders"].ramp.admitted)
+}
+
+// TestCapRefusesLeastUrgentSpillFirst keeps what frees for the rank that the cap
+// refused.
+func TestCapRefusesLeastUrgentSpillFirst(t *testing.T) {
+	now := model.Instant(time.Hour)
+	c := spillController(now, 9, 0.2, 0)
+	require.Equal(t, model.CauseNone, offerSpill(c, now, 1, true, model.Normal))
+	require.Equal(t, model.CauseShiftCap, offerSpill(c, now, 2, true, model.Urgent))
+	c.Withdraw(now, 1)
+	require.Equal(t, model.CauseShiftCap, offerSpill(c, now, 3, true, model.Normal))
+	require.Equal(t, model.CauseNone, offerSpill(c, now, 4, true, model.Urgent))
+}
--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -204,6 +204,29 @@
 	require.Equal(t, Ejected, state.Condition)
 }
 
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	tracker := New(Settings{})
+	tracker.Configure(epoch, threeSlotServers(3), nil, nil)
+	tracker.Report(at(5), &event.ServerReported{At: at(5), Backend: "permits-1", Healthy: true})
+	tracker.Report(at(6), &event.ServerReported{At: at(4), Backend: "permits-1", Healthy: false})
+	state, _ := tracker.State(at(6), "permits-1")
+	require.Equal(t, Healthy, state.Condition)
+}
+
+// TestReportedSlotsNarrow lets a server report fewer slots than the text gives:
+// at most half of them are lost, and only while the report is fresh.
+func TestReportedSlotsNarrow(t *testing.T) {
+	tracker := New(Settings{})
+	tracker.Configure(epoch, threeSlotServers(1), nil, nil)
+	for reported, limit := range map[int]int{1: 2, 2: 2, 3: 3, 9: 3} {
+		tracker.Report(at(1), &event.ServerReported{At: at(1), Backend: "permits-1", Healthy: true, Slots: reported})
+		require.Equal(t, limit, tracker.Limit(at(1), "permits-1"), "reported %d", reported)
+	}
+	tracker.Report(at(1), &event.ServerReported{At: at(1), Backend: "permits-1", Healthy: true, Slots: 1})
+	tracker.Tick(at(30))
+	require.Equal(t, 3, tracker.Limit(at(30), "permits-1"))
+}
+
 func TestProbesAreSpread(t *testing.T) {
 	tracker := New(Settings{})
 	tracker.Configure(epoch, threeSlotServers(50), nil, nil)
