--- a/internal/admission/arrivals.go
+++ b/internal/admission/arrivals.go
@@ -18,8 +18,8 @@
 	staffing = 2.33
 	// Between these shares of the capacity that ranks ask for, what is reserved
 	// for the more urgent of them grows from nothing to all.
-	lowPressure  = 0.6
-	fullPressure = 0.9
+	lowPressure  = 0.85
+	fullPressure = 1.0
 )
 
 // arrivals measures by rank the work that is offered, as mean concurrency: slot
--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -62,6 +62,15 @@
 	})
 }
 
+func TestModerateLoadIsServed(t *testing.T) {
+	forEachFlood(t, func(t *testing.T, s simulation) {
+		s.load = [model.RankCount]float64{0.25, 0.25, 0.1}
+		for rank, result := range s.run() {
+			require.GreaterOrEqual(t, result.inTimeShare(), 0.999, "%s served in time", model.Rank(rank))
+		}
+	})
+}
+
 func TestFloodOfNormalRank(t *testing.T) {
 	forEachFlood(t, func(t *testing.T, s simulation) {
 		s.load = [model.RankCount]float64{0.25, 10, 0.1}
