--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -139,9 +139,7 @@
 	s.recount(now, &c.policy)
 	s.ramp.configure(c.policy.ShiftCap, s.slots)
 	s.maxQueue = c.policy.QueuePerSlot * s.slots
-	for _, route := range s.routes {
-		route.longest = 0
-	}
+	s.dropUnusedRoutes()
 }
 
 // SetLimit sets how many slots of a server may be in use, 0 to its Slots; at 0
@@ -199,6 +197,18 @@
 	return loads
 }
 
+// InUse returns how many requests run at the server; also while it finishes what
+// it had when it ceased to be owned.
+func (c *Controller) InUse(name model.BackendName) int {
+	if server := c.servers[name]; server != nil {
+		return server.inUse
+	}
+	return 0
+}
+
+// Idle reports whether nothing is queued or running.
+func (c *Controller) Idle() bool { return len(c.requests) == 0 }
+
 func (s *service) load() membership.ServiceLoad {
 	load := membership.ServiceLoad{
 		Service:       s.name,
--- a/internal/health/eject.go
+++ b/internal/health/eject.go
@@ -29,10 +29,8 @@
 			t.eject(now, s, reason)
 			continue
 		}
-		if !s.held {
-			s.held = true
-			t.dirty = true
-		}
+		s.held = true
+		t.dirty = true
 	}
 }
 
@@ -40,15 +38,23 @@
 // share stays within its bound, and one server stays, unless all of them provably
 // refuse connections.
 func (t *Tracker) mayEject(g *group) bool {
-	staying := g.staying()
+	return t.withinEjectShare(g) || t.allRefuse(g)
+}
+
+// withinEjectShare reports whether the bound leaves room for one more ejection.
+func (t *Tracker) withinEjectShare(g *group) bool {
 	out := g.count(func(s *server) bool { return s.drains == 0 && s.out() })
-	if out < boundedShare(t.settings.MaxEjectShare, staying) {
-		return true
+	return out < boundedShare(t.settings.MaxEjectShare, g.staying())
+}
+
+// allRefuse reports whether all servers that stay provably refuse connections.
+func (t *Tracker) allRefuse(g *group) bool {
+	for _, s := range g.servers {
+		if s.drains == 0 && !s.unreachable(t.settings.RefusedConnections) {
+			return false
+		}
 	}
-	unreachable := g.count(func(s *server) bool {
-		return s.drains == 0 && s.unreachable(t.settings.RefusedConnections)
-	})
-	return unreachable == staying
+	return true
 }
 
 // boundedShare is the number of n servers that a share allows: at least one
@@ -67,7 +73,7 @@
 	s.held = false
 	s.trial = false
 	s.level = 0
-	s.failures = 0
+	s.clearFailures()
 	s.window = failureWindow{}
 	t.setCondition(now, s, Ejected, why)
 }
