The whole path as separate processes, and make demo

Cause: ingress, decisions, links, admission and upstream client met for the first time; the entry process joins them.

An answer of up to 64 KiB that is cut goes back to the decisions, so that a read may be served elsewhere; a larger one breaks the caller's connection. Once an owner answers, what is left of a streamed body is dropped on both sides. Ruled out: waiting for the upload first, since owner and ingress could then wait for each other with a full window.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMANDS := $(notdir $(wildcard cmd/*))
 GOFILES  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build test lint fmt tools generate clean
+.PHONY: all build demo test lint fmt tools generate clean
 
 all: build
 
@@ -12,6 +12,9 @@
 	@mkdir -p $(BIN)
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+demo: build ## the Kaderwerk example as processes on loopback, with a few seconds of load
+	@scripts/demo.sh
+
 test: ## the short, deterministic tests; passes over KNOWN-RED.txt only
 	./.ci/test
 
@@ -21,7 +24,7 @@
 	$(TOOLS)/staticcheck ./...
 
 fmt: tools ## formats every file
-	$(TOOLS)/gofumpt -w $(GOFILES)
+	@$(TOOLS)/gofumpt -w $(GOFILES)
 
 tools: $(TOOLS)/gofumpt $(TOOLS)/staticcheck
 
--- a/cmd/primrosenotch/platform.go
+++ b/cmd/primrosenotch/platform.go
@@ -1,12 +1,8 @@
 package main
 
-import (
-	"errors"
-
-	"github.com/primrosenotch/primrosenotch/internal/platform"
-)
+import "github.com/primrosenotch/primrosenotch/internal/platform"
 
 // openTable returns the platform's table service at host:port.
-func openTable(string) (platform.Table, error) {
-	return nil, errors.New("this build has no client for the platform")
+func openTable(address string) (platform.Table, error) {
+	return platform.NewClient(platform.DefaultSettings(address)).Table(), nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,7 +82,10 @@
 	group.Go(func() error {
 		return i.control.Listener(l.control, fiber.ListenConfig{DisableStartupMessage: true})
 	})
-	stop := context.AfterFunc(ctx, i.runtime.Shutdown)
+	stop := context.AfterFunc(ctx, func() {
+		i.callers.StartDraining()
+		i.runtime.Shutdown()
+	})
 	defer stop()
 	i.runtime.Run()
 	return i.close(cancel, &group)
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -104,7 +104,9 @@
 func newIngress(i do.Injector) (*ingress.Server, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	r := do.MustInvoke[*runtime.Runtime](i)
-	return ingress.New(ingress.Settings{MaxExchanges: s.Serving.MaxRequests}, r, r), nil
+	server := ingress.New(ingress.Settings{MaxExchanges: s.Serving.MaxRequests}, r)
+	server.SetDirectory(r)
+	return server, nil
 }
 
 func newInstance(i do.Injector) (*instance, error) {
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -76,7 +76,7 @@
 func (s *session) configure(number int64, text string, stops ...config.Stop) {
 	parsed, err := config.Parse("text", []byte(text))
 	require.NoError(s.t, err)
-	revision := &config.Revision{Number: number, Author: "ana", Reason: "test", AcceptedAt: s.now.Time(), Stops: stops}
+	revision := &config.Revision{Number: number, Author: "ana", Reason: "test", AcceptedAt: s.now.Time(), TextAcceptedAt: s.now.Time(), Stops: stops}
 	s.step(&event.ConfigurationLoaded{At: s.now, Revision: revision, Text: parsed})
 }
 
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -1,10 +1,10 @@
 package runtime
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +55,7 @@
 	conn     link.Conn // to the owner, nil between owners
 	gone     bool      // the caller has closed its connection
 	finished atomic.Bool
+	uploads  sync.WaitGroup
 }
 
 // Serve implements ingress.Handler.
@@ -80,6 +81,7 @@
 	stop := context.AfterFunc(ctx, c.callerGone)
 	defer stop()
 	c.run()
+	c.endUpload()
 }
 
 func (r *Runtime) register(c *call) {
@@ -130,7 +132,9 @@
 }
 
 func (c *call) refuse(outcome model.Outcome, cause model.Cause) {
-	c.exchange.Refuse(outcome, cause, retryAfter(cause))
+	if err := c.exchange.Refuse(outcome, cause, retryAfter(cause)); err != nil {
+		c.explain("caller", "refusal not delivered", err.Error())
+	}
 	c.finish(outcome, cause, 0)
 }
 
@@ -177,14 +181,13 @@
 		switch body := f.GetBody().(type) {
 		case *linkpb.Frame_Accept:
 			timer.Stop() // a streamed body has progress time-outs instead
-			go c.sendBody(conn)
+			c.uploads.Go(func() { c.sendBody(conn) })
 		case *linkpb.Frame_Refuse:
 			c.ownerRefused(owner, body.Refuse)
 			return false
 		case *linkpb.Frame_Answer:
 			timer.Stop()
-			c.respond(conn, body.Answer)
-			return true
+			return c.respond(owner, conn, body.Answer)
 		default:
 			c.ownerLost(owner, true, fmt.Errorf("unexpected frame %T from %s", body, owner))
 			return false
@@ -339,29 +342,73 @@
 	for _, h := range c.stored.Headers {
 		header = append(header, httpheader.Field{Name: h.Name, Value: string(h.Value)})
 	}
-	c.answer(c.stored.Status, header, int64(len(c.stored.Body)), newMemoryBody(c.stored.Body))
+	err := c.exchange.Respond(&ingress.Answer{
+		Status:    c.stored.Status,
+		Header:    header,
+		Outcome:   c.servedOutcome(),
+		BodyBytes: int64(len(c.stored.Body)),
+		Body:      bytes.NewReader(c.stored.Body),
+		Done:      c.answered(c.servedOutcome()),
+	})
+	if err != nil {
+		c.refuse(model.Unknown, model.CauseAnswerIncomplete)
+	}
 }
 
-// respond passes the owner's answer on to the caller while it arrives.
-func (c *call) respond(conn link.Conn, a *linkpb.Answer) {
-	c.keep()
-	header := fromFrameHeaders(a.GetHeaders())
-	header = header.With(httpheader.Backend, a.GetBackend())
+// respond passes the owner's answer on to the caller while it arrives. It
+// reports false where the answer was cut before the caller got any of it.
+func (c *call) respond(owner model.InstanceID, conn link.Conn, a *linkpb.Answer) bool {
+	c.endUpload()
+	outcome := c.servedOutcome()
 	body := &answerBody{reader: link.NewBody(conn.Receive, "answer"), conn: conn}
-	c.answer(int(a.GetStatus()), header, a.GetBodyBytes(), body)
+	c.keep()
+	err := c.exchange.Respond(&ingress.Answer{
+		Status:    int(a.GetStatus()),
+		Header:    fromFrameHeaders(a.GetHeaders()),
+		Outcome:   outcome,
+		Backend:   model.BackendName(a.GetBackend()),
+		BodyBytes: a.GetBodyBytes(),
+		Body:      body,
+		Done:      c.answered(outcome),
+	})
+	if err == nil {
+		return true
+	}
+	_ = conn.Close()
+	c.ownerLost(owner, true, err)
+	return false
 }
 
-// answer hands an answer to the ingress; the request ends when its body is
-// closed.
-func (c *call) answer(status int, header httpheader.List, bodyBytes int64, body io.ReadCloser) {
-	outcome := model.Served
+func (c *call) servedOutcome() model.Outcome {
 	if c.timeLeft() < 0 {
-		outcome = model.Late
+		return model.Late
 	}
-	header = header.With(httpheader.Outcome, outcome.String())
-	tracked := &trackedBody{body: body, call: c, outcome: outcome}
-	if err := c.exchange.Respond(status, header, bodyBytes, tracked); err != nil {
-		c.explain("caller", "answer not delivered", err.Error())
-		_ = tracked.Close()
+	return model.Served
+}
+
+// answered returns what to do once the ingress has passed an answer on.
+func (c *call) answered(outcome model.Outcome) func(sent int64, err error) {
+	return func(sent int64, err error) {
+		var cut *link.CutError
+		switch {
+		case err == nil:
+			c.runtime.lengths.observe(c.meta.Route, sent)
+			c.finish(outcome, model.CauseNone, sent)
+		case errors.As(err, &cut):
+			c.explain("answer", "cut", err.Error())
+			c.finish(model.Unknown, model.CauseAnswerIncomplete, sent)
+		default:
+			c.finish(model.Unknown, model.CauseCallerGone, sent)
+		}
+	}
+}
+
+// endUpload stops passing the request's body on and waits until nothing reads
+// it: the owner has answered, and the body ends with Serve.
+func (c *call) endUpload() {
+	if c.body == nil {
+		return
 	}
+	c.body.stop()
+	c.uploads.Wait()
 }
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -73,7 +73,9 @@
 // refuseUnrouted refuses a request that belongs to no service.
 func (r *Runtime) refuseUnrouted(x *ingress.Exchange, cause model.Cause) {
 	r.metrics.requests.WithLabelValues("", "", model.NotRun.String(), string(cause)).Inc()
-	x.Refuse(model.NotRun, cause, retryAfter(cause))
+	if err := x.Refuse(model.NotRun, cause, retryAfter(cause)); err != nil {
+		r.log.WithError(err).Debug("refusal not delivered")
+	}
 }
 
 // loadCollector reports the load of the owned servers when metrics are read.
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -92,8 +92,8 @@
 		if err != nil {
 			break
 		}
-		if o.body == nil || !o.body.deliver(f, done) {
-			continue
+		if o.body != nil {
+			o.body.deliver(f, done)
 		}
 	}
 	if o.body != nil {
@@ -223,6 +223,9 @@
 // pass sends the backend server's answer to the ingress while it arrives.
 func (o *offer) pass(backend model.BackendName, a *upstream.Answer) {
 	defer func() { _ = a.Body.Close() }()
+	if o.body != nil {
+		o.body.abort() // the server has answered; what is left of the body is dropped
+	}
 	head := &linkpb.Answer{
 		Status:    uint32(a.Status),
 		Headers:   toFrameHeaders(a.Header),
@@ -293,7 +296,8 @@
 	frames  chan *linkpb.Frame
 	reader  io.Reader
 	started sync.Once
-	aborted chan struct{}
+	ended   sync.Once
+	aborted chan struct{} // closed once no more of the body comes or is wanted
 	mu      sync.Mutex
 	asked   bool
 }
@@ -339,16 +343,16 @@
 	}
 }
 
-// deliver hands a frame to the reader; it waits while the reader is slow.
-func (b *offeredBody) deliver(f *linkpb.Frame, done <-chan struct{}) bool {
+// deliver hands a frame to the reader; it waits while the reader is slow, and
+// drops the frame once nobody reads any more.
+func (b *offeredBody) deliver(f *linkpb.Frame, done <-chan struct{}) {
 	select {
 	case b.frames <- f:
-		return true
+	case <-b.aborted:
 	case <-done:
-		return false
 	}
 }
 
-func (b *offeredBody) abort() { close(b.aborted) }
+func (b *offeredBody) abort() { b.ended.Do(func() { close(b.aborted) }) }
 
 var errNotStored = errors.New("answer is too large to store")
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -103,3 +103,14 @@
 	FLEET_PIDS=()
 	return "$failed"
 }
+
+# wait_ready waits until every entry instance is ready with the configuration.
+wait_ready() {
+	local c
+	for c in "${CONTROLS[@]}"; do
+		for _ in $(seq 200); do
+			curl -sf -m 1 "http://$c/v1/status" 2>/dev/null | grep -q '"state":"ready"' && break
+			sleep 0.05
+		done
+	done
+}
