Admission: a rank below its floor keeps a small credit for bursts

A rank lost all credit when its queue ran empty, so a burst of a rank well below its floor had to earn each start during a flood.

--- a/internal/admission/flood_test.go
+++ b/internal/admission/flood_test.go
@@ -62,6 +62,17 @@
 	})
 }
 
+// TestWorkBelowItsFloorSurvivesFlood offers less than their floors in the two
+// less urgent ranks while the most urgent one floods.
+func TestWorkBelowItsFloorSurvivesFlood(t *testing.T) {
+	forEachFlood(t, func(t *testing.T, s simulation) {
+		s.load = [model.RankCount]float64{10, 0.15, 0.1}
+		flooded := s.run()
+		require.GreaterOrEqual(t, flooded[model.Normal].inTimeShare(), 0.97, "normal served in time")
+		require.GreaterOrEqual(t, flooded[model.Background].inTimeShare(), 0.95, "background served in time")
+	})
+}
+
 func TestModerateLoadIsServed(t *testing.T) {
 	forEachFlood(t, func(t *testing.T, s simulation) {
 		s.load = [model.RankCount]float64{0.25, 0.25, 0.1}
--- a/internal/admission/floors.go
+++ b/internal/admission/floors.go
@@ -9,6 +9,9 @@
 const (
 	// creditRuns bounds a credit or debt: slot time of so many mean runs.
 	creditRuns = 8
+	// idleCreditRuns bounds the credit that a rank without a backlog keeps, so that
+	// a burst of a rank that stays below its floor need not wait to earn it.
+	idleCreditRuns = 4
 	// traceShare is the share of the capacity below which a rank's recent demand
 	// does not count as competition.
 	traceShare = 0.01
@@ -35,7 +38,7 @@
 	for rank := range c.balance {
 		balance := c.balance[rank] + s.floors[rank]*float64(s.capacity)*elapsed
 		if s.queues[rank].count() == 0 {
-			balance = min(balance, 0)
+			balance = min(balance, idleCreditRuns*s.meanRun())
 		}
 		c.balance[rank] = min(max(balance, -bound), bound)
 	}
