--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,6 +32,7 @@
 	queue    deliveries
 	seq      int
 	cut      func(a, b *node) bool // no new links
+	log      strings.Builder       // every note
 }
 
 type node struct {
@@ -109,6 +111,10 @@
 
 func (c *cluster) do(n *node, out Output) {
 	n.notes = append(n.notes, out.Notes...)
+	for _, note := range out.Notes {
+		at := c.now.Sub(testStart).Round(time.Millisecond)
+		fmt.Fprintf(&c.log, "%7v %s: %s %s (%s)\n", at, n.id, note.Subject, note.What, note.Why)
+	}
 	if out.FetchFrom != "" {
 		n.fetchFrom = out.FetchFrom
 	}
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -28,12 +28,14 @@
 }
 
 // silentTooLong reports whether a monitored peer has missed its heartbeats.
-func (g *Group) silentTooLong(m *member) bool {
+func (g *Group) silentTooLong(m *member) bool { return g.silence(m) >= g.silenceLimit(m) }
+
+// silence is the time since a monitored peer was heard, 0 for others.
+func (g *Group) silence(m *member) time.Duration {
 	if m.monitoredAt == 0 {
-		return false
+		return 0
 	}
-	since := max(m.heardAt, m.monitoredAt)
-	return g.now.Sub(since) >= g.silenceLimit(m)
+	return g.now.Sub(max(m.heardAt, m.monitoredAt))
 }
 
 func (g *Group) silenceLimit(m *member) time.Duration {
@@ -73,7 +75,7 @@
 // delayNextAccusation makes a peer that is alive by other instances' word, but
 // silent on its direct link, be suspected ever more rarely.
 func (g *Group) delayNextAccusation(m *member) {
-	if m.monitoredAt == 0 || !g.silentTooLong(m) {
+	if !g.silentTooLong(m) {
 		return
 	}
 	m.accuseDelay = min(max(2*m.accuseDelay, g.settings.SuspectAfter), maxAccuseDelay)
--- a/internal/membership/group_test.go
+++ b/internal/membership/group_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
 
 // requireOneOwner checks that all running instances agree on every owner and
@@ -204,3 +205,67 @@
 		require.False(t, ok)
 	}
 }
+
+func TestSilentLinkIsReplaced(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	a, b := c.byID["i0"], c.byID["i6"]
+	c.silence(func(x, y *node) bool { return (x == a && y == b) || (x == b && y == a) })
+	for range 60 {
+		c.run(tickEvery)
+		requireOneOwner(t, c, everyone)
+	}
+	require.True(t, a.links[b.id])
+	require.False(t, a.mute[b.id])
+	require.NotContains(t, c.log.String(), "declared dead")
+}
+
+func TestListedInstancesAreContacted(t *testing.T) {
+	c := newCluster(testText(2, 4), Settings{})
+	a := c.add("a", zoneName(0))
+	b := c.add("b", zoneName(1))
+	list := []platform.ListedInstance{
+		{ID: "a", Zone: a.zone, Link: "addr-a"},
+		{ID: "b", Zone: b.zone, Link: "addr-b"},
+		{Backend: "r00-a-web-000"},
+	}
+	c.do(a, a.group.Listed(c.now, list))
+	c.run(4 * time.Second)
+	requireOneOwner(t, c, everyone)
+
+	list[1].Leaving = true
+	c.do(a, a.group.Listed(c.now, list))
+	require.Len(t, a.group.Entries(nil), 1, "the list has b as leaving")
+	c.do(b, b.group.Listed(c.now, list))
+	require.Equal(t, Leaving, b.group.Self().State)
+	c.run(time.Second)
+	requireOneOwner(t, c, everyone)
+}
+
+func TestNewerProcessSupersedesOlder(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	old := c.byID["i0"]
+	twin := Record{ID: "i0", Zone: old.zone, State: Ready, Incarnation: old.incarnation + 1, Sequence: 1}
+	c.do(old, old.group.Receive(c.now, "i6", &Message{From: "i6", Incarnation: uint64(testStart), Records: []Record{twin}}))
+	require.Empty(t, old.group.Owned())
+	require.Equal(t, Leaving, old.group.Self().State)
+}
+
+func TestDeadAndLeftAreForgotten(t *testing.T) {
+	c := newCluster(testText(1, 4), Settings{RetainDead: 10 * time.Second})
+	a := c.add("a", zoneName(0))
+	b := c.add("b", zoneName(0), a)
+	d := c.add("d", zoneName(0), a)
+	c.run(4 * time.Second)
+	c.kill(b)
+	c.do(d, d.group.SetState(c.now, Left))
+	c.run(time.Second)
+	c.kill(d)
+	c.run(5 * time.Second)
+	require.Equal(t, []Health{HealthDead, HealthLeft}, []Health{a.group.Peers()[0].Health, a.group.Peers()[1].Health})
+	c.run(10 * time.Second)
+	require.Empty(t, a.group.Peers())
+	require.Empty(t, a.opened)
+	requireOneOwner(t, c, everyone)
+}
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -94,12 +94,13 @@
 
 // replaceSilentLinks gives up links that work by their own account but carry
 // nothing, and asks for new ones: something between the two ends may have lost
-// track of the connection.
+// track of the connection. It waits longer than a suspicion takes, since requests
+// in flight on the link are lost with it.
 func (g *Group) replaceSilentLinks() {
 	for _, l := range g.linkOrder {
 		m, ok := g.members[l.peer]
 		addr, open := g.opened[l.peer]
-		if !ok || !open || !l.up || g.now < l.redialAt || !g.silentTooLong(m) {
+		if !ok || !open || !l.up || g.now < l.redialAt || g.silence(m) < g.settings.ReplaceAfter {
 			continue
 		}
 		l.up = false
--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// takeOverBound is the longest time from a death or the start of a pause until
+// others own what the instance owned and look-ups leave it out.
+const takeOverBound = 3 * time.Second
+
+func requireTakenOver(t require.TestingT, c *cluster, gone *node, away time.Duration) {
+	if away < takeOverBound-tickEvery {
+		return
+	}
+	requireOneOwner(t, c, func(n *node) bool { return n != gone })
+	for _, n := range c.nodes {
+		if n == gone {
+			continue
+		}
+		for _, entry := range n.group.Entries(nil) {
+			require.NotEqual(t, gone.id, entry.Instance, "look-ups at %s", n.id)
+		}
+	}
+}
+
 // TestKillsAndPausesNeverShareOwnership checks, at every tick, that no two
 // running instances use the same backend server while links are whole.
 func TestKillsAndPausesNeverShareOwnership(t *testing.T) {
@@ -131,10 +150,12 @@
 		if rapid.Bool().Draw(t, "kill") {
 			c.kill(n)
 			requireNoDoubleOwner(t, c, away)
+			requireTakenOver(t, c, n, away)
 			c.start(n, drawNode(t, c))
 		} else {
 			n.paused = true
 			requireNoDoubleOwner(t, c, away)
+			requireTakenOver(t, c, n, away)
 			c.resume(n)
 		}
 		requireNoDoubleOwner(t, c, 8*time.Second)
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -23,6 +23,7 @@
 	ZoneEvery       time.Duration // period of a zone's summary
 	ZoneLoadEvery   time.Duration // least time between two changes of the loads in a zone's summary
 	ZoneSilence     time.Duration // age of a zone's summary that, with a death there, cuts the zone off
+	ReplaceAfter    time.Duration // silence after which a link that seems up is replaced
 	RedialEvery     time.Duration // least time between two replacements of a silent link
 	FetchEvery      time.Duration // least time between two requests for the same revision
 
@@ -75,6 +76,7 @@
 		ZoneEvery:       time.Second,
 		ZoneLoadEvery:   2 * time.Second,
 		ZoneSilence:     4 * time.Second,
+		ReplaceAfter:    3 * time.Second,
 		RedialEvery:     2 * time.Second,
 		FetchEvery:      300 * time.Millisecond,
 		RingDegree:      6,
@@ -99,6 +101,7 @@
 	s.ZoneEvery = cmp.Or(s.ZoneEvery, d.ZoneEvery)
 	s.ZoneLoadEvery = cmp.Or(s.ZoneLoadEvery, d.ZoneLoadEvery)
 	s.ZoneSilence = cmp.Or(s.ZoneSilence, d.ZoneSilence)
+	s.ReplaceAfter = cmp.Or(s.ReplaceAfter, d.ReplaceAfter)
 	s.RedialEvery = cmp.Or(s.RedialEvery, d.RedialEvery)
 	s.FetchEvery = cmp.Or(s.FetchEvery, d.FetchEvery)
 	s.RingDegree = cmp.Or(s.RingDegree, d.RingDegree)
