--- a/internal/steering/choose_test.go
+++ b/internal/steering/choose_test.go
@@ -170,7 +170,7 @@
 	text := testText()
 	p, v := newTestPlanner(text), testView(text)
 	v.set("web", "east-a", load(10, 2, 0), load(10, 3, 0))
-	benchmarkChoose(b, p, v, "web")
+	benchmarkChooseAt(b, testNow, p, v)
 }
 
 func BenchmarkChooseSpill(b *testing.B) {
@@ -178,14 +178,12 @@
 	p, v := newTestPlanner(text), testView(text)
 	v.lose("east-a")
 	v.set("web", "east-b", load(10, 2, 5))
-	benchmarkChoose(b, p, v, "web")
+	benchmarkChooseAt(b, testNow, p, v)
 }
 
-func benchmarkChoose(b *testing.B, p *Planner, v View, service model.ServiceName) {
+func benchmarkChooseAt(b *testing.B, now model.Instant, p *Planner, v View) {
 	m := testRequest(model.Normal)
-	m.Service = service
-	m.Deadline = testNow.Add(time.Hour)
-	now := testNow
+	m.Deadline = now.Add(time.Hour)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
