Replace attempts that are silent for too long, within the retry budget

Cause: a pooled connection that something between the two ends has lost track of stays silent; a read on it waited for the 5 s progress time-out, longer than its deadline.

An attempt of a repeatable request without an answer after 8 mean run times (at least 100 ms, at most half of what is left) is cancelled for another on a new connection, and the server's older pooled connections are closed. Ruled out: a short time-out for every attempt, which fails requests for which the retry budget has nothing left; two attempts side by side, which doubles slots in use.

A cancelled attempt now always ends in a command to its offer, so the witness of the property test counts it as an attempt that may have run rather than as the end; that is stricter, since the end must still come.

With the check for repeatable kinds taken out TestSessions/slow-attempt fails; TestEveryRequestEndsOnce did not find it in 100 runs. Not measured yet: silent connections with real processes.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -186,6 +186,16 @@
 	}
 }
 
+// MeanRun returns the recent mean time that a request of a service holds a slot,
+// 0 where none has run yet.
+func (c *Controller) MeanRun(name model.ServiceName) time.Duration {
+	s := c.byName[name]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.runs.mean)
+}
+
 // Loads summarizes the services with owned servers, sorted by name.
 func (c *Controller) Loads(now model.Instant) []membership.ServiceLoad {
 	loads := make([]membership.ServiceLoad, 0, len(c.services))
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -42,6 +44,9 @@
 	Backend model.BackendName
 	// FreshConnection forbids a pooled connection.
 	FreshConnection bool
+	// Patience is how long the runtime waits for the answer to begin before it
+	// reports AttemptSlow; 0 for never.
+	Patience time.Duration
 }
 
 // Replay answers a repeated once request with the answer that the ledger
@@ -57,7 +62,8 @@
 	Release bool
 }
 
-// CancelAttempt closes the connection of a running attempt.
+// CancelAttempt closes the connection of a running attempt, which then ends as
+// AttemptCancelled unless it has ended already.
 type CancelAttempt struct{ Request model.RequestID }
 
 // Probe asks a backend server for its health and load.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -152,6 +152,15 @@
 	BodyUsed bool
 }
 
+// AttemptSlow reports that an attempt has had no answer for as long as its
+// Dispatch allowed. The attempt goes on unless it is cancelled.
+type AttemptSlow struct {
+	At       model.Instant
+	Request  model.RequestID
+	Backend  model.BackendName
+	BodyUsed bool
+}
+
 // ServerReported is a backend server's own word on its health and load.
 type ServerReported struct {
 	At       model.Instant
@@ -205,6 +214,7 @@
 func (*OfferWithdrawn) event()      {}
 func (*ClaimResolved) event()       {}
 func (*AttemptFinished) event()     {}
+func (*AttemptSlow) event()         {}
 func (*ServerReported) event()      {}
 func (*PlatformListed) event()      {}
 func (*LinkUp) event()              {}
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -2,20 +2,33 @@
 
 import (
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 func (r *Reducer) attemptFinished(ev *event.AttemptFinished) {
-	r.health.Outcome(ev.At, ev.Backend, ev.Result, ev.Draining)
 	o := r.offers[ev.Request]
 	if o == nil || !o.running {
 		return
 	}
 	o.running = false
+	result := ev.Result
+	if result == event.AttemptCancelled && o.replaced {
+		result = event.AttemptTimeout
+	}
+	r.health.Attempted(ev.At, health.Attempt{
+		Backend:  ev.Backend,
+		Result:   result,
+		Started:  o.started,
+		Draining: ev.Draining,
+	})
 	r.noteSuspicion(ev, o)
+	r.condemn(ev)
 	switch ev.Result {
-	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut, event.AttemptCancelled:
+	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut:
 		r.endOffer(ev, o)
+	case event.AttemptCancelled:
+		r.cancelled(ev, o)
 	case event.AttemptShed, event.AttemptNotSent:
 		r.notRun(ev, o)
 	default:
@@ -37,6 +50,49 @@
 	}
 }
 
+// condemn closes the pooled connections of a server when one of them went silent
+// or was found dead: what lost track of it may have lost the others too.
+func (r *Reducer) condemn(ev *event.AttemptFinished) {
+	if ev.Result == event.AttemptTimeout || ev.Result == event.AttemptStaleBroken {
+		r.out.add(&event.CondemnConnections{Backend: ev.Backend})
+	}
+}
+
+// attemptSlow gives an attempt up for another one on a new connection, within
+// the retry budget: the connection may have gone silent.
+func (r *Reducer) attemptSlow(ev *event.AttemptSlow) {
+	o := r.offers[ev.Request]
+	if o == nil || !o.running || o.replaced || o.withdrawn {
+		return
+	}
+	if !o.meta.Kind.Repeatable() || o.attempts >= maxAttempts {
+		return
+	}
+	if ev.BodyUsed && !o.meta.Replayable {
+		return
+	}
+	if !r.retries.Allow(ev.At, o.meta.Service) {
+		return
+	}
+	o.replaced = true
+	r.out.add(&event.CondemnConnections{Backend: ev.Backend})
+	r.out.add(&event.CancelAttempt{Request: ev.Request})
+}
+
+// cancelled handles the end of an attempt that this instance cancelled.
+func (r *Reducer) cancelled(ev *event.AttemptFinished, o *offer) {
+	o.uncertain = true
+	if !o.replaced || o.withdrawn {
+		r.giveUp(ev, o, model.CauseCallerGone)
+		return
+	}
+	o.replaced = false
+	o.slot = false
+	if refused := r.admission.Requeue(ev.At, ev.Request, ""); refused != model.CauseNone {
+		r.refuseOffer(ev.Request, o, model.CauseTimeout)
+	}
+}
+
 func (r *Reducer) endOffer(ev *event.AttemptFinished, o *offer) {
 	learn := ev.Result == event.AttemptComplete
 	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), learn)
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/admission"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -26,6 +28,8 @@
 	// uncertain reports that an attempt may have run the request.
 	uncertain bool
 	withdrawn bool
+	// replaced reports that the attempt is cancelled for another one.
+	replaced bool
 }
 
 func (r *Reducer) newOffer() *offer {
@@ -124,10 +128,31 @@
 	r.out.addDispatch(event.Dispatch{
 		Request:         id,
 		Backend:         o.backend,
-		FreshConnection: o.meta.Kind == model.Once,
+		FreshConnection: o.meta.Kind == model.Once || o.attempts > 1,
+		Patience:        r.patience(o),
 	})
 }
 
+const (
+	// patienceRuns is how many mean run times an answer may take to begin. Of
+	// exponential run times one in 3000 takes longer.
+	patienceRuns = 8
+	// minPatience keeps short run times from making the noise of the network look
+	// like silence.
+	minPatience = 100 * time.Millisecond
+)
+
+// patience is how long an attempt may be silent before another is considered:
+// at most half of what is left, so that there is time for it. Work that must not
+// be repeated is never tried twice.
+func (r *Reducer) patience(o *offer) time.Duration {
+	if !o.meta.Kind.Repeatable() {
+		return 0
+	}
+	expected := max(minPatience, patienceRuns*r.admission.MeanRun(o.meta.Service))
+	return min(expected, o.meta.Deadline.Sub(o.started)/2)
+}
+
 // leaveAdmission gives back an offer's slot or its place in the queue.
 func (r *Reducer) leaveAdmission(now model.Instant, id model.RequestID, o *offer) {
 	if o.slot {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -102,6 +102,8 @@
 		r.offerReceived(ev)
 	case *event.AttemptFinished:
 		r.attemptFinished(ev)
+	case *event.AttemptSlow:
+		r.attemptSlow(ev)
 	case *event.RequestFinished:
 		r.requestFinished(ev)
 	case *event.OwnerRefused:
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -45,6 +45,19 @@
 			s.step(&event.OfferWithdrawn{At: s.now, Request: 30})
 			s.claim(30, event.ClaimGranted)
 		},
+		"slow-attempt": func(s *session) {
+			s.comment("a read without an answer goes to a new connection; the old attempt may have run")
+			s.offer(11, "browse")
+			s.step(&event.AttemptSlow{At: s.now, Request: 11, Backend: "shop-1"})
+			s.attempt(11, "shop-1", event.AttemptCancelled)
+			s.step(&event.AttemptSlow{At: s.now, Request: 11, Backend: "shop-1"})
+			s.comment("the answer comes before the cancellation takes effect")
+			s.attempt(11, "shop-2", event.AttemptComplete)
+			s.comment("once work is never tried twice")
+			s.offer(12, "order")
+			s.claim(12, event.ClaimGranted)
+			s.step(&event.AttemptSlow{At: s.now, Request: 12, Backend: "shop-1"})
+		},
 		"owner-lost": func(s *session) {
 			s.comment("nothing was sent: another owner, or not-run where there is none")
 			s.arrive(1, "order")
@@ -96,7 +109,7 @@
 		w := newWitness(rt)
 		next := model.RequestID(100)
 		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			switch rapid.IntRange(0, 7).Draw(rt, "event") {
 			case 0, 1:
 				next++
 				route := rapid.SampledFrom([]model.RouteName{"browse", "order"}).Draw(rt, "route")
@@ -123,6 +136,10 @@
 					w.see(s.step(&event.OfferWithdrawn{At: s.now, Request: id}))
 				}
 			case 6:
+				if id, backend, ok := w.anyRunning(rt); ok {
+					w.see(s.step(&event.AttemptSlow{At: s.now, Request: id, Backend: backend}))
+				}
+			case 7:
 				s.now = s.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(rt, "ms")) * time.Millisecond)
 				w.see(s.step(&event.Tick{At: s.now}))
 			}
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -155,6 +155,8 @@
 		return fmt.Sprintf("owner %s lost, request %d, offered %t", ev.Owner, ev.Request, ev.Offered)
 	case *event.AttemptFinished:
 		return fmt.Sprintf("attempt of %d at %s: %s", ev.Request, ev.Backend, attemptNames[ev.Result])
+	case *event.AttemptSlow:
+		return fmt.Sprintf("attempt of %d at %s is slow", ev.Request, ev.Backend)
 	case *event.ClaimResolved:
 		return fmt.Sprintf("claim of %d: %s", ev.Request, claimNames[ev.Result])
 	case *event.ClaimSettled:
@@ -187,7 +189,7 @@
 	case *event.Refuse:
 		return fmt.Sprintf("refuse %d: %s %s", f.Request, f.Outcome, f.Cause)
 	case *event.Dispatch:
-		return fmt.Sprintf("dispatch %d to %s, fresh connection %t", f.Request, f.Backend, f.FreshConnection)
+		return fmt.Sprintf("dispatch %d to %s, fresh connection %t, patience %s", f.Request, f.Backend, f.FreshConnection, f.Patience)
 	case *event.RefuseOffer:
 		return fmt.Sprintf("refuse offer %d: %s %s, release %t", f.Request, f.Outcome, f.Cause, f.Release)
 	case *event.Claim:
@@ -200,6 +202,8 @@
 		return fmt.Sprintf("cancel attempt of %d", f.Request)
 	case *event.Record:
 		return fmt.Sprintf("record %s: %s (%s)", f.Entry.Subject, f.Entry.What, f.Entry.Why)
+	case *event.CondemnConnections:
+		return fmt.Sprintf("condemn connections of %s", f.Backend)
 	case *event.Probe:
 		return fmt.Sprintf("probe %s", f.Backend)
 	default:
--- a/internal/reducer/witness_test.go
+++ b/internal/reducer/witness_test.go
@@ -93,7 +93,7 @@
 	delete(w.running, id)
 	switch result {
 	case event.AttemptShed, event.AttemptNotSent:
-	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut, event.AttemptCancelled:
+	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut:
 		w.end(id)
 	default:
 		w.uncertain[id] = true
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -27,12 +27,13 @@
 
 // offerCommand is an effect for the goroutine that serves an offer.
 type offerCommand struct {
-	op      offerOp
-	backend model.BackendName
-	fresh   bool
-	outcome model.Outcome
-	cause   model.Cause
-	release bool
+	op       offerOp
+	backend  model.BackendName
+	fresh    bool
+	patience time.Duration
+	outcome  model.Outcome
+	cause    model.Cause
+	release  bool
 }
 
 // offer is a request at the owner of its backend server, served by one
@@ -174,18 +175,49 @@
 	o.setCancel(cancel)
 	a := o.upstreamAttempt(cmd)
 	a.Address = backend.Address
+	stop := o.watchSlow(cmd)
 	answer, err := r.upstream.Send(ctx, a)
+	stop()
 	if err != nil {
 		o.explain(string(cmd.backend), "attempt failed", err.Error())
 		o.attemptFinished(cmd.backend, err.Result, err)
-		return err.Result == event.AttemptCancelled
+		return false
 	}
 	o.explain(string(cmd.backend), "answered", "")
 	o.pass(cmd.backend, answer)
 	return true
 }
 
+// answerTimeout bounds the wait for an answer. Work that must run at most once
+// gets longer than its deadline, since its result is worth having late.
+func (o *offer) answerTimeout(left time.Duration) time.Duration {
+	if o.meta.Kind == model.Once {
+		return max(left, upstream.DefaultProgressTimeout) + lateGrace
+	}
+	return max(left, 0) + lateGrace
+}
+
+// watchSlow reports an attempt that has no answer after the given patience. The
+// returned function ends the watch.
+func (o *offer) watchSlow(cmd offerCommand) func() {
+	if cmd.patience <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(cmd.patience, func() {
+		o.runtime.post(&event.AttemptSlow{
+			At:       o.runtime.clock.now(),
+			Request:  o.id,
+			Backend:  cmd.backend,
+			BodyUsed: o.bodyUsed(),
+		})
+	})
+	return func() { timer.Stop() }
+}
+
+func (o *offer) bodyUsed() bool { return o.body != nil && o.body.used() }
+
 func (o *offer) upstreamAttempt(cmd offerCommand) *upstream.Attempt {
+	left := o.meta.Deadline.Sub(o.runtime.clock.now())
 	a := &upstream.Attempt{
 		Backend:         cmd.backend,
 		Method:          o.frame.GetMethod(),
@@ -194,7 +226,8 @@
 		Body:            o.frame.GetBody(),
 		Trace:           o.meta.Trace,
 		IdempotencyKey:  o.meta.IdempotencyKey,
-		DeadlineLeft:    max(o.meta.Deadline.Sub(o.runtime.clock.now()), time.Millisecond),
+		DeadlineLeft:    max(left, time.Millisecond),
+		AnswerTimeout:   o.answerTimeout(left),
 		FreshConnection: cmd.fresh,
 	}
 	if o.body != nil {
@@ -210,7 +243,7 @@
 		Request:  o.id,
 		Backend:  backend,
 		Result:   result,
-		BodyUsed: o.body != nil && o.body.used(),
+		BodyUsed: o.bodyUsed(),
 	}
 	if err != nil {
 		ev.RetryAfter = err.RetryAfter
