--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,7 +3,8 @@
 # platform stand-in, every backend server of the text, and entry instances in
 # each of its zones. To be sourced; see scripts/demo.sh.
 #
-#   fleet_start TEXT RUNDIR BASEPORT INSTANCES   starts everything, applies TEXT
+#   fleet_start TEXT RUNDIR BASEPORT INSTANCES   starts everything, applies TEXT;
+#       BASEPORT + 400 must stay below the system's ephemeral ports (32768 here)
 #   fleet_stop                                   ends everything gracefully
 #
 # Sets PLATFORM, CONTROLS and CALLERS (arrays of HOST:PORT) and ENTRY_PIDS.
@@ -64,6 +65,17 @@
 	ENTRY_NAMES[i]=$name
 }
 
+# start_servers TEXT starts one process that hosts every backend server.
+start_servers() {
+	local servers=() s
+	while read -r s; do
+		servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}")
+	done < <(text_servers "$1")
+	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
+	BACKENDS_PID=$!
+	FLEET_PIDS+=("$BACKENDS_PID")
+}
+
 fleet_start() {
 	local text=$1 i
 	FLEET_DIR=$2
@@ -75,11 +87,7 @@
 	"$FLEET_BIN/primrosenotch-standin" platform --listen "$PLATFORM" >"$FLEET_DIR/platform.log" 2>&1 &
 	FLEET_PIDS+=($!)
 	PLATFORM_PID=$!
-	local servers=()
-	while read -r s; do servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}"); done < <(text_servers "$text")
-	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
-	FLEET_PIDS+=($!)
-	BACKENDS_PID=$!
+	[ -n "${FLEET_NO_SERVERS:-}" ] || start_servers "$text"
 	wait_port "$base"
 	"$FLEET_BIN/primrosenotch" apply "$text" --platform "$PLATFORM" -m "fleet start" >"$FLEET_DIR/apply.log"
 	for ((i = 0; i < count; i++)); do
