--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -278,7 +278,7 @@
 			continue
 		}
 		c.now = max(c.now, d.at)
-		d.to.received += proto.Size(ToProto(c.now, d.message))
+		d.to.received += wireOverhead + proto.Size(ToProto(c.now, d.message))
 		if d.to.running {
 			c.do(d.to, d.to.group.Receive(c.now, d.from.id, d.message))
 		}
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -134,17 +134,21 @@
 	}
 }
 
-// heartbeat sends to each peer whose last message is old enough.
+// heartbeat sends to each peer whose last message is old enough; to bridges that
+// only sum loads, less often.
 func (g *Group) heartbeat() {
 	for _, l := range g.linkOrder {
-		due := l.due || g.now.Sub(l.sentAt) >= g.settings.HeartbeatEvery
-		if !l.up || !due {
-			continue
-		}
-		if g.heartbeats[l.peer] {
-			g.send(l, g.takePending(l))
-		} else if g.reports[l.peer] && g.lacksLoads(l) {
-			g.send(l, nil)
+		since := g.now.Sub(l.sentAt)
+		switch {
+		case !l.up:
+		case g.heartbeats[l.peer]:
+			if l.due || since >= g.settings.HeartbeatEvery {
+				g.send(l, g.takePending(l))
+			}
+		case g.reports[l.peer]:
+			if since >= g.settings.ZoneLoadEvery && g.lacksLoads(l) {
+				g.send(l, nil)
+			}
 		}
 	}
 }
--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -15,12 +15,13 @@
 // yamux header, TCP and IP headers.
 const wireOverhead = 2 + 12 + 40
 
-// traffic is what one instance sends in a second, on average and at most.
-type traffic struct{ mean, most, messages float64 }
+// traffic is what one instance sends in a second, on average and at most, and the
+// most that one receives.
+type traffic struct{ mean, most, messages, mostReceived float64 }
 
 func (c *cluster) measure(d time.Duration, during func()) traffic {
 	for _, n := range c.nodes {
-		n.sent, n.sentCount = 0, 0
+		n.sent, n.sentCount, n.received = 0, 0, 0
 	}
 	for end := c.now.Add(d); c.now < end; {
 		during()
@@ -31,6 +32,7 @@
 		bytes := (float64(n.sent) + wireOverhead*float64(n.sentCount)) / d.Seconds()
 		t.mean += bytes / float64(len(c.nodes))
 		t.most = max(t.most, bytes)
+		t.mostReceived = max(t.mostReceived, float64(n.received)/d.Seconds())
 		t.messages += float64(n.sentCount) / d.Seconds() / float64(len(c.nodes))
 	}
 	return t
@@ -110,6 +112,7 @@
 	b.ReportMetric(quiet.messages, "idle-msg/s")
 	b.ReportMetric(loaded.mean, "busy-B/s")
 	b.ReportMetric(loaded.most, "busy-most-B/s")
+	b.ReportMetric(loaded.mostReceived, "busy-received-most-B/s")
 	b.ReportMetric(float64(perInstance.Microseconds()), "idle-µs/s")
 	var stats runtime.MemStats
 	runtime.GC()
