membership: survive a restart with a clock set back; forget instances that lists no longer name

Cause: peers ignore a process with a lower incarnation, and the process itself took the higher one for its successor and left. While starting it now goes above. Ruled out: always going above, since two processes with one identifier would raise each other without end.

--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/samber/lo"
+
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
@@ -76,6 +78,9 @@
 	g.topologyDirty = true
 	for _, seed := range s.Seeds {
 		g.listSeed(seed)
+		if m, ok := g.members[seed.ID]; ok {
+			m.seed = true
+		}
 	}
 	return g
 }
@@ -171,6 +176,7 @@
 func (g *Group) Listed(now model.Instant, list []platform.ListedInstance) Output {
 	g.begin(now)
 	for _, m := range g.order {
+		m.listed = false
 		m.listedLeaving = false
 	}
 	for _, line := range list {
@@ -179,12 +185,22 @@
 		}
 		g.listSeed(Seed{ID: line.ID, Zone: line.Zone, Addr: line.Link})
 		m := g.member(line.ID)
+		m.listed = true
 		m.listedLeaving = line.Leaving
 	}
+	g.forgetUnlisted()
 	g.generation++
 	return g.finish()
 }
 
+// forgetUnlisted drops instances that only earlier lists named.
+func (g *Group) forgetUnlisted() {
+	gone := func(m *member, _ int) bool { return !m.known && !m.listed && !m.seed }
+	for _, m := range lo.Filter(g.order, gone) {
+		g.forget(m)
+	}
+}
+
 // Tick does what depends on time alone. It must be called more often than
 // HeartbeatEvery.
 func (g *Group) Tick(now model.Instant) Output {
--- a/internal/membership/group_test.go
+++ b/internal/membership/group_test.go
@@ -233,6 +233,13 @@
 	c.run(4 * time.Second)
 	requireOneOwner(t, c, everyone)
 
+	list = append(list, platform.ListedInstance{ID: "c", Zone: b.zone, Link: "addr-c"})
+	c.do(a, a.group.Listed(c.now, list))
+	require.Len(t, a.group.Peers(), 2)
+	list = list[:3]
+	c.do(a, a.group.Listed(c.now, list))
+	require.Len(t, a.group.Peers(), 1, "c is not listed any more")
+
 	list[1].Leaving = true
 	c.do(a, a.group.Listed(c.now, list))
 	require.Len(t, a.group.Entries(nil), 1, "the list has b as leaving")
@@ -252,6 +259,20 @@
 	require.Equal(t, Leaving, old.group.Self().State)
 }
 
+func TestRestartWithAClockSetBack(t *testing.T) {
+	c := sevenInstances(Settings{})
+	c.run(5 * time.Second)
+	n := c.byID["i0"]
+	c.kill(n)
+	for _, peer := range c.nodes {
+		peer.group.member("i0").record.Incarnation += uint64(time.Hour)
+	}
+	c.start(n, c.byID["i5"])
+	requireNoDoubleOwner(t, c, 6*time.Second)
+	requireOneOwner(t, c, everyone)
+	require.Contains(t, c.log.String(), "raised its incarnation")
+}
+
 func TestDeadAndLeftAreForgotten(t *testing.T) {
 	c := newCluster(testText(1, 4), Settings{RetainDead: 10 * time.Second})
 	a := c.add("a", zoneName(0))
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -38,6 +38,8 @@
 	record Record // State is the last one announced by the instance itself
 	hash   uint64 // of the identifier
 	known  bool   // false where only a list or a seed names it
+	seed   bool   // named by the settings
+	listed bool   // named by the platform's last list
 	// listedLeaving reports that the platform's list has it as leaving.
 	listedLeaving bool
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math"
+
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -113,8 +115,7 @@
 	self := &g.self.record
 	switch {
 	case r.Incarnation > self.Incarnation:
-		g.superseded = true
-		g.ownership.dirty = true
+		g.meetNewer(r)
 	case r.Incarnation < self.Incarnation || r.Sequence < self.Sequence:
 		l.pending = append(l.pending, g.self)
 	case r.State == Suspected:
@@ -124,6 +125,21 @@
 	}
 }
 
+// meetNewer handles a record of this identifier with a higher incarnation. A
+// process that is just starting takes it for its predecessor's, from before the
+// clock was set back, and goes above it; any other leaves to the newer process.
+func (g *Group) meetNewer(r *Record) {
+	if g.hold.reason == holdStart && r.Incarnation < math.MaxUint64 {
+		g.self.record.Incarnation = r.Incarnation + 1
+		g.self.record.Sequence = 1
+		g.recordChanged(g.self)
+		g.note(r.ID, "raised its incarnation", "an earlier process had a higher one")
+		return
+	}
+	g.superseded = true
+	g.ownership.dirty = true
+}
+
 // adopt replaces a member's record by a newer one.
 func (g *Group) adopt(l *link, m *member, r *Record) {
 	old := m.record
--- a/internal/steering/observe.go
+++ b/internal/steering/observe.go
@@ -46,7 +46,7 @@
 		s.spillHeld = max(s.spillHeld, until)
 	case model.CauseQueueFull, model.CauseDeadline, model.CauseOverload:
 		s.holdRanks(o.Rank, until)
-	case model.CauseNoBackend, model.CauseNotOwner, model.CauseOwnerLost, model.CauseStopping, model.CauseShed:
+	case model.CauseNoBackend, model.CauseNotOwner, model.CauseOwnerLost, model.CauseStopping:
 		s.holdRanks(model.Urgent, until)
 	}
 }
--- a/internal/steering/retry.go
+++ b/internal/steering/retry.go
@@ -1,14 +1,16 @@
 package steering
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 // Rates of the retry budget.
 const (
-	retryShare       = 0.1 // retries earned by each request
-	retryBurst       = 20  // most retries saved up
-	retryRefillEvery = 5e9 // nanoseconds for one retry without any traffic
+	retryShare       = 0.1             // retries earned by each request
+	retryBurst       = 20              // most retries saved up
+	retryRefillEvery = 5 * time.Second // for one retry without any traffic
 )
 
 // RetryBudget bounds retries to a tenth of each service's traffic.
@@ -46,7 +48,7 @@
 func (b *RetryBudget) Allow(now model.Instant, service model.ServiceName) bool {
 	t := b.of(service)
 	if t.at != 0 && now > t.at {
-		t.tokens = min(retryBurst, t.tokens+float64(now.Sub(t.at))/retryRefillEvery)
+		t.tokens = min(retryBurst, t.tokens+now.Sub(t.at).Seconds()/retryRefillEvery.Seconds())
 	}
 	t.at = max(t.at, now)
 	if t.tokens < 1 {
