--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -25,7 +25,7 @@
 sample >"$dir/after"
 join "$dir/before" "$dir/after" | awk -v s="$seconds" '{print ($5 - $2) / s, $6 / 1024, ($7 - $4) / s / 1024}' >"$dir/costs"
 column() {
-	sort -n -k"$1,$1" "$dir/costs" | awk -v c="$1" '{v[NR] = $c} END {printf "%.2f %.2f", v[int((NR + 1) / 2)], v[NR]}'
+	sort -n -k"$1,$1" "$dir/costs" | awk -v c="$1" '{v[NR] = $c} END {printf "%.2f %.2f\n", v[int((NR + 1) / 2)], v[NR]}'
 }
 read -r cpu cpumax < <(column 1)
 read -r rss rssmax < <(column 2)
