Advertised addresses in an instance's settings, and a harness for fault runs

[advertise] says what others are told where an instance is reached by another address than the one it listens on; the default is that of [listen]. internal/prove (tag prove) starts entry processes with stand-ins, sends open loop load, and checks the history against the backend servers' run counts and a porcupine model of once keys.

--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -80,9 +80,9 @@
 		Self: membership.Record{
 			ID:          model.InstanceID(s.Instance.ID),
 			Zone:        model.ZoneName(s.Instance.Zone),
-			LinkAddr:    s.Listen.Links,
-			CallerAddr:  s.Listen.Callers,
-			ControlAddr: s.Listen.Control,
+			LinkAddr:    s.Advertise.Links,
+			CallerAddr:  s.Advertise.Callers,
+			ControlAddr: s.Advertise.Control,
 		},
 		Membership:     group,
 		PollEvery:      s.Platform.PollEvery,
--- /dev/null
+++ b/internal/prove/kill_test.go
@@ -0,0 +1,83 @@
+//go:build prove
+
+package prove
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Targets after a kill.
+const (
+	servedAgainWithin = 3 * time.Second
+	steadyRate        = 200 // requests a second
+)
+
+// perSeed runs a scenario once for each seed.
+func perSeed(t *testing.T, scenario func(t *testing.T, seed uint64), seeds ...uint64) {
+	for _, seed := range seedsFromEnvironment(seeds...) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { scenario(t, seed) })
+	}
+}
+
+// A fleet without faults serves everything; every other test builds on that.
+func TestNoFault(t *testing.T) {
+	f := startFleet(t, defaultShape)
+	l := f.startLoad(1, steadyRate)
+	at := time.Now()
+	time.Sleep(5 * time.Second)
+	f.checkRequests(l)
+	t.Logf("without an answer: %q", l.history.bySecond(at))
+	for _, o := range l.history.all() {
+		if !o.answered() && o.Cause != "in-progress" {
+			t.Errorf("no answer: %v", o)
+		}
+	}
+}
+
+func TestKilledInstance(t *testing.T) {
+	perSeed(t, func(t *testing.T, seed uint64) {
+		f := startFleet(t, defaultShape)
+		l := f.startLoad(seed, steadyRate)
+		time.Sleep(3 * time.Second)
+		victim := f.processes[int(seed)%len(f.processes)]
+		at := time.Now()
+		f.kill(victim)
+		time.Sleep(8 * time.Second)
+		f.checkRequests(l)
+		checkServedAgain(t, l, at, victim)
+	}, 1, 2, 3)
+}
+
+// checkServedAgain checks that the failures that a kill brings end in time and
+// touch only requests in flight at the victim.
+func checkServedAgain(t *testing.T, l *load, at time.Time, victim *process) {
+	t.Helper()
+	var last time.Time
+	failed, elsewhere := 0, 0
+	for _, o := range l.history.all() {
+		if o.Ended.Before(at) || o.answered() {
+			continue
+		}
+		if o.Called.After(last) {
+			last = o.Called
+		}
+		if o.mayRunLater() {
+			failed++
+			if o.Called.After(at.Add(time.Second)) && o.Cause != "in-progress" {
+				elsewhere++
+				t.Errorf("not in flight at the kill: %v", o)
+			}
+		}
+	}
+	took := time.Duration(0)
+	if !last.IsZero() {
+		took = last.Sub(at)
+	}
+	t.Logf("killed %s: %d unknown or broken, %d of them not in flight; last request without an answer was sent %v after", victim.name, failed, elsewhere, took)
+	t.Logf("without an answer: %q", l.history.bySecond(at))
+	require.Less(t, took, servedAgainWithin)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -28,6 +29,15 @@
 	Control string `ini:"control"` // operators' API and metrics
 }
 
+// Advertise is the optional [advertise] section: what others are told where the
+// instance is reached by another address than the one that it listens on. Each
+// value is host:port with an IP address; the default is that of [listen].
+type Advertise struct {
+	Callers string `ini:"callers"`
+	Links   string `ini:"links"`
+	Control string `ini:"control"`
+}
+
 // Platform is the [platform] section.
 type Platform struct {
 	Address    string        `ini:"address"`     // host:port of the platform's service
@@ -56,12 +66,13 @@
 
 // Settings are all sections of the file.
 type Settings struct {
-	Instance Instance `ini:"instance"`
-	Listen   Listen   `ini:"listen"`
-	Platform Platform `ini:"platform"`
-	Serving  Serving  `ini:"serving"`
-	Ledger   Ledger   `ini:"ledger"`
-	Log      Log      `ini:"log"`
+	Instance  Instance  `ini:"instance"`
+	Listen    Listen    `ini:"listen"`
+	Advertise Advertise `ini:"advertise"`
+	Platform  Platform  `ini:"platform"`
+	Serving   Serving   `ini:"serving"`
+	Ledger    Ledger    `ini:"ledger"`
+	Log       Log       `ini:"log"`
 	// Peers are host:port of other instances' links, by instance identifier, for
 	// the time before the platform's list is known. Section [peers].
 	Peers map[string]string `ini:"-"`
@@ -91,12 +102,20 @@
 		return s, fmt.Errorf("read settings %s: %w", name, err)
 	}
 	s.Peers = file.Section(peersSection).KeysHash()
+	s.Advertise.fillFrom(s.Listen)
 	if err := errors.Join(checkDurations(name, file), s.check(name)); err != nil {
 		return s, err
 	}
 	return s, nil
 }
 
+// fillFrom takes the addresses that are left out from those listened on.
+func (a *Advertise) fillFrom(l Listen) {
+	a.Callers = cmp.Or(a.Callers, l.Callers)
+	a.Links = cmp.Or(a.Links, l.Links)
+	a.Control = cmp.Or(a.Control, l.Control)
+}
+
 // checkDurations refuses durations of 0, which ini.v1 takes for an absent key.
 func checkDurations(name string, file *ini.File) error {
 	var faults []error
@@ -122,12 +141,13 @@
 
 // known lists the keys of each section; [peers] takes any key.
 var known = map[string][]string{
-	"instance": {"id", "zone"},
-	"listen":   {"callers", "links", "control"},
-	"platform": {"address", "timeout", "poll every", "poll factor"},
-	"serving":  {"max requests", "lookup ttl", "drain"},
-	"ledger":   {"writes per second"},
-	"log":      {"level", "format"},
+	"instance":  {"id", "zone"},
+	"listen":    {"callers", "links", "control"},
+	"advertise": {"callers", "links", "control"},
+	"platform":  {"address", "timeout", "poll every", "poll factor"},
+	"serving":   {"max requests", "lookup ttl", "drain"},
+	"ledger":    {"writes per second"},
+	"log":       {"level", "format"},
 }
 
 func checkNames(name string, file *ini.File) error {
@@ -179,6 +199,15 @@
 		{"listen", "control", s.Listen.Control},
 		{"platform", "address", s.Platform.Address},
 	}
+	for _, a := range []struct{ key, value, listen string }{
+		{"callers", s.Advertise.Callers, s.Listen.Callers},
+		{"links", s.Advertise.Links, s.Listen.Links},
+		{"control", s.Advertise.Control, s.Listen.Control},
+	} {
+		if a.value != a.listen {
+			addresses = append(addresses, struct{ section, key, value string }{"advertise", a.key, a.value})
+		}
+	}
 	for id, addr := range s.Peers {
 		addresses = append(addresses, struct{ section, key, value string }{peersSection, id, addr})
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -61,3 +61,11 @@
 	_, err = Load(filepath.Join(t.TempDir(), "none.ini"))
 	require.Error(t, err)
 }
+
+func TestAdvertiseDefaultsToListen(t *testing.T) {
+	s, err := Load(write(t, good+"[advertise]\nlinks = 127.0.0.1:9990\n"))
+	require.NoError(t, err)
+	require.Equal(t, Advertise{Callers: "127.0.0.1:8080", Links: "127.0.0.1:9990", Control: "127.0.0.1:7080"}, s.Advertise)
+	_, err = Load(write(t, good+"[advertise]\ncontrol = here:1\n"))
+	require.ErrorContains(t, err, `[advertise] control: "here" is not an IP address`)
+}
