explain: what a request's owner was chosen among, and what was refused on the way

The planner now notes each zone and owner that a choice passes over, in a buffer that it reuses; Forward and Refuse carry that list, the candidate zones (one shared value a plan) and, for a refusal after an owner's, why no other owner is asked. A first choice that fits costs no entry of its own: it is told with the answer.

Ruled out: working the candidates out again when asked, since loads have moved on by then; and inside the runtime after the decision, since that refreshes the planner's cells and so changes later decisions.

The golden session of the reducer prints what was passed over and why a refusal is the last word, which is stricter than before.

--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -15,6 +15,10 @@
 	Owner   model.InstanceID // may be this instance
 	Zone    model.ZoneName
 	Spill   bool
+	// Candidates are the zones that the choice was made among; Rejected is what it
+	// passed over, and why.
+	Candidates *model.Candidates
+	Rejected   []model.Rejected
 }
 
 // Refuse answers the caller that its request was not served.
@@ -22,8 +26,42 @@
 	Request model.RequestID
 	Outcome model.Outcome // NotRun or Unknown
 	Cause   model.Cause
+	// Final says why no other owner is asked, FinalNone where the request was
+	// refused before any owner was.
+	Final      Final
+	Candidates *model.Candidates
+	Rejected   []model.Rejected
 }
 
+// Final says why a refusal by an owner is the last word.
+type Final uint8
+
+// The reasons for which no other owner is asked.
+const (
+	FinalNone        Final = iota
+	FinalNoOwner           // no other owner can take it
+	FinalForwards          // as many owners as allowed were asked
+	FinalDeadline          // the deadline has passed
+	FinalBodyUsed          // part of the streamed body is gone
+	FinalMayHaveRun        // it may have run, and must not run twice
+	FinalCause             // every owner would refuse it for the same cause
+	FinalRetryBudget       // the service's retry budget is exhausted
+)
+
+var finalNames = [...]string{
+	FinalNone:        "",
+	FinalNoOwner:     "no other owner can take it",
+	FinalForwards:    "as many owners as allowed were asked",
+	FinalDeadline:    "its deadline has passed",
+	FinalBodyUsed:    "part of its body has been sent and is not kept",
+	FinalMayHaveRun:  "it may have run and must not run twice",
+	FinalCause:       "another owner would refuse it too",
+	FinalRetryBudget: "the service's retry budget is exhausted",
+}
+
+// String says it as explanations do.
+func (f Final) String() string { return finalNames[f] }
+
 // Settle inserts the request's idempotency key as cancelled if it is absent.
 type Settle struct{ Request model.RequestID }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -3,33 +3,43 @@
 package journal
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// Journal is a ring of decisions. It is safe for concurrent use.
+// Sizes are how many decisions of each kind a Journal keeps.
+type Sizes struct {
+	Fleet    int // about instances, servers, zones and the configuration
+	Notable  int // about requests that something was refused, retried or lost for
+	Ordinary int // about requests that were served at the first try
+}
+
+// Journal is a set of rings of decisions, so that a flood of requests does not
+// push out what was decided about the fleet. It is safe for concurrent use.
 type Journal struct {
-	mu      sync.Mutex
-	entries []event.JournalEntry
-	next    int
-	full    bool
+	mu       sync.Mutex
+	fleet    ring[event.JournalEntry]
+	notable  ring[RequestEntry]
+	ordinary ring[RequestEntry]
 }
 
-// New returns a journal that keeps the latest size decisions.
-func New(size int) *Journal { return &Journal{entries: make([]event.JournalEntry, size)} }
+// New returns an empty journal.
+func New(s Sizes) *Journal {
+	return &Journal{
+		fleet:    newRing[event.JournalEntry](s.Fleet),
+		notable:  newRing[RequestEntry](s.Notable),
+		ordinary: newRing[RequestEntry](s.Ordinary),
+	}
+}
 
-// Add records a decision; the oldest gives way.
+// Add records a decision about the fleet; the oldest gives way.
 func (j *Journal) Add(e event.JournalEntry) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.entries[j.next] = e
-	j.next++
-	if j.next == len(j.entries) {
-		j.next = 0
-		j.full = true
-	}
+	j.fleet.add(e)
 }
 
 // Query selects decisions. An empty field matches everything.
@@ -40,29 +50,52 @@
 }
 
 // Find returns matching decisions, oldest first; where there are more than the
-// limit, the latest.
+// limit, the latest. Decisions about requests are formatted here.
 func (j *Journal) Find(q Query) []event.JournalEntry {
-	j.mu.Lock()
-	defer j.mu.Unlock()
 	var found []event.JournalEntry
-	for _, e := range j.ordered() {
-		if q.matches(&e) {
-			found = append(found, e)
+	for _, e := range j.findRequests(q) {
+		for _, line := range e.Lines() {
+			if q.matches(&line) {
+				found = append(found, line)
+			}
 		}
 	}
+	found = append(found, j.findFleet(q)...)
+	slices.SortStableFunc(found, func(a, b event.JournalEntry) int { return int(a.At.Sub(b.At)) })
 	if q.Limit > 0 && len(found) > q.Limit {
 		found = found[len(found)-q.Limit:]
 	}
 	return found
 }
 
-func (j *Journal) ordered() []event.JournalEntry {
-	if !j.full {
-		return j.entries[:j.next]
+func (j *Journal) findFleet(q Query) []event.JournalEntry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []event.JournalEntry
+	j.fleet.each(func(e *event.JournalEntry) {
+		if q.matches(e) {
+			found = append(found, *e)
+		}
+	})
+	return found
+}
+
+// findRequests copies the entries that may have matching lines.
+func (j *Journal) findRequests(q Query) []RequestEntry {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var found []RequestEntry
+	keep := func(e *RequestEntry) {
+		if (q.Request == "" || q.Request == e.Request) && (q.Subject == "" || q.Subject == e.Subject) {
+			found = append(found, *e)
+		}
+	}
+	j.notable.each(keep)
+	// About a subject, what happens to every request would say nothing.
+	if q.Request != "" {
+		j.ordinary.each(keep)
 	}
-	all := make([]event.JournalEntry, 0, len(j.entries))
-	all = append(all, j.entries[j.next:]...)
-	return append(all, j.entries[:j.next]...)
+	return found
 }
 
 func (q Query) matches(e *event.JournalEntry) bool {
@@ -72,12 +105,18 @@
 	return q.Subject == "" || q.Subject == e.Subject
 }
 
-// Since returns the time of the oldest decision that is kept, 0 without any.
+// Since returns from when on the journal is complete, 0 while it is empty.
 func (j *Journal) Since() model.Instant {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if entries := j.ordered(); len(entries) > 0 {
-		return entries[0].At
+	var since model.Instant
+	if e := j.fleet.oldest(); e != nil && j.fleet.full {
+		since = max(since, e.At)
+	}
+	for _, r := range []*ring[RequestEntry]{&j.notable, &j.ordinary} {
+		if e := r.oldest(); e != nil && r.full {
+			since = max(since, e.At)
+		}
 	}
-	return 0
+	return since
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,17 +2,23 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
+var testSizes = Sizes{Fleet: 3, Notable: 3, Ordinary: 3}
+
 func TestFindKeepsLatestInOrder(t *testing.T) {
-	j := New(3)
+	j := New(testSizes)
 	for i := range 5 {
-		j.Add(event.JournalEntry{Request: fmt.Sprint(i % 2), What: fmt.Sprint(i)})
+		j.Add(event.JournalEntry{At: model.Instant(i), Request: fmt.Sprint(i % 2), What: fmt.Sprint(i)})
 	}
 	what := func(q Query) []string {
 		var out []string
@@ -25,4 +31,67 @@
 	require.Equal(t, []string{"2", "4"}, what(Query{Request: "0"}))
 	require.Equal(t, []string{"4"}, what(Query{Request: "0", Limit: 1}))
 	require.Empty(t, what(Query{Subject: "none"}))
+	require.Equal(t, model.Instant(2), j.Since())
+}
+
+func TestAFloodOfRequestsLeavesTheOtherDecisions(t *testing.T) {
+	j := New(testSizes)
+	require.Zero(t, j.Since())
+	j.Add(event.JournalEntry{At: 1, Subject: "shop-1", What: "ejected"})
+	j.AddRequest(RequestEntry{At: 2, Request: "r", Step: StepAttemptFailed, Subject: "shop-1"})
+	for i := range 10 {
+		j.AddRequest(RequestEntry{At: model.Instant(10 + i), Request: "other", Step: StepAnswered, Subject: "shop-1"})
+	}
+	require.Len(t, j.Find(Query{Subject: "shop-1"}), 2, "answers say nothing about a subject")
+	require.Len(t, j.Find(Query{Request: "r"}), 1)
+	require.Len(t, j.Find(Query{Request: "other"}), 3)
+	require.Equal(t, model.Instant(17), j.Since())
+}
+
+func TestAddRequestAllocatesNothing(t *testing.T) {
+	j := New(testSizes)
+	e := RequestEntry{Request: "r", Step: StepAnswered}
+	require.Zero(t, testing.AllocsPerRun(100, func() { j.AddRequest(e) }))
+}
+
+// TestLines shows how each step of a request is put to an operator.
+func TestLines(t *testing.T) {
+	at := model.InstantOf(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC))
+	zones := &model.Candidates{
+		Baseline: []model.ZoneName{"munich-a", "munich-b"},
+		Spill:    []model.ZoneName{"munich-a", "munich-b", "frankfurt-a"},
+	}
+	passed := &Detail{Rejected: []model.Rejected{
+		{Zone: "munich-a", Cause: model.CauseDeadline},
+		{Zone: "munich-b", Owner: "entry-1", Spill: true, Asked: true, Cause: model.CauseNoBackend},
+		{Zone: "munich-b", Owner: "entry-2", Spill: true, Cause: model.CauseQueueFull},
+	}}
+	refused := &Detail{Rejected: passed.Rejected, Final: event.FinalRetryBudget}
+	failed := &Detail{Err: "read answer head from shop-1: EOF"}
+	entries := []RequestEntry{
+		{Step: StepAnswered, Subject: "entry-1", Zone: "munich-a", Candidates: zones, Took: 12 * time.Millisecond},
+		{Step: StepForwarded, Subject: "entry-3", Zone: "frankfurt-a", Spill: true, Candidates: zones, Detail: passed},
+		{Step: StepAnswered, Subject: "entry-3", Announced: true, Candidates: zones, Outcome: model.Late, Took: time.Second},
+		{Step: StepOwnerRefused, Subject: "entry-1", Outcome: model.NotRun, Cause: model.CauseQueueFull},
+		{Step: StepOwnerLost, Subject: "entry-1", Detail: failed},
+		{Step: StepSettled, Subject: "ledger"},
+		{Step: StepRefused, Subject: "caller", Outcome: model.NotRun, Cause: model.CauseShiftCap, Candidates: zones, Detail: refused},
+		{Step: StepRefused, Subject: "caller", Outcome: model.NotRun, Cause: model.CauseKeyMissing},
+		{Step: StepAnswerCut, Subject: "caller", Detail: failed},
+		{Step: StepOfferRefused, Subject: "entry-1", Outcome: model.Unknown, Cause: model.CauseBroken},
+		{Step: StepClaimed, Subject: "ledger", Cause: model.CauseInProgress},
+		{Step: StepReplayed, Subject: "ledger"},
+		{Step: StepServerAnswered, Subject: "shop-1", Attempt: 2, Status: 200, Took: 3 * time.Millisecond, Waited: time.Millisecond, Claimed: true, Spill: true},
+		{Step: StepAttemptFailed, Subject: "shop-1", Attempt: 1, Cause: model.CauseBroken, Detail: failed},
+		{Step: StepServerCut, Subject: "shop-1", Detail: failed},
+		{Step: StepNotStored, Subject: "ledger", Detail: failed},
+	}
+	var out strings.Builder
+	for _, e := range entries {
+		e.At = at.Add(time.Minute)
+		for _, line := range e.Lines() {
+			fmt.Fprintf(&out, "%s %s | %s | %s\n", line.At.Sub(at), line.Subject, line.What, line.Why)
+		}
+	}
+	goldie.New(t).Assert(t, "lines", []byte(out.String()))
 }
--- /dev/null
+++ b/internal/journal/lines.go
@@ -0,0 +1,161 @@
+package journal
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Lines formats an entry, the earliest line first.
+func (e *RequestEntry) Lines() []event.JournalEntry {
+	switch e.Step {
+	case StepForwarded:
+		return []event.JournalEntry{e.choiceLine(e.At)}
+	case StepAnswered:
+		return e.answeredLines()
+	case StepServerAnswered:
+		return []event.JournalEntry{
+			e.line(e.At.Add(-e.Took), "dispatched", e.dispatchReason()),
+			e.line(e.At, fmt.Sprintf("answered %d", e.Status), "began after "+rounded(e.Took)),
+		}
+	case StepRefused:
+		return []event.JournalEntry{e.line(e.At, "caller told "+e.Outcome.String(), e.refusalReason())}
+	default:
+		return []event.JournalEntry{e.line(e.At, e.what(), e.why())}
+	}
+}
+
+func (e *RequestEntry) line(at model.Instant, what, why string) event.JournalEntry {
+	return event.JournalEntry{At: at, Request: e.Request, Subject: e.Subject, What: what, Why: why}
+}
+
+func (e *RequestEntry) answeredLines() []event.JournalEntry {
+	answered := e.line(e.At, "caller answered: "+e.Outcome.String(), "complete after "+rounded(e.Took))
+	if e.Announced || e.Candidates == nil {
+		return []event.JournalEntry{answered}
+	}
+	return []event.JournalEntry{e.choiceLine(e.At.Add(-e.Took)), answered}
+}
+
+// choiceLine says which owner was chosen, among what, and what was passed over.
+func (e *RequestEntry) choiceLine(at model.Instant) event.JournalEntry {
+	what := fmt.Sprintf("chosen as owner in %s", e.Zone)
+	if e.Spill {
+		what += " by spill"
+	}
+	parts := e.candidateParts()
+	if e.Detail == nil || len(e.Detail.Rejected) == 0 {
+		parts = append(parts, "the first choice fits")
+	}
+	return e.line(at, what, strings.Join(append(parts, e.rejectedParts()...), "; "))
+}
+
+func (e *RequestEntry) candidateParts() []string {
+	if e.Candidates == nil {
+		return nil
+	}
+	parts := []string{"baseline " + orNone(zoneNames(e.Candidates.Baseline))}
+	beyond, _ := lo.Difference(e.Candidates.Spill, e.Candidates.Baseline)
+	if len(beyond) > 0 {
+		parts = append(parts, "by spill "+zoneNames(beyond))
+	}
+	return parts
+}
+
+func (e *RequestEntry) rejectedParts() []string {
+	if e.Detail == nil {
+		return nil
+	}
+	return lo.Map(e.Detail.Rejected, func(r model.Rejected, _ int) string {
+		name := string(r.Zone)
+		if r.Owner != "" {
+			name = string(r.Owner) + " in " + name
+		}
+		if r.Spill {
+			name += " by spill"
+		}
+		if r.Asked {
+			return fmt.Sprintf("not %s: it was asked before", name)
+		}
+		return fmt.Sprintf("not %s: %s", name, r.Cause.Describe())
+	})
+}
+
+func (e *RequestEntry) refusalReason() string {
+	parts := []string{e.Cause.Describe()}
+	if e.Detail != nil && e.Detail.Final != event.FinalNone {
+		parts = append(parts, e.Detail.Final.String())
+	}
+	if e.Detail != nil && len(e.Detail.Rejected) > 0 {
+		parts = append(parts, e.candidateParts()...)
+	}
+	return strings.Join(append(parts, e.rejectedParts()...), "; ")
+}
+
+func (e *RequestEntry) dispatchReason() string {
+	parts := []string{fmt.Sprintf("attempt %d", e.Attempt), "waited " + rounded(e.Waited) + " for a slot"}
+	if e.Claimed {
+		parts = append(parts, "idempotency key claimed")
+	}
+	if e.Spill {
+		parts = append(parts, "admitted as spill")
+	}
+	return strings.Join(parts, ", ")
+}
+
+var stepNames = map[Step]string{
+	StepOwnerLost:     "owner lost",
+	StepSettled:       "asked whether it can still run",
+	StepAnswerCut:     "answer cut",
+	StepClaimed:       "claim not granted",
+	StepReplayed:      "answered a repeat from the stored answer",
+	StepAttemptFailed: "attempt failed",
+	StepServerCut:     "answer cut",
+	StepNotStored:     "answer not stored",
+}
+
+func (e *RequestEntry) what() string {
+	switch e.Step {
+	case StepOwnerRefused:
+		return "owner refused: " + e.Outcome.String()
+	case StepOfferRefused:
+		return "offer refused: " + e.Outcome.String()
+	default:
+		return stepNames[e.Step]
+	}
+}
+
+func (e *RequestEntry) why() string {
+	var parts []string
+	if e.Attempt > 0 {
+		parts = append(parts, fmt.Sprintf("attempt %d", e.Attempt))
+	}
+	if e.Cause != model.CauseNone {
+		parts = append(parts, e.Cause.Describe())
+	}
+	if e.Detail != nil && e.Detail.Err != "" {
+		parts = append(parts, e.Detail.Err)
+	}
+	return strings.Join(parts, "; ")
+}
+
+func zoneNames(zones []model.ZoneName) string {
+	return strings.Join(lo.Map(zones, func(z model.ZoneName, _ int) string { return string(z) }), ", ")
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func rounded(d time.Duration) string {
+	const step = 10 * time.Microsecond
+	return d.Round(step).String()
+}
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -45,7 +45,7 @@
 	c.meta = ev.Meta
 	r.calls[ev.Request] = c
 	if cause := r.refusalAtOnce(ev.At, ev.Meta); cause != model.CauseNone {
-		r.out.addRefuse(ev.Request, model.NotRun, cause)
+		r.out.addRefuse(event.Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: cause})
 		return
 	}
 	r.retries.Earn(ev.Meta.Service)
@@ -75,11 +75,12 @@
 	home := r.homes[c.meta.Block]
 	choice := r.planner.Choose(now, c.meta, home, r.group, c.triedOwners())
 	if !choice.OK() {
-		cause := choice.Cause
+		refusal := event.Refuse{Cause: choice.Cause, Candidates: choice.Candidates, Rejected: r.planner.Rejected()}
 		if last != model.CauseNone {
-			cause = last
+			refusal.Cause = last
+			refusal.Final = event.FinalNoOwner
 		}
-		r.refuse(id, c, cause)
+		r.refuse(id, c, refusal)
 		return
 	}
 	c.choice = choice
@@ -87,16 +88,24 @@
 	c.tried[c.forwards] = choice.Owner
 	c.forwards++
 	r.planner.Sent(now, c.meta, choice)
-	r.out.addForward(event.Forward{Request: id, Owner: choice.Owner, Zone: choice.Zone, Spill: choice.Spill})
+	r.out.addForward(event.Forward{
+		Request:    id,
+		Owner:      choice.Owner,
+		Zone:       choice.Zone,
+		Spill:      choice.Spill,
+		Candidates: choice.Candidates,
+		Rejected:   r.planner.Rejected(),
+	})
 }
 
 // refuse answers the caller; not-run is said only where no try can have run.
-func (r *Reducer) refuse(id model.RequestID, c *call, cause model.Cause) {
-	outcome := model.NotRun
+func (r *Reducer) refuse(id model.RequestID, c *call, f event.Refuse) {
+	f.Request = id
+	f.Outcome = model.NotRun
 	if c.uncertain {
-		outcome = model.Unknown
+		f.Outcome = model.Unknown
 	}
-	r.out.addRefuse(id, outcome, cause)
+	r.out.addRefuse(f)
 }
 
 func (r *Reducer) ownerRefused(ev *event.OwnerRefused) {
@@ -108,8 +117,8 @@
 	if ev.Outcome != model.NotRun {
 		c.uncertain = true
 	}
-	if !r.mayForwardAgain(ev.At, c, ev.Cause, ev.BodyUsed) {
-		r.refuse(ev.Request, c, ev.Cause)
+	if final := r.finalRefusal(ev.At, c, ev.Cause, ev.BodyUsed); final != event.FinalNone {
+		r.refuse(ev.Request, c, event.Refuse{Cause: ev.Cause, Final: final})
 		return
 	}
 	r.forward(ev.At, ev.Request, c, ev.Cause)
@@ -130,21 +139,25 @@
 	})
 }
 
-// mayForwardAgain decides whether another owner is asked after a refusal.
-func (r *Reducer) mayForwardAgain(now model.Instant, c *call, cause model.Cause, bodyUsed bool) bool {
-	if c.forwards >= maxForwards || !now.Before(c.meta.Deadline) {
-		return false
-	}
-	if bodyUsed && !c.meta.Replayable {
-		return false
-	}
-	if c.uncertain && !c.meta.Kind.Repeatable() {
-		return false
-	}
-	if !otherOwnerMayServe(cause) {
-		return false
+// finalRefusal says why no other owner is asked after a refusal, FinalNone where
+// one may be.
+func (r *Reducer) finalRefusal(now model.Instant, c *call, cause model.Cause, bodyUsed bool) event.Final {
+	switch {
+	case c.forwards >= maxForwards:
+		return event.FinalForwards
+	case !now.Before(c.meta.Deadline):
+		return event.FinalDeadline
+	case bodyUsed && !c.meta.Replayable:
+		return event.FinalBodyUsed
+	case c.uncertain && !c.meta.Kind.Repeatable():
+		return event.FinalMayHaveRun
+	case !otherOwnerMayServe(cause):
+		return event.FinalCause
+	case movedOwnership(cause) || r.retries.Allow(now, c.meta.Service):
+		return event.FinalNone
+	default:
+		return event.FinalRetryBudget
 	}
-	return movedOwnership(cause) || r.retries.Allow(now, c.meta.Service)
 }
 
 // otherOwnerMayServe reports whether a refusal is about the owner rather than
@@ -178,11 +191,12 @@
 		}
 		c.uncertain = true
 	}
-	if r.mayForwardAgain(ev.At, c, model.CauseOwnerLost, ev.BodyUsed) {
+	final := r.finalRefusal(ev.At, c, model.CauseOwnerLost, ev.BodyUsed)
+	if final == event.FinalNone {
 		r.forward(ev.At, ev.Request, c, model.CauseOwnerLost)
 		return
 	}
-	r.refuse(ev.Request, c, model.CauseOwnerLost)
+	r.refuse(ev.Request, c, event.Refuse{Cause: model.CauseOwnerLost, Final: final})
 }
 
 // settle asks the ledger whether a once request whose owner is lost can still
@@ -199,11 +213,11 @@
 	}
 	switch {
 	case ev.Result == event.ClaimCancelled:
-		r.out.addRefuse(ev.Request, model.NotRun, model.CauseOwnerLost)
+		r.out.addRefuse(event.Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseOwnerLost, Final: event.FinalCause})
 	case ev.Result == event.ClaimFinished && ev.Stored:
 		r.out.add(&event.Replay{Request: ev.Request})
 	default:
-		r.out.addRefuse(ev.Request, model.Unknown, model.CauseOwnerLost)
+		r.out.addRefuse(event.Refuse{Request: ev.Request, Outcome: model.Unknown, Cause: model.CauseOwnerLost, Final: event.FinalMayHaveRun})
 	}
 }
 
--- a/internal/reducer/effects.go
+++ b/internal/reducer/effects.go
@@ -49,9 +49,9 @@
 	e.add(item)
 }
 
-func (e *effects) addRefuse(id model.RequestID, outcome model.Outcome, cause model.Cause) {
+func (e *effects) addRefuse(f event.Refuse) {
 	item := e.refuse.next()
-	*item = event.Refuse{Request: id, Outcome: outcome, Cause: cause}
+	*item = f
 	e.add(item)
 }
 
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -183,9 +183,13 @@
 func formatEffect(f event.Effect) string {
 	switch f := f.(type) {
 	case *event.Forward:
-		return fmt.Sprintf("forward %d to %s in %s, spill %t", f.Request, f.Owner, f.Zone, f.Spill)
+		return fmt.Sprintf("forward %d to %s in %s, spill %t%s", f.Request, f.Owner, f.Zone, f.Spill, formatRejected(f.Rejected))
 	case *event.Refuse:
-		return fmt.Sprintf("refuse %d: %s %s", f.Request, f.Outcome, f.Cause)
+		final := ""
+		if f.Final != event.FinalNone {
+			final = ", " + f.Final.String()
+		}
+		return fmt.Sprintf("refuse %d: %s %s%s%s", f.Request, f.Outcome, f.Cause, final, formatRejected(f.Rejected))
 	case *event.Dispatch:
 		return fmt.Sprintf("dispatch %d to %s, fresh connection %t", f.Request, f.Backend, f.FreshConnection)
 	case *event.RefuseOffer:
@@ -206,3 +210,11 @@
 		return strings.TrimPrefix(fmt.Sprintf("%T", f), "*event.")
 	}
 }
+
+func formatRejected(list []model.Rejected) string {
+	var text strings.Builder
+	for _, r := range list {
+		fmt.Fprintf(&text, "; not %s %s: %s, asked %t", r.Zone, r.Owner, r.Cause, r.Asked)
+	}
+	return text.String()
+}
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -12,6 +12,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -34,7 +35,6 @@
 type callCommand struct {
 	op      callOp
 	owner   model.InstanceID
-	zone    model.ZoneName
 	spill   bool
 	outcome model.Outcome
 	cause   model.Cause
@@ -50,6 +50,7 @@
 	commands chan callCommand
 	stored   *ledger.Answer
 	body     *countedReader // streamed request body, nil where it is in memory
+	choice   choice         // of the latest owner; written under the runtime's lock before its command
 
 	mu       sync.Mutex
 	conn     link.Conn // to the owner, nil between owners
@@ -133,7 +134,7 @@
 
 func (c *call) refuse(outcome model.Outcome, cause model.Cause) {
 	if err := c.exchange.Refuse(outcome, cause, retryAfter(cause)); err != nil {
-		c.explain("caller", "refusal not delivered", err.Error())
+		c.explain(errorEntry(journal.StepAnswerCut, callerSubject, err))
 	}
 	c.finish(outcome, cause, 0)
 }
@@ -290,7 +291,7 @@
 func (c *call) bodyUsed() bool { return c.body != nil && c.body.count.Load() > 0 }
 
 func (c *call) ownerLost(owner model.InstanceID, offered bool, err error) {
-	c.explain(string(owner), "owner lost", err.Error())
+	c.explain(errorEntry(journal.StepOwnerLost, string(owner), err))
 	c.runtime.post(&event.OwnerLost{
 		At:       c.runtime.clock.now(),
 		Request:  c.id,
@@ -301,7 +302,12 @@
 }
 
 func (c *call) ownerRefused(owner model.InstanceID, f *linkpb.Refuse) {
-	c.explain(string(owner), "owner refused", f.GetCause())
+	c.explain(journal.RequestEntry{
+		Step:    journal.StepOwnerRefused,
+		Subject: string(owner),
+		Outcome: model.Outcome(f.GetOutcome()),
+		Cause:   model.Cause(f.GetCause()),
+	})
 	c.runtime.post(&event.OwnerRefused{
 		At:       c.runtime.clock.now(),
 		Request:  c.id,
@@ -312,16 +318,6 @@
 	})
 }
 
-func (c *call) explain(subject, what, why string) {
-	c.runtime.journal.Add(event.JournalEntry{
-		At:      c.runtime.clock.now(),
-		Request: c.meta.Trace,
-		Subject: subject,
-		What:    what,
-		Why:     why,
-	})
-}
-
 // settle asks the ledger whether a once request whose owner is lost can run.
 func (c *call) settle() {
 	r := c.runtime
@@ -329,9 +325,7 @@
 	defer cancel()
 	attempt := ledgerAttempt(&c.meta, c.meta.Request+"/ingress")
 	result, answer, err := r.ledger.Cancel(ctx, attempt)
-	if err != nil {
-		c.explain("ledger", "settle failed", err.Error())
-	}
+	c.explain(errorEntry(journal.StepSettled, ledgerSubject, claimError(result, err)))
 	c.stored = answer
 	r.post(&event.ClaimSettled{At: r.clock.now(), Request: c.id, Result: result, Stored: answer != nil})
 }
@@ -393,11 +387,13 @@
 		switch {
 		case err == nil:
 			c.runtime.lengths.observe(c.meta.Route, sent)
+			c.explainAnswer(outcome)
 			c.finish(outcome, model.CauseNone, sent)
 		case errors.As(err, &cut):
-			c.explain("answer", "cut", err.Error())
+			c.explain(errorEntry(journal.StepAnswerCut, callerSubject, err))
 			c.finish(model.Unknown, model.CauseAnswerIncomplete, sent)
 		default:
+			c.explain(errorEntry(journal.StepAnswerCut, callerSubject, err))
 			c.finish(model.Unknown, model.CauseCallerGone, sent)
 		}
 	}
--- a/internal/runtime/execute.go
+++ b/internal/runtime/execute.go
@@ -12,9 +12,9 @@
 func (r *Runtime) execute(f event.Effect) {
 	switch f := f.(type) {
 	case *event.Forward:
-		r.command(f.Request, callCommand{op: opForward, owner: f.Owner, zone: f.Zone, spill: f.Spill})
+		r.forward(f)
 	case *event.Refuse:
-		r.command(f.Request, callCommand{op: opRefuse, outcome: f.Outcome, cause: f.Cause})
+		r.refuse(f)
 	case *event.Settle:
 		r.command(f.Request, callCommand{op: opSettle})
 	case *event.Dispatch:
@@ -38,6 +38,25 @@
 	}
 }
 
+// forward notes the choice of an owner and hands the request over to it.
+func (r *Runtime) forward(f *event.Forward) {
+	c := r.calls[f.Request]
+	if c == nil {
+		return
+	}
+	c.choose(f)
+	c.commands <- callCommand{op: opForward, owner: f.Owner, spill: f.Spill}
+}
+
+func (r *Runtime) refuse(f *event.Refuse) {
+	c := r.calls[f.Request]
+	if c == nil {
+		return
+	}
+	c.explainRefusal(f)
+	c.commands <- callCommand{op: opRefuse, outcome: f.Outcome, cause: f.Cause}
+}
+
 // replay goes to whichever side of the request asked the ledger.
 func (r *Runtime) replay(f *event.Replay) {
 	if r.offers[f.Request] != nil {
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -47,6 +48,8 @@
 	body     *offeredBody // streamed request body, nil where it is in the frame
 	stored   *ledger.Answer
 	attempts int
+	claimed  bool          // the ledger granted the idempotency key
+	waiting  model.Instant // since when it waits for a slot
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the running attempt
@@ -68,6 +71,7 @@
 	r.mu.Lock()
 	r.offers[o.id] = o
 	r.mu.Unlock()
+	o.waiting = r.clock.now()
 	done := make(chan struct{})
 	go o.watch(done)
 	r.post(&event.OfferReceived{At: r.clock.now(), Request: o.id, From: from, Meta: &o.meta, Spill: frame.GetSpill()})
@@ -140,18 +144,13 @@
 	o.cancel = cancel
 }
 
-func (o *offer) explain(subject, what, why string) {
-	o.runtime.journal.Add(event.JournalEntry{
-		At:      o.runtime.clock.now(),
-		Request: o.meta.Trace,
-		Subject: subject,
-		What:    what,
-		Why:     why,
-	})
-}
-
 func (o *offer) refuse(cmd offerCommand) {
-	o.explain(string(o.runtime.self), "refused as "+cmd.outcome.String(), string(cmd.cause))
+	o.explain(journal.RequestEntry{
+		Step:    journal.StepOfferRefused,
+		Subject: string(o.runtime.self),
+		Outcome: cmd.outcome,
+		Cause:   cmd.cause,
+	})
 	if cmd.release {
 		o.release()
 	}
@@ -174,13 +173,14 @@
 	o.setCancel(cancel)
 	a := o.upstreamAttempt(cmd)
 	a.Address = backend.Address
+	started := r.clock.now()
 	answer, err := r.upstream.Send(ctx, a)
 	if err != nil {
-		o.explain(string(cmd.backend), "attempt failed", err.Error())
+		o.explainFailure(cmd.backend, started, err)
 		o.attemptFinished(cmd.backend, err.Result, err)
 		return err.Result == event.AttemptCancelled
 	}
-	o.explain(string(cmd.backend), "answered", "")
+	o.explainAnswer(cmd.backend, started, answer.Status)
 	o.pass(cmd.backend, answer)
 	return true
 }
@@ -217,6 +217,7 @@
 		ev.Draining = err.Draining
 	}
 	o.setCancel(nil)
+	o.waiting = ev.At
 	o.runtime.post(ev)
 }
 
@@ -254,7 +255,7 @@
 	result := event.AttemptComplete
 	switch {
 	case readErr != nil:
-		o.explain(string(backend), "answer cut", readErr.Error())
+		o.explain(errorEntry(journal.StepServerCut, string(backend), readErr))
 		result = event.AttemptCut
 	case sendErr != nil && o.meta.Kind != model.Once:
 		result = event.AttemptCancelled
--- a/internal/runtime/once.go
+++ b/internal/runtime/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -49,8 +51,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	result, answer, err := r.ledger.Claim(ctx, o.claimAttempt())
-	if err != nil {
-		o.explain("ledger", "claim failed", err.Error())
+	o.claimed = result == event.ClaimGranted
+	if !o.claimed {
+		o.explain(errorEntry(journal.StepClaimed, ledgerSubject, claimError(result, err)))
 	}
 	o.stored = answer
 	r.metrics.claims.WithLabelValues(claimLabel(result)).Inc()
@@ -68,6 +71,14 @@
 	event.ClaimOverBudget:  "over-budget",
 }
 
+// claimError says why a claim was not granted.
+func claimError(result event.ClaimResult, err error) error {
+	if err == nil {
+		return errors.New(claimLabel(result))
+	}
+	return fmt.Errorf("%s: %w", claimLabel(result), err)
+}
+
 func claimLabel(r event.ClaimResult) string { return claimLabels[r] }
 
 // release gives the claim back. The caller waits for the first try, so that its
@@ -87,7 +98,7 @@
 // store keeps the answer of a finished once request for repeats.
 func (o *offer) store(a *upstream.Answer, kept *keptBody) {
 	if kept.overflow {
-		o.explain("ledger", "answer not stored", errNotStored.Error())
+		o.explain(errorEntry(journal.StepNotStored, ledgerSubject, errNotStored))
 		return
 	}
 	answer := &ledger.Answer{Status: a.Status, Body: kept.buffer.Bytes()}
@@ -116,7 +127,7 @@
 
 // replay answers a repeated request with the stored answer.
 func (o *offer) replay() {
-	o.explain("ledger", "answered a repeat from the stored answer", "")
+	o.explain(journal.RequestEntry{Step: journal.StepReplayed, Subject: ledgerSubject})
 	head := &linkpb.Answer{
 		Status:    uint32(o.stored.Status),
 		BodyBytes: int64(len(o.stored.Body)),
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -48,8 +48,8 @@
 	Drain time.Duration
 }
 
-// journalSize is the number of decisions that an instance remembers.
-const journalSize = 16384
+// journalSizes are the numbers of decisions that an instance remembers.
+var journalSizes = journal.Sizes{Fleet: 2048, Notable: 8192, Ordinary: 16384}
 
 // Runtime runs one entry instance. Create it with New and start it with Run.
 type Runtime struct {
@@ -94,7 +94,7 @@
 		self:     o.Reducer.Self.ID,
 		clock:    newClock(),
 		log:      o.Log,
-		journal:  journal.New(journalSize),
+		journal:  journal.New(journalSizes),
 		store:    confstore.New(o.Table),
 		upstream: upstream.New(o.Upstream),
 		calls:    make(map[model.RequestID]*call),
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -157,6 +157,9 @@
 // Explain implements control.Source.
 func (r *Runtime) Explain(_ context.Context, q control.ExplainQuery) control.Explanation {
 	found := r.journal.Find(journal.Query{Request: q.Request, Subject: q.Subject})
+	if q.Request != "" {
+		found = append(found, r.inFlight(q.Request)...)
+	}
 	return control.Explanation{
 		Instance: r.self,
 		Since:    r.journal.Since().Time(),
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -13,6 +13,8 @@
 	Zone  model.ZoneName
 	Spill bool        // away from the baseline zone that it belongs to
 	Cause model.Cause // of a refusal
+	// Candidates are the zones that the choice was made among, nil without any.
+	Candidates *model.Candidates
 
 	cell  *cell
 	state *ownerState
@@ -33,6 +35,7 @@
 // (none for callers without a group), except among instances already tried. It
 // neither sends nor counts the request; Sent does.
 func (p *Planner) Choose(now model.Instant, m *model.RequestMeta, home []model.ZoneName, v View, tried []model.InstanceID) Choice {
+	p.rejected = p.rejected[:0]
 	if p.layout == nil {
 		return Choice{Cause: model.CauseNoConfiguration}
 	}
@@ -40,10 +43,17 @@
 	if plan == nil || len(plan.targets) == 0 {
 		return Choice{Cause: model.CauseNoBackend}
 	}
-	r := request{now: now, meta: m, view: v, tried: tried}
-	target := &plan.targets[p.draw(plan, now)]
+	choice := p.chooseFrom(plan, request{now: now, meta: m, view: v, tried: tried})
+	choice.Candidates = plan.candidates
+	return choice
+}
+
+func (p *Planner) chooseFrom(plan *plan, r request) Choice {
+	target := &plan.targets[p.draw(plan, r.now)]
 	cause := p.fits(&r, target)
-	if cause == model.CauseNone {
+	if cause != model.CauseNone {
+		p.reject(target.cell, "", false, cause)
+	} else {
 		if choice, refused := p.send(&r, target, false); choice.OK() {
 			return choice
 		} else if refused != model.CauseNone {
@@ -140,6 +150,7 @@
 func (p *Planner) pickOwner(r *request, c *cell, spill bool) (int, model.Cause) {
 	n := len(c.owners)
 	if n == 0 {
+		p.reject(c, "", spill, model.CauseNoBackend)
 		return -1, model.CauseNoBackend
 	}
 	first, second := 0, 0
@@ -160,6 +171,7 @@
 		if eligible {
 			return at, model.CauseNone
 		}
+		p.rejectOwner(r, c, at, spill, why)
 		cause = weightier(cause, why)
 	}
 	return -1, cause
--- /dev/null
+++ b/internal/steering/considered.go
@@ -0,0 +1,33 @@
+package steering
+
+import (
+	"slices"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// reject notes a zone, or an owner in it, that the present choice passed over.
+func (p *Planner) reject(c *cell, owner model.InstanceID, spill bool, cause model.Cause) {
+	p.rejected = append(p.rejected, model.Rejected{Zone: c.zone, Owner: owner, Spill: spill, Cause: cause})
+}
+
+func (p *Planner) rejectOwner(r *request, c *cell, at int, spill bool, cause model.Cause) {
+	owner := c.owners[at].Instance
+	p.reject(c, owner, spill, cause)
+	p.rejected[len(p.rejected)-1].Asked = slices.Contains(r.tried, owner)
+}
+
+// Rejected lists what the latest Choose passed over, and why, in the order in
+// which it was considered. It is valid until the next call of Choose.
+func (p *Planner) Rejected() []model.Rejected { return p.rejected }
+
+// candidatesOf lists the zones of a plan for later explanations.
+func candidatesOf(built *plan) *model.Candidates {
+	list := &model.Candidates{Baseline: built.baseline.zones}
+	for _, tier := range built.tiers {
+		for i := range tier {
+			list.Spill = append(list.Spill, tier[i].cell.zone)
+		}
+	}
+	return list
+}
--- a/internal/steering/plan.go
+++ b/internal/steering/plan.go
@@ -27,6 +27,8 @@
 	targets  []candidate // by zone of baseline
 	tiers    [][]candidate
 	service  int
+	// candidates are the zones of targets and tiers, for explanations.
+	candidates *model.Candidates
 }
 
 // candidate is a zone that requests may be sent to, and how far it is.
@@ -77,6 +79,7 @@
 		built.targets = append(built.targets, candidate{l.cell(service, z), l.needs(service, z), l.from(own, known, z)})
 	}
 	built.tiers = p.spillTiers(service, l.indexes(home))
+	built.candidates = candidatesOf(built)
 	return built
 }
 
--- a/internal/steering/planner.go
+++ b/internal/steering/planner.go
@@ -39,6 +39,8 @@
 	history []epoch // texts whose moves of the baseline may not be over, and the one in force
 	plans   map[planKey][]*plan
 	links   linkTable
+
+	rejected []model.Rejected // by the latest choice
 }
 
 // New returns a Planner for an instance of a zone; it refuses everything until
--- a/internal/steering/spill.go
+++ b/internal/steering/spill.go
@@ -27,6 +27,7 @@
 		}
 		room, why := p.roomFor(r, t)
 		if room <= 0 {
+			p.reject(t.cell, "", true, why)
 			cause = weightier(cause, why)
 			continue
 		}
