Metrics of headroom, spill, links, drains, platform calls and the process

Cause: headroom, link use, drain time, control cost, platform calls and ownership were not exported, status showed no drained_at, and the log said nothing of refusals or of the platform's circuit breaker.

A collector reads the state when it is scraped, so that nothing is kept up to date on the request path. Link traffic is counted in bytes of frames by kind.

--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -65,6 +65,7 @@
 		Table:         client.Table(),
 		Objects:       client.Objects(),
 		Instances:     client.Instances(),
+		PlatformStats: client.Stats,
 		PlatformState: func() control.Platform { return platformState(client) },
 		Log:           do.MustInvoke[*logrus.Entry](i),
 		Drain:         s.Serving.Drain,
--- a/internal/journal/lines.go
+++ b/internal/journal/lines.go
@@ -50,7 +50,7 @@
 	}
 	parts := e.candidateParts()
 	if e.Detail == nil || len(e.Detail.Rejected) == 0 {
-		parts = append(parts, "the first choice fits")
+		parts = append(parts, "drawn from the baseline, which fits")
 	}
 	return e.line(at, what, strings.Join(append(parts, e.rejectedParts()...), "; "))
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -38,22 +38,30 @@
 
 // wire is a Conn over a stream of bytes.
 type wire struct {
-	stream net.Conn
-	reader *bufio.Reader
-	limits protodelim.UnmarshalOptions
+	stream   net.Conn
+	counter  *countingReader
+	reader   *bufio.Reader
+	limits   protodelim.UnmarshalOptions
+	traffic  *traffic
+	consumed int64 // bytes of the frames received so far
 }
 
-func newWire(stream net.Conn) *wire {
+func newWire(stream net.Conn, t *traffic) *wire {
+	counter := &countingReader{reader: stream}
 	return &wire{
-		stream: stream,
-		reader: bufio.NewReaderSize(stream, readBufferBytes),
-		limits: protodelim.UnmarshalOptions{MaxSize: maxFrameBytes},
+		stream:  stream,
+		counter: counter,
+		reader:  bufio.NewReaderSize(counter, readBufferBytes),
+		limits:  protodelim.UnmarshalOptions{MaxSize: maxFrameBytes},
+		traffic: t,
 	}
 }
 
 // Send writes one frame with its length before it.
 func (w *wire) Send(f *linkpb.Frame) error {
-	if _, err := protodelim.MarshalTo(w.stream, f); err != nil {
+	n, err := protodelim.MarshalTo(w.stream, f)
+	w.traffic.sent[kindOf(f)].Add(int64(n))
+	if err != nil {
 		return fmt.Errorf("send frame to %s: %w", w.stream.RemoteAddr(), err)
 	}
 	return nil
@@ -69,9 +77,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("receive frame from %s: %w", w.stream.RemoteAddr(), err)
 	}
+	w.countReceived(f)
 	return f, nil
 }
 
+func (w *wire) countReceived(f *linkpb.Frame) {
+	consumed := w.counter.read - int64(w.reader.Buffered())
+	w.traffic.received[kindOf(f)].Add(consumed - w.consumed)
+	w.consumed = consumed
+}
+
 // Close closes the stream both ways.
 func (w *wire) Close() error { return w.stream.Close() }
 
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -78,6 +78,8 @@
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peer
 	tasks sync.WaitGroup
+
+	traffic traffic
 }
 
 // New returns links without peers.
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return
 	}
-	conn := newWire(control)
+	conn := newWire(control, &p.links.traffic)
 	hello := &linkpb.Frame_Hello{Hello: p.links.hello}
 	if conn.Send(&linkpb.Frame{Body: hello}) != nil {
 		return
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open stream to %s at %s: %w", p.id, p.addr, errors.Join(&DownError{Peer: p.id}, err))
 	}
-	return newWire(stream), nil
+	return newWire(stream, &p.links.traffic), nil
 }
 
 // DownError reports that there is no link to a peer; nothing was sent.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return
 		}
-		l.tasks.Go(func() { in.serveStream(newWire(stream)) })
+		l.tasks.Go(func() { in.serveStream(newWire(stream, &l.traffic)) })
 	}
 }
 
--- /dev/null
+++ b/internal/link/traffic.go
@@ -0,0 +1,75 @@
+package link
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+)
+
+// TrafficKind says what frames are for, as a metric label.
+type TrafficKind uint8
+
+// The kinds of traffic.
+const (
+	TrafficMembership    TrafficKind = iota // hello and membership messages
+	TrafficConfiguration                    // configuration revisions
+	TrafficRequests                         // offers, answers and bodies
+
+	trafficKindCount = 3
+)
+
+var trafficNames = [trafficKindCount]string{"membership", "configuration", "requests"}
+
+// String returns the metric label.
+func (k TrafficKind) String() string { return trafficNames[k] }
+
+// Traffic is what the links have carried of one kind since the start, in bytes
+// of frames. Requests that an instance offers to itself do not count, nor do the
+// headers and pings of yamux.
+type Traffic struct {
+	Kind           TrafficKind
+	Sent, Received int64
+}
+
+// traffic counts the bytes of each kind.
+type traffic struct {
+	sent, received [trafficKindCount]atomic.Int64
+}
+
+func kindOf(f *linkpb.Frame) TrafficKind {
+	switch f.GetBody().(type) {
+	case *linkpb.Frame_Hello, *linkpb.Frame_Gossip:
+		return TrafficMembership
+	case *linkpb.Frame_Revision, *linkpb.Frame_RevisionRequest:
+		return TrafficConfiguration
+	default:
+		return TrafficRequests
+	}
+}
+
+// Traffic returns what the links have carried, by kind.
+func (l *Links) Traffic() []Traffic {
+	list := make([]Traffic, trafficKindCount)
+	for kind := range list {
+		list[kind] = Traffic{
+			Kind:     TrafficKind(kind),
+			Sent:     l.traffic.sent[kind].Load(),
+			Received: l.traffic.received[kind].Load(),
+		}
+	}
+	return list
+}
+
+// countingReader counts the bytes that were read from a stream.
+type countingReader struct {
+	reader io.Reader
+	read   int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	c.read += int64(n)
+	return n, err
+}
--- a/internal/reducer/inspect.go
+++ b/internal/reducer/inspect.go
@@ -7,6 +7,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/steering"
 )
 
 // Entry is an entry instance in the answer to a look-up.
@@ -36,6 +37,9 @@
 // Loads summarizes the owned servers by service.
 func (r *Reducer) Loads(now model.Instant) []membership.ServiceLoad { return r.admission.Loads(now) }
 
+// LinkUses lists what requests have used of the links to other regions.
+func (r *Reducer) LinkUses() []steering.LinkUse { return r.planner.LinkUses() }
+
 // ServerState is what this instance holds of a server that it owns.
 type ServerState struct {
 	Backend config.Backend
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -127,6 +127,9 @@
 	now := r.clock.now()
 	r.mu.Lock()
 	delete(r.calls, c.id)
+	if outcome == model.NotRun || outcome == model.Unknown {
+		r.refusals.add(&c.meta, outcome, cause)
+	}
 	r.mu.Unlock()
 	r.post(&event.RequestFinished{At: now, Request: c.id, Outcome: outcome, Cause: cause, AnswerBytes: answerBytes})
 	r.observe(c, outcome, cause, now.Sub(c.started))
--- /dev/null
+++ b/internal/runtime/collect.go
@@ -0,0 +1,191 @@
+package runtime
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/reducer"
+	"github.com/primrosenotch/primrosenotch/internal/steering"
+)
+
+// stateCollector reads the state of the instance when metrics are scraped.
+type stateCollector struct {
+	runtime *Runtime
+
+	slots, inUse, headroom, queued      *prometheus.Desc
+	spillSlots, spillInUse              *prometheus.Desc
+	owned, peers, inFlight              *prometheus.Desc
+	linkBudget, linkUsed, linkTraffic   *prometheus.Desc
+	stopInFlight, stopDrain             *prometheus.Desc
+	platformCalls, platformRetries      *prometheus.Desc
+	platformRejected, platformBreaker   *prometheus.Desc
+	configurationAge, configurationTime *prometheus.Desc
+}
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "", name), help, labels, nil)
+}
+
+func newStateCollector(r *Runtime) *stateCollector {
+	return &stateCollector{
+		runtime:           r,
+		slots:             describe("owner_slots", "Usable slots of the owned backend servers.", "service"),
+		inUse:             describe("owner_slots_in_use", "Slots in use.", "service"),
+		headroom:          describe("owner_headroom_ratio", "Free slots over slots, 0 to 1.", "service"),
+		queued:            describe("owner_queued_requests", "Requests that wait for a slot.", "service", "rank"),
+		spillSlots:        describe("owner_spill_slots", "Slots that spill may hold now under the shift cap.", "service"),
+		spillInUse:        describe("owner_spill_slots_in_use", "Slots in use by spill.", "service"),
+		owned:             describe("owned_backend_servers", "Owned backend servers by condition.", "service", "condition"),
+		peers:             describe("peers", "Other entry instances by health.", "health"),
+		inFlight:          describe("requests_in_flight", "Requests in flight, as ingress and as owner.", "role"),
+		linkBudget:        describe("link_budget_bytes_per_second", "This instance's part of a link's budget, each way.", "region"),
+		linkUsed:          describe("link_used_bytes_total", "Bytes of ended requests over a link between regions.", "region", "direction"),
+		linkTraffic:       describe("peer_traffic_bytes_total", "Bytes of frames exchanged with other instances.", "kind", "direction"),
+		stopInFlight:      describe("stop_in_flight", "Requests in flight on what a planned stop covers.", "stop", "scope", "target"),
+		stopDrain:         describe("stop_drain_seconds", "Time from a planned stop's announcement until nothing was in flight here.", "stop", "scope", "target"),
+		platformCalls:     describe("platform_attempts_total", "Attempts of calls to the platform by result.", "service", "result"),
+		platformRetries:   describe("platform_retries_total", "Attempts after the first of a call to the platform.", "service"),
+		platformRejected:  describe("platform_rejected_total", "Attempts that the open circuit breaker refused.", "service"),
+		platformBreaker:   describe("platform_breaker_state", "Circuit breaker: 0 closed, 1 half-open, 2 open.", "service"),
+		configurationTime: describe("configuration_accepted_timestamp_seconds", "When the revision in force was accepted."),
+		configurationAge:  describe("configuration_adoption_seconds", "Time from the acceptance of the revision in force to its adoption here."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		c.slots, c.inUse, c.headroom, c.queued, c.spillSlots, c.spillInUse, c.owned, c.peers, c.inFlight,
+		c.linkBudget, c.linkUsed, c.linkTraffic, c.stopInFlight, c.stopDrain, c.platformCalls, c.platformRetries,
+		c.platformRejected, c.platformBreaker, c.configurationTime, c.configurationAge,
+	} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *stateCollector) Collect(ch chan<- prometheus.Metric) {
+	s := c.runtime.metricState()
+	m := metricWriter{ch}
+	c.collectLoads(m, s)
+	c.collectOwnership(m, s)
+	c.collectLinks(m, s)
+	c.collectStops(m)
+	c.collectPlatform(m)
+	c.collectConfiguration(m)
+}
+
+// metricState is what a scrape needs of the reducer.
+type metricState struct {
+	loads         []membership.ServiceLoad
+	servers       []reducer.ServerState
+	peers         []membership.Peer
+	links         []steering.LinkUse
+	calls, offers int
+}
+
+func (r *Runtime) metricState() metricState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.now()
+	s := metricState{
+		loads:   r.reducer.Loads(now),
+		servers: r.reducer.Servers(now),
+		peers:   r.reducer.Peers(),
+		links:   r.reducer.LinkUses(),
+	}
+	s.calls, s.offers = r.reducer.InFlight()
+	return s
+}
+
+// metricWriter sends constant metrics.
+type metricWriter struct{ ch chan<- prometheus.Metric }
+
+func (w metricWriter) gauge(d *prometheus.Desc, v float64, labels ...string) {
+	w.ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+func (w metricWriter) counter(d *prometheus.Desc, v float64, labels ...string) {
+	w.ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, labels...)
+}
+
+func (c *stateCollector) collectLoads(m metricWriter, s metricState) {
+	for _, load := range s.loads {
+		service := string(load.Service)
+		m.gauge(c.slots, float64(load.Slots), service)
+		m.gauge(c.inUse, float64(load.InUse), service)
+		if load.Slots > 0 {
+			m.gauge(c.headroom, float64(max(0, load.Slots-load.InUse))/float64(load.Slots), service)
+		}
+		m.gauge(c.spillSlots, load.SpillLevel, service)
+		m.gauge(c.spillInUse, float64(load.SpillInUse), service)
+		for rank, n := range load.Queued {
+			m.gauge(c.queued, float64(n), service, model.Rank(rank).String())
+		}
+	}
+}
+
+func (c *stateCollector) collectOwnership(m metricWriter, s metricState) {
+	type key struct {
+		service   model.ServiceName
+		condition string
+	}
+	servers := lo.CountValuesBy(s.servers, func(s reducer.ServerState) key {
+		return key{s.Backend.Service, s.State.Condition.String()}
+	})
+	for k, n := range servers {
+		m.gauge(c.owned, float64(n), string(k.service), k.condition)
+	}
+	for health, n := range lo.CountValuesBy(s.peers, func(p membership.Peer) membership.Health { return p.Health }) {
+		m.gauge(c.peers, float64(n), string(health))
+	}
+	m.gauge(c.inFlight, float64(s.calls), "ingress")
+	m.gauge(c.inFlight, float64(s.offers), "owner")
+}
+
+func (c *stateCollector) collectLinks(m metricWriter, s metricState) {
+	for _, l := range s.links {
+		m.gauge(c.linkBudget, l.BytesPerSecond, string(l.Region))
+		m.counter(c.linkUsed, float64(l.Used.Upload), string(l.Region), "out")
+		m.counter(c.linkUsed, float64(l.Used.Answer), string(l.Region), "back")
+	}
+	for _, t := range c.runtime.links.Traffic() {
+		m.counter(c.linkTraffic, float64(t.Sent), t.Kind.String(), "sent")
+		m.counter(c.linkTraffic, float64(t.Received), t.Kind.String(), "received")
+	}
+}
+
+func (c *stateCollector) collectStops(m metricWriter) {
+	for _, stop := range c.runtime.stops() {
+		labels := []string{stop.ID, string(stop.Scope), stop.Target}
+		m.gauge(c.stopInFlight, float64(stop.InFlight), labels...)
+		if !stop.DrainedAt.IsZero() {
+			m.gauge(c.stopDrain, stop.DrainedAt.Sub(stop.At).Seconds(), labels...)
+		}
+	}
+}
+
+func (c *stateCollector) collectPlatform(m metricWriter) {
+	if c.runtime.options.PlatformStats == nil {
+		return
+	}
+	for _, s := range c.runtime.options.PlatformStats() {
+		service := string(s.Service)
+		m.counter(c.platformCalls, float64(s.Attempts-s.Failures), service, "answered")
+		m.counter(c.platformCalls, float64(s.Failures), service, "failed")
+		m.counter(c.platformRetries, float64(s.Retries), service)
+		m.counter(c.platformRejected, float64(s.Rejected), service)
+		m.gauge(c.platformBreaker, float64(s.Breaker), service)
+	}
+}
+
+func (c *stateCollector) collectConfiguration(m metricWriter) {
+	in := c.runtime.configurationStatus()
+	if in.Revision == 0 {
+		return
+	}
+	m.gauge(c.configurationTime, float64(in.AcceptedAt.UnixMilli())/1000)
+	m.gauge(c.configurationAge, in.AdoptedAt.Sub(in.AcceptedAt).Seconds())
+}
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -37,11 +37,21 @@
 			r.finish()
 			return
 		case <-ticker.C:
-			r.post(&event.Tick{At: r.clock.now()})
+			r.tick()
 		}
 	}
 }
 
+func (r *Runtime) tick() {
+	now := r.clock.now()
+	r.post(&event.Tick{At: now})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchStops(now)
+	r.watchPlatform(now)
+	r.refusals.report(r, now)
+}
+
 // Shutdown announces that this instance leaves; Run returns once nothing is in
 // flight, or after the longest drain time.
 func (r *Runtime) Shutdown() {
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -44,7 +45,9 @@
 		}, []string{"step"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors,
-		newLoadCollector(r),
+		newStateCollector(r),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: metricsNamespace, Name: "configuration_revision",
 			Help: "Number of the configuration revision in force.",
@@ -77,46 +80,3 @@
 		r.log.WithError(err).Debug("refusal not delivered")
 	}
 }
-
-// loadCollector reports the load of the owned servers when metrics are read.
-type loadCollector struct {
-	runtime                      *Runtime
-	slots, inUse, queued, spills *prometheus.Desc
-}
-
-func newLoadCollector(r *Runtime) *loadCollector {
-	desc := func(name, help string, labels ...string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "owner", name), help, labels, nil)
-	}
-	return &loadCollector{
-		runtime: r,
-		slots:   desc("slots", "Usable slots of the owned backend servers.", "service"),
-		inUse:   desc("slots_in_use", "Slots in use.", "service"),
-		queued:  desc("queued_requests", "Requests that wait for a slot.", "service", "rank"),
-		spills:  desc("spill_slots_in_use", "Slots in use by work from outside the baseline.", "service"),
-	}
-}
-
-// Describe implements prometheus.Collector.
-func (c *loadCollector) Describe(ch chan<- *prometheus.Desc) {
-	ch <- c.slots
-	ch <- c.inUse
-	ch <- c.queued
-	ch <- c.spills
-}
-
-// Collect implements prometheus.Collector.
-func (c *loadCollector) Collect(ch chan<- prometheus.Metric) {
-	for _, load := range c.runtime.loads() {
-		service := string(load.Service)
-		gauge := func(d *prometheus.Desc, v float64, labels ...string) {
-			ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
-		}
-		gauge(c.slots, float64(load.Slots), service)
-		gauge(c.inUse, float64(load.InUse), service)
-		gauge(c.spills, float64(load.SpillInUse), service)
-		for rank, n := range load.Queued {
-			gauge(c.queued, float64(n), service, model.Rank(rank).String())
-		}
-	}
-}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -43,6 +43,8 @@
 	// PlatformState reports the circuit breaker of the platform's calls; it may be
 	// nil.
 	PlatformState func() control.Platform
+	// PlatformStats reports the platform's calls; it may be nil.
+	PlatformStats func() []platform.ServiceStats
 	Log           *logrus.Entry
 	// Drain bounds how long shutdown waits for requests in flight.
 	Drain time.Duration
@@ -66,10 +68,13 @@
 	metrics  *metrics
 
 	// mu serializes the reducer and guards the fields below it.
-	mu      sync.Mutex
-	reducer *reducer.Reducer
-	calls   map[model.RequestID]*call
-	offers  map[model.RequestID]*offer
+	mu       sync.Mutex
+	reducer  *reducer.Reducer
+	calls    map[model.RequestID]*call
+	offers   map[model.RequestID]*offer
+	breaker  string // state of the platform's circuit breaker last recorded
+	refusals refusalSums
+	drained  map[string]model.Instant // when each planned stop in force had drained here
 
 	lastID  atomic.Uint64
 	view    atomic.Pointer[view]
@@ -99,6 +104,7 @@
 		upstream: upstream.New(o.Upstream),
 		calls:    make(map[model.RequestID]*call),
 		offers:   make(map[model.RequestID]*offer),
+		drained:  make(map[string]model.Instant),
 		ctx:      ctx,
 		leave:    cancel,
 		unique:   uuid.NewString(),
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -36,7 +36,7 @@
 		Platform:      r.platformStatus(),
 		Peers:         lo.Map(peers, func(p membership.Peer, _ int) control.Peer { return peerStatus(now, p) }),
 		Backends:      lo.Map(servers, func(s reducer.ServerState, _ int) control.Backend { return serverStatus(s) }),
-		Stops:         r.stopStatus(servers),
+		Stops:         r.stops(),
 	}
 	for i, z := range zones {
 		status.Zones = append(status.Zones, zoneStatus(z, loads[i]))
@@ -44,12 +44,6 @@
 	return status
 }
 
-func (r *Runtime) loads() []membership.ServiceLoad {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reducer.Loads(r.clock.now())
-}
-
 func (r *Runtime) configurationStatus() control.Configuration {
 	revision := r.source.Load()
 	if revision == nil {
@@ -122,38 +116,6 @@
 	return out
 }
 
-// stopStatus counts what is still in flight on the owned servers that a planned
-// stop covers.
-func (r *Runtime) stopStatus(servers []reducer.ServerState) []control.Stop {
-	revision := r.source.Load()
-	if revision == nil {
-		return nil
-	}
-	regions := lo.SliceToMap(r.view.Load().zones(), func(z config.Zone) (model.ZoneName, model.RegionName) { return z.Name, z.Region })
-	return lo.Map(revision.Stops, func(s config.Stop, _ int) control.Stop {
-		out := control.StopOf(s)
-		for _, server := range servers {
-			if covers(s, server.Backend, regions) {
-				out.InFlight += server.InUse
-			}
-		}
-		return out
-	})
-}
-
-func covers(s config.Stop, b config.Backend, regions map[model.ZoneName]model.RegionName) bool {
-	switch s.Scope {
-	case config.StopBackend:
-		return s.Target == string(b.Name)
-	case config.StopZone:
-		return s.Target == string(b.Zone)
-	case config.StopRegion:
-		return s.Target == string(regions[b.Zone])
-	default:
-		return false
-	}
-}
-
 // Explain implements control.Source.
 func (r *Runtime) Explain(_ context.Context, q control.ExplainQuery) control.Explanation {
 	found := r.journal.Find(journal.Query{Request: q.Request, Subject: q.Subject})
--- a/internal/steering/budget.go
+++ b/internal/steering/budget.go
@@ -77,6 +77,7 @@
 	budget    float64 // bytes a second each way, of all instances together
 	out, back direction
 	countedAt model.Instant // when the instances that share it were last counted
+	used      Transfer      // by requests that ended
 }
 
 // countEvery is how long a count of the instances that share a link is used.
@@ -177,6 +178,10 @@
 	if c.Spill {
 		c.cell.sentSpill--
 	}
+	if l := p.links.to(c.cell.region); l != nil {
+		l.used.Upload += actual.Upload
+		l.used.Answer += actual.Answer
+	}
 	planned := TransferOf(m)
 	p.charge(now, m.Rank, c, Transfer{actual.Upload - planned.Upload, actual.Answer - planned.Answer})
 }
@@ -187,3 +192,19 @@
 		l.back.charge(now, rank, t.Answer)
 	}
 }
+
+// LinkUse is what this instance's requests have used of the link to a region.
+type LinkUse struct {
+	Region         model.RegionName
+	BytesPerSecond float64  // this instance's part of the budget, each way; 0 before its first use
+	Used           Transfer // by requests that ended, since the text named the link
+}
+
+// LinkUses lists the bounded links of this instance's region.
+func (p *Planner) LinkUses() []LinkUse {
+	list := make([]LinkUse, 0, len(p.links.links))
+	for _, l := range p.links.links {
+		list = append(list, LinkUse{Region: l.region, BytesPerSecond: l.out.ranks[model.Urgent].rate, Used: l.used})
+	}
+	return list
+}
