--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -48,6 +49,8 @@
 	body     *offeredBody // streamed request body, nil where it is in the frame
 	stored   *ledger.Answer
 	attempts int
+	claimed  bool          // the ledger granted the idempotency key
+	waiting  model.Instant // since when it waits for a slot
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the running attempt
@@ -69,6 +72,7 @@
 	r.mu.Lock()
 	r.offers[o.id] = o
 	r.mu.Unlock()
+	o.waiting = r.clock.now()
 	done := make(chan struct{})
 	go o.watch(done)
 	r.post(&event.OfferReceived{At: r.clock.now(), Request: o.id, From: from, Meta: &o.meta, Spill: frame.GetSpill()})
@@ -141,18 +145,13 @@
 	o.cancel = cancel
 }
 
-func (o *offer) explain(subject, what, why string) {
-	o.runtime.journal.Add(event.JournalEntry{
-		At:      o.runtime.clock.now(),
-		Request: o.meta.Trace,
-		Subject: subject,
-		What:    what,
-		Why:     why,
-	})
-}
-
 func (o *offer) refuse(cmd offerCommand) {
-	o.explain(string(o.runtime.self), "refused as "+cmd.outcome.String(), string(cmd.cause))
+	o.explain(journal.RequestEntry{
+		Step:    journal.StepOfferRefused,
+		Subject: string(o.runtime.self),
+		Outcome: cmd.outcome,
+		Cause:   cmd.cause,
+	})
 	if cmd.release {
 		o.release()
 	}
@@ -176,14 +175,15 @@
 	a := o.upstreamAttempt(cmd)
 	a.Address = backend.Address
 	stop := o.watchSlow(cmd)
+	started := r.clock.now()
 	answer, err := r.upstream.Send(ctx, a)
 	stop()
 	if err != nil {
-		o.explain(string(cmd.backend), "attempt failed", err.Error())
+		o.explainFailure(cmd.backend, started, err)
 		o.attemptFinished(cmd.backend, err.Result, err)
 		return false
 	}
-	o.explain(string(cmd.backend), "answered", "")
+	o.explainAnswer(cmd.backend, started, answer.Status)
 	o.pass(cmd.backend, answer)
 	return true
 }
@@ -250,6 +250,7 @@
 		ev.Draining = err.Draining
 	}
 	o.setCancel(nil)
+	o.waiting = ev.At
 	o.runtime.post(ev)
 }
 
@@ -287,7 +288,7 @@
 	result := event.AttemptComplete
 	switch {
 	case readErr != nil:
-		o.explain(string(backend), "answer cut", readErr.Error())
+		o.explain(errorEntry(journal.StepServerCut, string(backend), readErr))
 		result = event.AttemptCut
 	case sendErr != nil && o.meta.Kind != model.Once:
 		result = event.AttemptCancelled
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -43,13 +43,15 @@
 	// PlatformState reports the circuit breaker of the platform's calls; it may be
 	// nil.
 	PlatformState func() control.Platform
+	// PlatformStats reports the platform's calls; it may be nil.
+	PlatformStats func() []platform.ServiceStats
 	Log           *logrus.Entry
 	// Drain bounds how long shutdown waits for requests in flight.
 	Drain time.Duration
 }
 
-// journalSize is the number of decisions that an instance remembers.
-const journalSize = 16384
+// journalSizes are the numbers of decisions that an instance remembers.
+var journalSizes = journal.Sizes{Fleet: 2048, Notable: 8192, Ordinary: 16384}
 
 // Runtime runs one entry instance. Create it with New and start it with Run.
 type Runtime struct {
@@ -66,10 +68,13 @@
 	metrics  *metrics
 
 	// mu serializes the reducer and guards the fields below it.
-	mu      sync.Mutex
-	reducer *reducer.Reducer
-	calls   map[model.RequestID]*call
-	offers  map[model.RequestID]*offer
+	mu       sync.Mutex
+	reducer  *reducer.Reducer
+	calls    map[model.RequestID]*call
+	offers   map[model.RequestID]*offer
+	breaker  string // state of the platform's circuit breaker last recorded
+	refusals refusalSums
+	drained  map[string]model.Instant // when each planned stop in force had drained here
 
 	lastID  atomic.Uint64
 	view    atomic.Pointer[view]
@@ -94,11 +99,12 @@
 		self:     o.Reducer.Self.ID,
 		clock:    newClock(),
 		log:      o.Log,
-		journal:  journal.New(journalSize),
+		journal:  journal.New(journalSizes),
 		store:    confstore.New(o.Table),
 		upstream: upstream.New(o.Upstream),
 		calls:    make(map[model.RequestID]*call),
 		offers:   make(map[model.RequestID]*offer),
+		drained:  make(map[string]model.Instant),
 		ctx:      ctx,
 		leave:    cancel,
 		unique:   uuid.NewString(),
