--- a/cmd/primrosenotch-load/main.go
+++ b/cmd/primrosenotch-load/main.go
@@ -34,5 +34,6 @@
 	add("run", "Run an experiment", "Runs an experiment and writes its result as JSON. Fails if any answer was wrong or cut.", &runCommand{})
 	add("compare", "Compare two results", "Prints two result files side by side.", &compareCommand{})
 	add("plot", "Plot a result", "Draws latency and outcomes over time, as svg or png.", &plotCommand{})
+	add("watch", "Watch a fleet", "Samples the load of entry instances until SIGTERM, then checks it and what the backend servers ran.", &watchCommand{})
 	add("baseline", "Run a plain proxy", "Forwards to fixed backend servers, to compare with.", &baselineCommand{})
 }
--- a/cmd/primrosenotch-load/run.go
+++ b/cmd/primrosenotch-load/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/primrosenotch/primrosenotch/internal/load"
@@ -14,9 +15,10 @@
 
 // runCommand are the flags of the run command.
 type runCommand struct {
-	Out  string  `long:"out" short:"o" required:"true" description:"result file, JSON"`
-	Seed *uint64 `long:"seed" description:"replaces the experiment's seed"`
-	Args struct {
+	Out    string  `long:"out" short:"o" required:"true" description:"result file, JSON"`
+	Seed   *uint64 `long:"seed" description:"replaces the experiment's seed"`
+	NotRun string  `long:"not-run" description:"file for the identifiers of requests that were told not-run, one a line"`
+	Args   struct {
 		Experiment string `positional-arg-name:"EXPERIMENT" description:"experiment file, INI"`
 	} `positional-args:"true" required:"true"`
 }
@@ -33,6 +35,9 @@
 	if err := result.WriteFile(c.Out); err != nil {
 		return err
 	}
+	if err := c.writeNotRun(result); err != nil {
+		return err
+	}
 	logResult(result)
 	if n := result.Faulty(); n > 0 {
 		return fmt.Errorf("%d answers were wrong or cut, see %s", n, c.Out)
@@ -40,6 +45,17 @@
 	return nil
 }
 
+func (c *runCommand) writeNotRun(result *load.Result) error {
+	if c.NotRun == "" {
+		return nil
+	}
+	text := strings.Join(result.NotRun, "\n") + "\n"
+	if err := os.WriteFile(c.NotRun, []byte(text), 0o644); err != nil {
+		return fmt.Errorf("write requests that were not run: %w", err)
+	}
+	return nil
+}
+
 func (c *runCommand) experiment(do.Injector) (*load.Experiment, error) {
 	text, err := os.ReadFile(c.Args.Experiment)
 	if err != nil {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -22,6 +22,7 @@
 	Platform      Platform      `json:"platform"`
 	Peers         []Peer        `json:"peers"`
 	Zones         []ZoneLoad    `json:"zones"`
+	Loads         []ServiceLoad `json:"loads"`    // of the servers that this instance owns, now
 	Backends      []Backend     `json:"backends"` // owned by this instance
 	Stops         []Stop        `json:"stops"`
 }
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -56,6 +56,7 @@
 	latency  *hdrhistogram.Histogram
 	points   []Point
 	problems []string
+	notRun   []string // identifiers of requests that were told so in every attempt
 }
 
 func newClassRecorder(e *Experiment, c *Class) *classRecorder {
@@ -74,10 +75,10 @@
 }
 
 // add records a request that ended at the given time since the start.
-func (r *classRecorder) add(phase int, o observation, latency, ended time.Duration) {
+func (r *classRecorder) add(q *request, o observation, latency, ended time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := &r.cells[phase]
+	c := &r.cells[q.phase]
 	c.row.Requests++
 	c.row.Outcomes[o.outcome]++
 	c.row.Retries += int64(o.retries)
@@ -92,6 +93,15 @@
 	r.outcomes[o.outcome]++
 	r.addLatency(c, o, latency)
 	r.addProblem(o)
+	r.addNotRun(q, o)
+}
+
+// addNotRun leaves out classes that repeat requests, since another one with the
+// same identifier may have run.
+func (r *classRecorder) addNotRun(q *request, o observation) {
+	if o.outcome == model.NotRun.String() && r.class.Repeat == 0 {
+		r.notRun = append(r.notRun, q.id)
+	}
 }
 
 func (r *classRecorder) addLatency(c *cell, o observation, latency time.Duration) {
@@ -151,4 +161,5 @@
 	}
 	result.Series = append(result.Series, r.points...)
 	result.Problems = append(result.Problems, r.problems...)
+	result.NotRun = append(result.NotRun, r.notRun...)
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -22,6 +22,9 @@
 	FailedLookups int64 `json:"failed_lookups"`
 	// Problems are the first wrong or cut answers.
 	Problems []string `json:"problems"`
+	// NotRun lists the requests that were told so in every attempt. It is not part
+	// of the result file.
+	NotRun []string `json:"-"`
 }
 
 // Row is one class in one phase, by the time of arrival.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -111,14 +111,14 @@
 	r.recordLag(now.Sub(due))
 	if r.inFlight.Add(1) > int64(r.experiment.MaxInFlight) {
 		r.inFlight.Add(-1)
-		r.recorders[q.class].add(q.phase, observation{outcome: outcomeDropped}, 0, now.Sub(r.started))
+		r.recorders[q.class].add(&q, observation{outcome: outcomeDropped}, 0, now.Sub(r.started))
 		return
 	}
 	r.requests.Go(func() {
 		defer r.inFlight.Add(-1)
 		o := r.caller.do(&q, r.directories[q.source])
 		end := time.Now()
-		r.recorders[q.class].add(q.phase, o, end.Sub(now), end.Sub(r.started))
+		r.recorders[q.class].add(&q, o, end.Sub(now), end.Sub(r.started))
 	})
 }
 
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -24,6 +24,7 @@
 	self := r.reducer.Self()
 	peers := r.reducer.Peers()
 	servers := r.reducer.Servers(now)
+	owned := r.reducer.Loads(now)
 	loads := lo.Map(zones, func(z config.Zone, _ int) []membership.ServiceLoad { return r.reducer.ZoneLoads(z.Name) })
 	r.mu.Unlock()
 	status := control.Status{
@@ -35,6 +36,7 @@
 		Configuration: r.configurationStatus(),
 		Platform:      r.platformStatus(),
 		Peers:         lo.Map(peers, func(p membership.Peer, _ int) control.Peer { return peerStatus(now, p) }),
+		Loads:         lo.Map(owned, func(l membership.ServiceLoad, _ int) control.ServiceLoad { return loadStatus(l) }),
 		Backends:      lo.Map(servers, func(s reducer.ServerState, _ int) control.Backend { return serverStatus(s) }),
 		Stops:         r.stopStatus(servers),
 	}
@@ -107,19 +109,23 @@
 }
 
 func zoneStatus(z config.Zone, loads []membership.ServiceLoad) control.ZoneLoad {
-	out := control.ZoneLoad{Zone: z.Name, Region: z.Region}
-	for _, load := range loads {
-		out.Services = append(out.Services, control.ServiceLoad{
-			Service:    load.Service,
-			Slots:      load.Slots,
-			InUse:      load.InUse,
-			Queued:     control.Ranked(load.Queued),
-			MeanRun:    load.MeanRun,
-			SpillLevel: load.SpillLevel,
-			SpillInUse: load.SpillInUse,
-		})
+	return control.ZoneLoad{
+		Zone:     z.Name,
+		Region:   z.Region,
+		Services: lo.Map(loads, func(l membership.ServiceLoad, _ int) control.ServiceLoad { return loadStatus(l) }),
+	}
+}
+
+func loadStatus(load membership.ServiceLoad) control.ServiceLoad {
+	return control.ServiceLoad{
+		Service:    load.Service,
+		Slots:      load.Slots,
+		InUse:      load.InUse,
+		Queued:     control.Ranked(load.Queued),
+		MeanRun:    load.MeanRun,
+		SpillLevel: load.SpillLevel,
+		SpillInUse: load.SpillInUse,
 	}
-	return out
 }
 
 // stopStatus counts what is still in flight on the owned servers that a planned
