Configuration: a revision carries every text from which the baseline still moves

Cause: a revision named only the text before it. A second apply during the first move started the second from the first one's target, on an instance that had restarted or that adopted the latest revision only; one that had seen both went on from where the move was. Announcing a stop during the second move made every instance forget the first one, since the history was only followed where it ended with the text before. So instances disagreed, and weights jumped.

Now the row has the chain of texts with their times, dropped as soon as their moves are over, and the planner works from the row alone. Found on the way: the rule for what may be forgotten asked whether a move is over now; it has to be over by the time of its successor, else the successor's starting weights change.

Ruled out: weights in the row (they depend on home lists that a later text may bring), reading older revisions from the table (down when it matters), refusing a change during a move (operators need it in a fault). More than 32 unfinished moves are refused with their number.

--- a/internal/config/change_test.go
+++ b/internal/config/change_test.go
@@ -67,7 +67,7 @@
 	stops := []Stop{{ID: "s1", Scope: StopZone, Target: "munich-a", Author: "ana", Reason: "rack", At: time.Unix(5, 6).UTC()}}
 	want := &Revision{
 		Number: 7, Source: []byte(smallText), Hash: HashRevision([]byte(smallText), stops), Stops: stops, Author: "ana",
-		Reason: "r", AcceptedAt: time.Unix(7, 8).UTC(), OperationID: "op", PreviousSource: []byte("old"), TextAcceptedAt: time.Unix(6, 0).UTC(),
+		Reason: "r", AcceptedAt: time.Unix(7, 8).UTC(), OperationID: "op", Earlier: []TextChange{{Source: []byte("older"), AcceptedAt: time.Unix(4, 5).UTC()}, {Source: []byte("old"), AcceptedAt: time.Unix(5, 0).UTC()}}, TextAcceptedAt: time.Unix(6, 0).UTC(),
 	}
 	message := EncodeRevision(want)
 	got, err := DecodeRevision(message)
--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -59,11 +59,15 @@
 		Reason:         r.Reason,
 		AcceptedAt:     nanoseconds(r.AcceptedAt),
 		OperationId:    r.OperationID,
-		PreviousSource: r.PreviousSource,
 		TextAcceptedAt: nanoseconds(r.TextAcceptedAt),
+		Earlier:        lo.Map(r.Earlier, func(c TextChange, _ int) *linkpb.TextChange { return encodeTextChange(c) }),
 	}
 }
 
+func encodeTextChange(c TextChange) *linkpb.TextChange {
+	return &linkpb.TextChange{Source: c.Source, AcceptedAt: nanoseconds(c.AcceptedAt)}
+}
+
 func encodeStop(s Stop) *linkpb.Stop {
 	return &linkpb.Stop{
 		Id:     s.ID,
@@ -86,12 +90,14 @@
 		Reason:         m.GetReason(),
 		AcceptedAt:     timeOf(m.GetAcceptedAt()),
 		OperationID:    m.GetOperationId(),
-		PreviousSource: m.GetPreviousSource(),
 		TextAcceptedAt: timeOf(m.GetTextAcceptedAt()),
 	}
 	for _, stop := range m.GetStops() {
 		r.Stops = append(r.Stops, decodeStop(stop))
 	}
+	for _, change := range m.GetEarlier() {
+		r.Earlier = append(r.Earlier, TextChange{Source: change.GetSource(), AcceptedAt: timeOf(change.GetAcceptedAt())})
+	}
 	if got := HashRevision(r.Source, r.Stops); got != r.Hash {
 		return nil, &HashError{Number: r.Number, Want: r.Hash, Got: got}
 	}
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -111,6 +111,12 @@
 	At     time.Time // when it was announced
 }
 
+// TextChange is a text and when it was accepted.
+type TextChange struct {
+	Source     []byte
+	AcceptedAt time.Time
+}
+
 // Revision is one accepted configuration: a text and the planned stops in
 // force with it. A higher Number always replaces a lower one.
 type Revision struct {
@@ -122,9 +128,11 @@
 	Reason      string
 	AcceptedAt  time.Time
 	OperationID string // of the change that made it, to settle lost replies
-	// PreviousSource is the text before this revision, from which the move of the
-	// baseline at the shift cap's rate starts. Empty for the first revision.
-	PreviousSource []byte
+	// Earlier are the texts from which the baseline still moves at the shift cap's
+	// rate, oldest first: the last one is the text before Source. Empty for the
+	// first revision. From it alone an instance works out the move that is under
+	// way, whatever it has seen before.
+	Earlier []TextChange
 	// TextAcceptedAt is when Source was accepted: the start of that move. It is
 	// before AcceptedAt where only planned stops have changed since.
 	TextAcceptedAt time.Time
--- a/internal/confstore/change.go
+++ b/internal/confstore/change.go
@@ -107,16 +107,17 @@
 	case bytes.Equal(current.Source, source):
 		return withStops(current, current.Stops)
 	default:
-		return &config.Revision{Source: source, PreviousSource: current.Source, Stops: current.Stops}
+		last := config.TextChange{Source: current.Source, AcceptedAt: current.TextAcceptedAt}
+		return &config.Revision{Source: source, Earlier: append(slices.Clone(current.Earlier), last), Stops: current.Stops}
 	}
 }
 
-// withStops keeps the text, the text before it and the time of that change, so
+// withStops keeps the text, the texts before it and the time of its change, so
 // that a move of the baseline that is under way goes on.
 func withStops(current *config.Revision, stops []config.Stop) *config.Revision {
 	return &config.Revision{
 		Source:         current.Source,
-		PreviousSource: current.PreviousSource,
+		Earlier:        current.Earlier,
 		TextAcceptedAt: current.TextAcceptedAt,
 		Stops:          stops,
 	}
--- a/internal/confstore/commit.go
+++ b/internal/confstore/commit.go
@@ -101,6 +101,9 @@
 		return nil, err
 	}
 	op.complete(next, current)
+	if len(next.Earlier) > maxEarlier {
+		return nil, &PendingMovesError{Moves: len(next.Earlier)}
+	}
 	if err := op.write(ctx, head, next); err != nil {
 		return nil, err
 	}
@@ -129,6 +132,7 @@
 	if next.TextAcceptedAt.IsZero() {
 		next.TextAcceptedAt = next.AcceptedAt
 	}
+	next.Earlier = config.Unfinished(next.Earlier, next.TextAcceptedAt)
 }
 
 func (op *operation) write(ctx context.Context, head headRow, next *config.Revision) error {
--- a/internal/confstore/errors.go
+++ b/internal/confstore/errors.go
@@ -71,3 +71,17 @@
 
 // Error implements error.
 func (e *RequestError) Error() string { return "change configuration: " + e.What }
+
+// maxEarlier bounds the texts from which the baseline may be moving at a time.
+const maxEarlier = 32
+
+// PendingMovesError reports a change that would forget from where the baseline
+// still moves, because too many texts were accepted during one move.
+type PendingMovesError struct {
+	Moves int // texts from which the baseline would be moving
+}
+
+// Error implements error.
+func (e *PendingMovesError) Error() string {
+	return fmt.Sprintf("the baseline would be moving from %d texts, at most %d may be; wait for an earlier move to end", e.Moves, maxEarlier)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,8 +26,14 @@
 	At       model.Instant
 	Revision *config.Revision
 	Text     *config.Text
-	// Previous is the text before the revision, nil for the first one.
-	Previous *config.Text
+	// Earlier are the texts from which the baseline still moves, oldest first.
+	Earlier []EarlierText
+}
+
+// EarlierText is a text that was in force before, and when it was accepted.
+type EarlierText struct {
+	Text       *config.Text
+	AcceptedAt model.Instant
 }
 
 // RequestArrived reports a caller's request at the ingress.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -30,7 +30,7 @@
 		r.homes[group.Name] = group.Home
 	}
 	r.group.SetRevision(ev.Revision.Number)
-	r.planner.Configure(ev.At, ev.Text, ev.Previous, model.InstantOf(ev.Revision.TextAcceptedAt))
+	r.planner.Configure(ev.Text, model.InstantOf(ev.Revision.TextAcceptedAt), ev.Earlier)
 	why := fmt.Sprintf("applied by %s: %s", ev.Revision.Author, ev.Revision.Reason)
 	r.out.record(ev.At, "", fmt.Sprintf("revision %d", ev.Revision.Number), "adopted", why)
 	r.applyGroup(ev.At, r.group.Configure(ev.At, ev.Text, ev.Revision.Stops))
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -178,10 +178,13 @@
 		return
 	}
 	ev := &event.ConfigurationLoaded{Revision: revision, Text: text}
-	if len(revision.PreviousSource) > 0 {
-		if ev.Previous, err = config.Parse("previous revision", revision.PreviousSource); err != nil {
-			r.log.WithError(err).WithField("from", from).Warn("previous text ignored")
+	for _, change := range revision.Earlier {
+		earlier, err := config.Parse("earlier text", change.Source)
+		if err != nil {
+			r.log.WithError(err).WithField("from", from).Warn("earlier text ignored")
+			continue
 		}
+		ev.Earlier = append(ev.Earlier, event.EarlierText{Text: earlier, AcceptedAt: model.InstantOf(change.AcceptedAt)})
 	}
 	r.putInForce(ev)
 }
--- a/internal/steering/golden_test.go
+++ b/internal/steering/golden_test.go
@@ -141,7 +141,7 @@
 	next.Backends = lo.Filter(next.Backends, func(b config.Backend, _ int) bool { return b.Service != "web" || b.Zone != "north-a" })
 	home := []model.ZoneName{"north-a", "west-a"}
 	s.write(map[string]int{})
-	s.planner.Configure(s.now, next, s.text, s.now)
+	s.planner.Configure(next, s.now, earlierTexts(change{s.text, testNow}))
 	for range 8 {
 		s.now = s.now.Add(30 * time.Second)
 		fmt.Fprintf(&s.out, "%v %v\n", s.now.Sub(testNow), s.planner.Baseline(s.now, "web", home))
@@ -184,7 +184,7 @@
 func BenchmarkChoose110Sites(b *testing.B) {
 	text := largeText()
 	p := New("r0-a", Settings{})
-	p.Configure(testNow, text, nil, testNow)
+	p.Configure(text, testNow, nil)
 	v := largeView(text)
 	now := testNow
 	m := testRequest(model.Normal)
--- a/internal/steering/planner.go
+++ b/internal/steering/planner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -36,7 +37,7 @@
 	random   *rand.Rand
 
 	layout  *layout // of the text in force, nil before the first one
-	history []epoch // texts whose moves of the baseline may not be over, and the one in force
+	history []epoch // texts from which the baseline may still move, and the one in force
 	plans   map[planKey][]*plan
 	links   linkTable
 }
@@ -52,14 +53,19 @@
 	}
 }
 
-// Configure takes the text in force, the one before it (nil for the first), and
-// when the text was accepted: from then on the baseline moves from the one to
-// the other at the shift cap's rate.
-func (p *Planner) Configure(_ model.Instant, text, previous *config.Text, acceptedAt model.Instant) {
+// Configure takes the text in force, when it was accepted, and the texts before
+// it from which the baseline may still be moving, oldest first. The baseline
+// moves from each to the next at the shift cap's rate. It depends on nothing
+// that this instance has seen before, so that all instances agree on it.
+func (p *Planner) Configure(text *config.Text, acceptedAt model.Instant, earlier []event.EarlierText) {
 	old := p.layout
 	p.layout = newLayout(text, p.settings)
 	p.layout.keepState(old)
-	p.recordEpoch(previous, acceptedAt)
+	p.history = nil
+	for _, e := range earlier {
+		p.history = append(p.history, epoch{layout: newLayout(e.Text, p.settings), since: e.AcceptedAt})
+	}
+	p.history = append(p.history, epoch{layout: p.layout, since: acceptedAt})
 	p.plans = map[planKey][]*plan{}
 	p.links.configure(text, p.regionOf(p.home[0]))
 }
--- a/internal/steering/property_test.go
+++ b/internal/steering/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -97,32 +98,75 @@
 	}
 }
 
+// change is a text and when it was accepted.
+type change struct {
+	text *config.Text
+	at   model.Instant
+}
+
+// earlierTexts are the changes that a revision after them carries.
+func earlierTexts(changes ...change) []event.EarlierText {
+	return lo.Map(changes, func(c change, _ int) event.EarlierText { return event.EarlierText{Text: c.text, AcceptedAt: c.at} })
+}
+
+// drawChanges returns changes of text, some of them during the moves of earlier
+// ones.
+func drawChanges(t *rapid.T, count int) []change {
+	at := testNow
+	var changes []change
+	for range count {
+		changes = append(changes, change{drawText(t), at})
+		at = at.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "s")) * time.Second)
+	}
+	return changes
+}
+
+// unfinished are the changes that still shape the baseline when a next text is
+// accepted, by the rule of config.Unfinished.
+func unfinished(changes []change, next model.Instant) []change {
+	for i := len(changes) - 1; i > 0; i-- {
+		if next.Sub(changes[i].at) >= changes[i].text.Limits.ShiftCap.MoveTime() {
+			return changes[i:]
+		}
+		next = changes[i].at
+	}
+	return changes
+}
+
+// configure puts the last of some changes in force as its revision tells it.
+func (p *Planner) configure(changes []change) {
+	last := len(changes) - 1
+	p.Configure(changes[last].text, changes[last].at, earlierTexts(unfinished(changes[:last], changes[last].at)...))
+}
+
 // TestBaselineMovesWithinTheCap checks the weights during changes of text,
-// including a change during the move of an earlier one.
+// including changes during the moves of earlier ones. Each instance is made anew
+// from the revision in force, as after a restart.
 func TestBaselineMovesWithinTheCap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		texts := []*config.Text{drawText(t), drawText(t), drawText(t)}
-		home := drawHome(t, texts[0])
+		changes := drawChanges(t, 4)
+		home := drawHome(t, changes[0].text)
 		p := New("east-a", Settings{})
-		p.Configure(testNow, texts[0], nil, testNow)
+		p.configure(changes[:1])
 		now := testNow
-		changes := []model.Instant{testNow.Add(time.Minute), testNow.Add(time.Minute + time.Duration(rapid.IntRange(1, 400).Draw(t, "s"))*time.Second)}
 		inForce := 0
-		window := texts[0].Limits.ShiftCap.Window
+		window := changes[0].text.Limits.ShiftCap.Window
 		before := p.Baseline(now, "web", home)
-		for now < changes[1].Add(6*time.Minute) {
+		for now < changes[3].at.Add(6*time.Minute) {
 			now = now.Add(window)
-			text := texts[inForce]
-			for inForce < 2 && now >= changes[inForce] {
-				was := p.Baseline(changes[inForce], "web", home)
-				p.Configure(now, texts[inForce+1], texts[inForce], changes[inForce])
-				requireContinues(t, was, p.Baseline(changes[inForce], "web", home))
+			was := inForce
+			for inForce < 3 && now >= changes[inForce+1].at {
+				at := changes[inForce+1].at
+				held := p.Baseline(at, "web", home)
 				inForce++
+				p = New("east-a", Settings{})
+				p.configure(changes[:inForce+1])
+				requireContinues(t, held, p.Baseline(at, "web", home))
 			}
 			after := p.Baseline(now, "web", home)
 			require.InDelta(t, 1, lo.SumBy(after, func(w Weight) float64 { return w.Part }), 1e-9)
-			if text == texts[inForce] {
-				requireMovedWithin(t, before, after, p.target(home), text.Limits.ShiftCap.Fraction)
+			if was == inForce {
+				requireMovedWithin(t, before, after, p.target(home), changes[inForce].text.Limits.ShiftCap.Fraction)
 			}
 			before = after
 		}
@@ -154,21 +198,22 @@
 	}
 }
 
-// TestInstancesAgreeOnTheBaseline checks that an instance that learnt the last
-// two texts only has the weights of one that saw every text, once the moves
-// before them were over.
+// TestInstancesAgreeOnTheBaseline checks that an instance that adopted the last
+// revision only has the weights of one that adopted all of them.
 func TestInstancesAgreeOnTheBaseline(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		texts := []*config.Text{drawText(t), drawText(t), drawText(t)}
-		home := drawHome(t, texts[0])
+		changes := drawChanges(t, 6)
+		home := drawHome(t, changes[0].text)
 		veteran, newcomer := New("east-a", Settings{}), New("east-a", Settings{})
-		second, third := testNow.Add(time.Hour), testNow.Add(2*time.Hour)
-		veteran.Configure(testNow, texts[0], nil, testNow)
-		veteran.Configure(second, texts[1], texts[0], second)
-		veteran.Configure(third, texts[2], texts[1], third)
-		newcomer.Configure(third, texts[2], texts[1], third)
-		at := third.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "s")) * time.Second)
+		for i := range changes {
+			veteran.configure(changes[:i+1])
+		}
+		newcomer.configure(changes)
+		every := New("east-a", Settings{})
+		every.Configure(changes[5].text, changes[5].at, earlierTexts(changes[:5]...))
+		at := changes[5].at.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "after")) * time.Second)
 		require.Equal(t, veteran.Baseline(at, "web", home), newcomer.Baseline(at, "web", home))
+		requireContinues(t, every.Baseline(at, "web", home), newcomer.Baseline(at, "web", home))
 	})
 }
 
--- a/internal/steering/view_test.go
+++ b/internal/steering/view_test.go
@@ -135,6 +135,6 @@
 
 func newTestPlanner(text *config.Text) *Planner {
 	p := New("east-a", Settings{Seed: 7})
-	p.Configure(testNow, text, nil, testNow)
+	p.Configure(text, testNow, nil)
 	return p
 }
