Spill opens on demand, least urgent work refused first

Cause: a sender stays below the spill level that an owner publishes, and an owner's level starts at 0 and rises on demand only, so neither began. The tests of each package raised the level by themselves. Now an owner publishes the next step as soon as it is due; a cap below one slot, whose first step waits for demand, is published as the fraction that it is: room to ask, nothing to take over. Steps are also told to peers singly: an owner of 16 slots or more kept quiet about fewer than two to three.

The planner now keeps spill for a rank that the cap refused for half a second. Ruled out: letting urgent work try a zone that says it is full; it costs a way between regions for each refusal, and the rule that spill stays below what receivers say.

The interval between two slots stood twice, and the copy in health let a cap of 1.8 slots open 2 in a window; there is one now, in config. Goldens: the published levels, and a new server of that session opens its slots 30 s apart (the cap is 1.2 slots in 30 s; it opened two in 25 s), so the session ends later.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -191,8 +191,7 @@
 	loads := make([]membership.ServiceLoad, 0, len(c.services))
 	for _, s := range c.services {
 		s.advance(now, &c.policy)
-		s.ramp.settle(now)
-		loads = append(loads, s.load())
+		loads = append(loads, s.load(now))
 	}
 	return loads
 }
@@ -209,13 +208,13 @@
 // Idle reports whether nothing is queued or running.
 func (c *Controller) Idle() bool { return len(c.requests) == 0 }
 
-func (s *service) load() membership.ServiceLoad {
+func (s *service) load(now model.Instant) membership.ServiceLoad {
 	load := membership.ServiceLoad{
 		Service:       s.name,
 		Slots:         s.capacity,
 		InUse:         s.totalInUse(),
 		MeanRun:       time.Duration(s.runs.mean),
-		SpillLevel:    float64(s.ramp.level),
+		SpillLevel:    s.ramp.offered(now),
 		SpillInUse:    s.spills,
 		BaselineSince: s.baselineSince,
 	}
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -17,6 +17,7 @@
 // one slot takes proportionally longer than a window for a step.
 type ramp struct {
 	interval time.Duration // between two steps; 0 admits no spill
+	growth   float64       // slots by which the cap lets the level rise in a window
 	period   time.Duration // of use measurement
 
 	slots    int // owned; bounds the level
@@ -35,7 +36,8 @@
 
 func (r *ramp) configure(limit config.ShiftCap, slots int) {
 	r.slots = slots
-	r.interval = stepInterval(limit, slots)
+	r.interval = limit.StepInterval(slots)
+	r.growth = limit.Fraction * float64(slots)
 	r.period = limit.Window / useBuckets
 	r.level = min(r.level, slots)
 	if r.interval == 0 {
@@ -43,17 +45,6 @@
 	}
 }
 
-func stepInterval(limit config.ShiftCap, slots int) time.Duration {
-	growth := limit.Fraction * float64(slots)
-	if growth <= 0 || limit.Window <= 0 {
-		return 0
-	}
-	if growth < 1 {
-		return time.Duration(float64(limit.Window) / growth)
-	}
-	return (limit.Window + time.Duration(growth) - 1) / time.Duration(growth)
-}
-
 // seed takes over the level of the owner before.
 func (r *ramp) seed(now model.Instant, level float64) {
 	r.settle(now)
@@ -126,6 +117,30 @@
 	return 0
 }
 
+// offered is the level that peers are told: with the next step where it is due,
+// since senders stay below it and would else never ask for one. A cap below one
+// slot whose first step waits for demand is offered as such; a fraction of a slot
+// is room to ask, and nothing that a new owner could take over.
+func (r *ramp) offered(now model.Instant) float64 {
+	r.settle(now)
+	level := float64(r.level)
+	switch {
+	case r.interval == 0 || r.level >= r.slots:
+		return level
+	case r.waitsForDemand(now):
+		return level + r.growth
+	case now >= r.stepDue():
+		return level + 1
+	}
+	return level
+}
+
+// waitsForDemand reports whether the interval of a first step that is larger than
+// the cap has yet to begin.
+func (r *ramp) waitsForDemand(now model.Instant) bool {
+	return !r.stepped && r.growth < 1 && (r.wanted == 0 || now.Sub(r.wanted) > 2*r.interval)
+}
+
 // settle lowers the level to the most that was admitted in the last period.
 func (r *ramp) settle(now model.Instant) {
 	if r.period <= 0 || now < r.periodEnd {
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -15,6 +15,22 @@
 	return time.Duration(math.Ceil(float64(c.Window) / c.Fraction))
 }
 
+// StepInterval is the least time between two single slots of a shift into a
+// number of slots, so that no half-open window of the cap's length holds more of
+// them than the cap. A cap below one slot takes proportionally longer than its
+// window for one. It is 0 where there is no cap.
+func (c ShiftCap) StepInterval(slots int) time.Duration {
+	growth := c.Fraction * float64(slots)
+	if growth <= 0 || c.Window <= 0 {
+		return 0
+	}
+	if growth < 1 {
+		return time.Duration(math.Ceil(float64(c.Window) / growth))
+	}
+	whole := time.Duration(growth)
+	return (c.Window + whole - 1) / whole
+}
+
 // Unfinished drops the texts that no longer shape the baseline when a next text
 // is accepted: those before the last one whose move was over by the time of its
 // successor. A text that does not parse is taken for one whose move was not.
--- a/internal/config/moves_test.go
+++ b/internal/config/moves_test.go
@@ -29,3 +29,15 @@
 	require.Zero(t, ShiftCap{}.MoveTime())
 	require.Equal(t, 5*time.Minute, ShiftCap{Fraction: 0.1, Window: 30 * time.Second}.MoveTime())
 }
+
+func TestStepIntervalKeepsEveryWindowWithinTheCap(t *testing.T) {
+	window := 5 * time.Second
+	for fraction, slots := range map[float64]int{0.1: 18, 0.15: 18, 0.2: 3, 0.3: 9, 0.09: 100} {
+		limit := ShiftCap{Fraction: fraction, Window: window}
+		interval := limit.StepInterval(slots)
+		steps := 1 + int((window-1)/interval) // most that start in a half-open window
+		require.LessOrEqual(t, float64(steps), max(1, fraction*float64(slots)), "%v of %d", fraction, slots)
+	}
+	require.Equal(t, 10*time.Second, ShiftCap{Fraction: 0.1, Window: window}.StepInterval(5))
+	require.Zero(t, ShiftCap{}.StepInterval(5))
+}
--- a/internal/health/session_test.go
+++ b/internal/health/session_test.go
@@ -83,7 +83,8 @@
 			1 configure
 			5 tick
 			26 tick
-			52 tick`,
+			52 tick
+			62 tick`,
 	}
 	golden := goldie.New(t)
 	for name, script := range sessions {
--- a/internal/health/slowstart.go
+++ b/internal/health/slowstart.go
@@ -44,12 +44,8 @@
 // stepInterval is the time between two slots that a group opens: the shift cap's
 // rate, or the faster setting.
 func (t *Tracker) stepInterval(g *group) time.Duration {
-	growth := t.settings.ShiftCap.Fraction * float64(g.slots)
-	if growth <= 0 || t.settings.ShiftCap.Window <= 0 {
-		return 0
-	}
-	interval := time.Duration(float64(t.settings.ShiftCap.Window) / growth)
-	if t.settings.SlowStartStep > 0 {
+	interval := t.settings.ShiftCap.StepInterval(g.slots)
+	if interval > 0 && t.settings.SlowStartStep > 0 {
 		interval = min(interval, t.settings.SlowStartStep)
 	}
 	return interval
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -12,7 +12,7 @@
 	loadStepsPerSlots = 8    // in use: an eighth of the slots
 	queueStepShare    = 0.25 // queued: a quarter of the number last sent
 	runStepShare      = 0.2  // mean run time: a fifth of the one last sent
-	spillStep         = 0.25 // spill level, in slots, at least
+	spillStep         = 0.25 // spill level, in slots: senders stay below it, so that each step counts
 )
 
 // ownLoads is the load of this instance's own servers.
@@ -63,7 +63,7 @@
 		}
 	}
 	spillDelta := max(sent.SpillLevel-current.SpillLevel, current.SpillLevel-sent.SpillLevel)
-	if spillDelta >= max(spillStep, float64(step)) {
+	if spillDelta >= spillStep {
 		return true
 	}
 	return runDiffers(sent.MeanRun, current.MeanRun)
--- a/internal/steering/layout.go
+++ b/internal/steering/layout.go
@@ -27,6 +27,8 @@
 	name model.ServiceName
 	// dependsOn lists every service that this one needs, directly or not.
 	dependsOn []int
+	// capRefusedAt is when the shift cap last refused spill of each rank.
+	capRefusedAt [model.RankCount]model.Instant
 }
 
 func newLayout(text *config.Text, s Settings) *layout {
--- /dev/null
+++ b/internal/steering/ramp_test.go
@@ -0,0 +1,141 @@
+package steering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/admission"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// rampFleet plays a planner against the owners of two zones as package admission
+// has them, with a zone lost and reports that lag.
+type rampFleet struct {
+	t       *testing.T
+	now     model.Instant
+	planner *Planner
+	view    *fakeView
+	owner   *admission.Controller // of east-b, the only zone that is left
+	slots   int
+	lag     time.Duration
+
+	next    model.RequestID
+	ends    map[model.RequestID]model.Instant
+	choices map[model.RequestID]Choice
+	metas   map[model.RequestID]*model.RequestMeta
+	pending []membership.ServiceLoad // oldest first
+	served  [model.RankCount]int
+	refused [model.RankCount]int
+}
+
+func newRampFleet(t *testing.T, slots int, lag time.Duration) *rampFleet {
+	text := testText()
+	f := &rampFleet{
+		t: t, now: testNow, planner: newTestPlanner(text), view: testView(text), slots: slots, lag: lag,
+		ends:    map[model.RequestID]model.Instant{},
+		choices: map[model.RequestID]Choice{},
+		metas:   map[model.RequestID]*model.RequestMeta{},
+	}
+	policy := admission.Policy{ShiftCap: text.Limits.ShiftCap}
+	f.owner = admission.New(policy)
+	f.owner.Configure(f.now, policy, []admission.Server{{Name: "web-b", Service: "web", Slots: slots}})
+	for _, zone := range []model.ZoneName{"east-a", "north-a", "west-a", "west-b"} {
+		f.view.lose(zone)
+	}
+	f.report()
+	return f
+}
+
+// report tells the planner the owner's load as it was the lag ago.
+func (f *rampFleet) report() {
+	f.pending = append(f.pending, f.owner.Loads(f.now)[0])
+	if behind := int(f.lag / rampStep); len(f.pending) > behind+1 {
+		f.pending = f.pending[1:]
+	}
+	f.view.set("web", "east-b", f.pending[0])
+}
+
+const (
+	rampStep = 50 * time.Millisecond
+	rampRun  = 200 * time.Millisecond
+)
+
+func (f *rampFleet) step(urgent, normal int) {
+	f.now = f.now.Add(rampStep)
+	for id := model.RequestID(1); id <= f.next; id++ {
+		if end, ok := f.ends[id]; ok && !f.now.Before(end) {
+			delete(f.ends, id)
+			f.owner.Finish(f.now, id, rampRun, true)
+			f.planner.Finished(f.now, f.metas[id], f.choices[id], Transfer{})
+		}
+	}
+	for range normal {
+		f.send(model.Normal)
+	}
+	for range urgent {
+		f.send(model.Urgent)
+	}
+	f.report()
+}
+
+func (f *rampFleet) send(rank model.Rank) {
+	f.next++
+	m := testRequest(rank)
+	m.Deadline = f.now.Add(time.Second)
+	c := f.planner.Choose(f.now, m, []model.ZoneName{"east-a"}, f.view, nil)
+	if !c.OK() {
+		f.refused[rank]++
+		return
+	}
+	require.True(f.t, c.Spill)
+	f.planner.Sent(f.now, m, c)
+	if cause := f.owner.Offer(f.now, admission.Request{ID: f.next, Meta: m, Spill: true}); cause != model.CauseNone {
+		f.planner.Finished(f.now, m, c, Transfer{})
+		f.planner.Observe(f.now, Observation{Service: "web", Rank: rank, Zone: c.Zone, Owner: c.Owner, Outcome: model.NotRun, Cause: cause})
+		f.refused[rank]++
+		return
+	}
+	f.metas[f.next], f.choices[f.next] = m, c
+	var d admission.Decisions
+	f.owner.Next(f.now, &d)
+	for _, start := range d.Start {
+		f.ends[start.ID] = f.now.Add(rampRun)
+	}
+	f.served[rank]++
+}
+
+// TestSpillOpensOnDemand checks that a planner that stays below what the owners
+// say they admit makes their ramps open at all: at the cap's rate until the
+// demand is met, for small and large owners and with reports that lag.
+func TestSpillOpensOnDemand(t *testing.T) {
+	for _, slots := range []int{4, 40} {
+		for _, lag := range []time.Duration{0, 500 * time.Millisecond} {
+			f := newRampFleet(t, slots, lag)
+			moveTime := testText().Limits.ShiftCap.MoveTime()
+			for i := 0; f.now.Sub(testNow) < moveTime; i++ {
+				f.step(0, i%2) // two slots
+			}
+			f.refused, f.served = [model.RankCount]int{}, [model.RankCount]int{}
+			for i := range 400 {
+				f.step(0, i%2)
+			}
+			require.Greater(t, f.served[model.Normal], 150, "of 200, %d slots, lag %v", slots, lag)
+		}
+	}
+}
+
+// TestSpillServesUrgentWorkFirst keeps what a ramp admits for urgent requests
+// while it refuses some of them.
+func TestSpillServesUrgentWorkFirst(t *testing.T) {
+	f := newRampFleet(t, 40, 0)
+	window := testText().Limits.ShiftCap.Window
+	for f.now.Sub(testNow) < 2*window {
+		f.step(3, 9)
+	}
+	share := float64(f.served[model.Normal]) / float64(f.served[model.Normal]+f.served[model.Urgent])
+	require.Positive(t, f.refused[model.Urgent], "the ramp is still below the urgent demand")
+	require.Less(t, share, 0.05, "normal work got %d of what was admitted, urgent work %d", f.served[model.Normal], f.served[model.Urgent])
+}
--- a/internal/steering/settings.go
+++ b/internal/steering/settings.go
@@ -20,6 +20,7 @@
 	StaleAfter    time.Duration // age at which a load is unknown
 	HoldBack      time.Duration // mean pause after a refusal
 	HoldBackShare float64       // half width of the jitter, as a share of HoldBack
+	KeepSpill     time.Duration // how long spill is kept for a rank that the shift cap refused
 
 	// LinkShares are the parts of a link's budget that each rank may use, together
 	// with the less urgent ones.
@@ -38,6 +39,7 @@
 		StaleAfter:    5 * time.Second,
 		HoldBack:      100 * time.Millisecond,
 		HoldBackShare: 0.5,
+		KeepSpill:     500 * time.Millisecond,
 		LinkShares:    [model.RankCount]float64{1, 0.9, 0.5},
 		LinkBurst:     200 * time.Millisecond,
 	}
@@ -53,6 +55,7 @@
 	s.StaleAfter = cmp.Or(s.StaleAfter, d.StaleAfter)
 	s.HoldBack = cmp.Or(s.HoldBack, d.HoldBack)
 	s.HoldBackShare = cmp.Or(s.HoldBackShare, d.HoldBackShare)
+	s.KeepSpill = cmp.Or(s.KeepSpill, d.KeepSpill)
 	s.LinkShares = cmp.Or(s.LinkShares, d.LinkShares)
 	s.LinkBurst = cmp.Or(s.LinkBurst, d.LinkBurst)
 	return s
--- a/internal/steering/spill.go
+++ b/internal/steering/spill.go
@@ -1,10 +1,18 @@
 package steering
 
-import "github.com/primrosenotch/primrosenotch/internal/model"
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
 
 // spill looks for a zone away from the one that the request belongs to: nearer
 // ones first, and among equals by how much they can take.
 func (p *Planner) spill(r *request, plan *plan, belongs *cell) Choice {
+	service := &p.layout.services[plan.service]
+	if service.keepsSpillFrom(r.now, r.meta.Rank, p.settings.KeepSpill) {
+		return Choice{Cause: model.CauseShiftCap}
+	}
 	cause := model.CauseNone
 	for _, tier := range plan.tiers {
 		choice, why := p.spillInto(r, tier, belongs)
@@ -13,9 +21,23 @@
 		}
 		cause = weightier(cause, why)
 	}
+	if cause == model.CauseShiftCap {
+		service.capRefusedAt[r.meta.Rank] = r.now
+	}
 	return Choice{Cause: cause}
 }
 
+// keepsSpillFrom reports whether the cap lately refused a more urgent rank: then
+// what the zones admit is kept for it.
+func (s *serviceLayout) keepsSpillFrom(now model.Instant, rank model.Rank, keep time.Duration) bool {
+	for _, at := range s.capRefusedAt[:rank] {
+		if at != 0 && now.Sub(at) < keep {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) spillInto(r *request, tier []candidate, belongs *cell) (Choice, model.Cause) {
 	var picked *candidate
 	cause := model.CauseNone
