Health and admission together: limits of the whole group, no jump after a loss

A joint test drives the reducer through a lost zone and its return, with simulated servers.

- What one server's outcome means for the others of its service reached admission with the next tick only, so that a server ejected with its group got one more request (limit 0, 1 running).
All changed limits are passed on now.
- A server that failed but was held in service by the bound on ejections opened all its slots at its first success: usable slots from 2 to 7 in 20 ms with a cap of 2 in 10 s.
It now starts slowly, as an ejected one does.

After that 100 random runs, of refused, silent or broken connections, with or without probes, cold or not, pass: no server above its limit, usable slots and spill level within the cap in every window.

--- a/internal/health/outcome.go
+++ b/internal/health/outcome.go
@@ -79,8 +79,8 @@
 	s.refused = 0
 	s.lastSuccess = now
 	s.window.add(now, t.settings.FailureWindow/2, false)
-	s.held = false
-	if s.condition == Probing && s.trial {
+	if s.held || (s.condition == Probing && s.trial) {
+		s.held = false
 		t.startSlowly(now, s, ReasonTrial, 1)
 	}
 }
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -21,7 +21,7 @@
 	default:
 		r.mayHaveRun(ev, o)
 	}
-	r.syncLimit(ev.At, ev.Backend)
+	r.syncLimits(ev.At)
 	r.pump(ev.At)
 }
 
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -179,9 +179,18 @@
 	r.admission.SetLimit(now, name, r.health.Limit(now, name))
 }
 
+// syncLimits passes on every limit that changed: what is learnt about one server
+// may change the limits of others of its service.
+func (r *Reducer) syncLimits(now model.Instant) {
+	r.limits = r.health.Limits(r.limits[:0])
+	for _, l := range r.limits {
+		r.admission.SetLimit(now, l.Name, l.Limit)
+	}
+}
+
 func (r *Reducer) serverReported(ev *event.ServerReported) {
 	r.health.Report(ev.At, ev)
-	r.syncLimit(ev.At, ev.Backend)
+	r.syncLimits(ev.At)
 	r.pump(ev.At)
 }
 
@@ -201,16 +210,14 @@
 	} else {
 		r.health.Staying(now, line.Backend, health.SourcePlatform)
 	}
-	r.syncLimit(now, line.Backend)
+	r.syncLimits(now)
 }
 
 // tick does everything that depends on time alone.
 func (r *Reducer) tick(ev *event.Tick) {
 	now := ev.At
 	r.health.Tick(now)
-	for _, name := range r.ownedNames {
-		r.syncLimit(now, name)
-	}
+	r.syncLimits(now)
 	r.changes = r.health.Changes(r.changes[:0])
 	for _, c := range r.changes {
 		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), string(c.Why))
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -59,6 +59,7 @@
 	decisions admission.Decisions
 	probes    []model.BackendName
 	changes   []health.Change
+	limits    []health.LimitChange
 	out       effects
 
 	owned      map[model.BackendName]bool
