A region that returns to a running fleet opens at the shift cap's rate

Cause: an instance took every server that its text had at its own start for warm.

An instance now asks whether others that started more than 10 s before it run, and none of them in its own region. An older one there has owned the region's servers meanwhile, so their traffic is still here and nothing shifts; where all started together, the fleet is new. Ruled out: the spill of other zones as a sign (it says nothing on an idle night), a mark in the platform (down when regions fail).

--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -65,6 +65,32 @@
 	return !added || now.Sub(at) > newServerPeriod
 }
 
+// commonStart is the longest time between the starts of instances that counts as
+// one start of the whole fleet.
+const commonStart = 10 * time.Second
+
+// regionReturns reports whether the instances of this one's region are new to a
+// fleet that has run without them. The region's traffic is elsewhere then, and
+// comes back at the shift cap's rate. Where an older instance of the region runs,
+// it has owned the region's servers, and their traffic is here.
+func (r *Reducer) regionReturns() bool {
+	olderElsewhere := false
+	for _, p := range r.group.Peers() {
+		if p.Health != membership.HealthAlive || !r.startedLongBefore(p.Record.Incarnation) {
+			continue
+		}
+		if r.regionOf(p.Record.Zone) == r.regionOf(r.zone) {
+			return false
+		}
+		olderElsewhere = olderElsewhere || p.Record.State == membership.Ready
+	}
+	return olderElsewhere
+}
+
+func (r *Reducer) startedLongBefore(incarnation uint64) bool {
+	return incarnation+uint64(commonStart) < r.group.Self().Incarnation
+}
+
 // applyGroup turns the membership's output into effects.
 func (r *Reducer) applyGroup(now model.Instant, out membership.Output) {
 	for _, p := range out.Open {
@@ -108,6 +134,7 @@
 	watched := make([]health.Server, 0, len(names))
 	gained := make(map[model.ServiceName]bool)
 	owned := make(map[model.BackendName]bool, len(names))
+	returns := r.regionReturns()
 	for _, name := range names {
 		b, ok := r.index.Backend(name)
 		if !ok {
@@ -115,7 +142,7 @@
 		}
 		servers = append(servers, admission.Server{Name: b.Name, Service: b.Service, Slots: b.Slots})
 		watched = append(watched, health.Server{
-			Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Warm: r.warm(now, b.Name),
+			Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Warm: r.warm(now, b.Name) && !returns,
 		})
 		owned[name] = true
 		if !r.owned[name] {
