Fleet script waits until every backend server has an owner

Cause of the p99 of 1.0 s in the first second of make demo: not a timer but Retry-After. An instance is ready some time before it owns backend servers (JoinDelay), the load began in between, and what nobody owned yet was refused as not-run with Retry-After 1 s, which the load tool's one retry obeys.

Nothing was wrong in the entry instances: before anybody owns a server there is nothing to send to.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -66,6 +66,7 @@
 
 fleet_start() {
 	local text=$1 i
+	FLEET_TEXT=$1
 	FLEET_DIR=$2
 	local base=$3 count=$4
 	FLEET_BIN=${FLEET_BIN:-bin}
@@ -104,13 +105,26 @@
 	return "$failed"
 }
 
-# wait_ready waits until every entry instance is ready with the configuration.
+# wait_ready waits until every entry instance is ready with the configuration and
+# knows an owner for each backend server of the text: an instance is ready some
+# time before it owns anything, and what nobody owns is refused.
 wait_ready() {
-	local c
+	local c slots status
+	slots=$(text_servers "$FLEET_TEXT" | sed 's/.*slots=//' | sum_lines)
 	for c in "${CONTROLS[@]}"; do
-		for _ in $(seq 200); do
-			curl -sf -m 1 "http://$c/v1/status" 2>/dev/null | grep -q '"state":"ready"' && break
+		for _ in $(seq 400); do
+			status=$(curl -sf -m 1 "http://$c/v1/status" 2>/dev/null) || status=
+			[[ $status == *'"state":"ready"'* && $(known_slots "$status") == "$slots" ]] && continue 2
 			sleep 0.05
 		done
+		echo "$c does not know an owner for each of $slots slots" >&2
+		return 1
 	done
 }
+
+# known_slots adds up the usable slots of all zones in a status answer.
+known_slots() {
+	grep -o '"services":\[[^]]*\]' <<<"$1" | grep -o '"slots":[0-9]*' | sed 's/.*://' | sum_lines
+}
+
+sum_lines() { awk '{ sum += $1 } END { print sum + 0 }'; }
