--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,91 @@
+#!/usr/bin/env bash
+# Measures the policy under load against the naive one: each seed runs the same
+# experiment first through entry instances, then through the baseline proxy with
+# --policy naive, with the same stand-ins. See docs/MEASUREMENTS.md.
+#
+#   scripts/bench.sh SCENARIO...      writes bench/results/SCENARIO.json
+#
+# SEEDS (default "1 2 3") and BASE (first port, default 12000) may be set, and
+# LOCK, a file that is locked during each run. Needs curl and jq.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/fleet.sh
+. scripts/bench-faults.sh
+
+SEEDS=${SEEDS:-1 2 3}
+BASE=${BASE:-12000}
+LOCK=${LOCK:-/tmp/primrosenotch-bench.lock}
+TMP=bench/results/tmp
+FLOOD_OPTIONS=",time=lognormal:45ms:0.25,queue=4,answer=1000"
+MIXED_OPTIONS=",time=lognormal:45ms:0.25,time/catalogue=lognormal:15ms:0.25,queue=4,answer=2000"
+
+# describe sets TEXT, INSTANCES, FLEET_SERVER_OPTIONS and FAULT of a scenario.
+describe() {
+	TEXT=bench/texts/three-slots.ini INSTANCES=3 FLEET_SERVER_OPTIONS=$FLOOD_OPTIONS FAULT=
+	case $1 in
+	steady-kaderwerk) TEXT=examples/kaderwerk.ini INSTANCES=7 FLEET_SERVER_OPTIONS=$MIXED_OPTIONS ;;
+	steady-associacao) TEXT=examples/associacao.ini INSTANCES=7 FLEET_SERVER_OPTIONS=$MIXED_OPTIONS ;;
+	flood-*-three-slots) ;;
+	flood-*-nine-slots) TEXT=bench/texts/nine-slots.ini ;;
+	silent-connections) FAULT=silence_servers ;;
+	lagging-reports) FAULT=lag_reports ;;
+	crashing-request) FAULT=resend_crashing ;;
+	*)
+		echo "unknown scenario $1" >&2
+		return 1
+		;;
+	esac
+}
+
+# local_copy TEXT prints a text with its servers' ports moved to a thousand of
+# their own, out of the way of other fleets on this machine.
+local_copy() { sed -E "s/:(2[13]|13)([0-9]{3})$/:${SERVER_THOUSANDS:-13}\2/" "$1"; }
+
+# run_load SCENARIO SEED POLICY ENTRIES runs the experiment, and the fault at its side.
+run_load() {
+	local name=$1-$3-$2 fault=
+	sed "s/^\[experiment\]\$/&\nentries = $4/" "bench/experiments/$1.ini" >"$TMP/$name.ini"
+	if [[ -n $FAULT ]]; then
+		"$FAULT" "$TMP/$name.fault" "$4" 9>&- &
+		fault=$!
+	fi
+	"$FLEET_BIN/primrosenotch-load" run "$TMP/$name.ini" --seed "$2" --out "$TMP/$name.json" 2>"$TMP/$name.log" || true
+	if [[ -n $fault ]]; then
+		wait "$fault"
+		clear_faults
+	fi
+	if [[ ! -f $TMP/$name.fault ]]; then echo '{}' >"$TMP/$name.fault"; fi
+	jq -c --arg policy "$3" --argjson seed "$2" --slurpfile fault "$TMP/$name.fault" '{
+		policy: $policy, seed: $seed, started, command: (.command | join(" ")), fault: $fault[0],
+		dispatch_lag, failed_lookups, problems,
+		rows: [.rows[] | del(.statuses, .moved, .retries)]}' "$TMP/$name.json" >>"$TMP/$1.runs"
+}
+
+scenario() {
+	local seed
+	describe "$1"
+	: >"$TMP/$1.runs"
+	trap 'kill "${ENTRY_PIDS[@]}" "${FLEET_PIDS[@]}" 2>/dev/null || true' EXIT
+	local_copy "$TEXT" >"$TMP/$1.text.ini"
+	fleet_start "$TMP/$1.text.ini" "$TMP/$1-fleet" "$BASE" "$INSTANCES"
+	start_naive "$TMP/$1.text.ini" "$((BASE + 1))"
+	wait_ready
+	exec 9>"$LOCK"
+	flock 9
+	for seed in $SEEDS; do
+		run_load "$1" "$seed" policy "$(IFS=,; echo "${CALLERS[*]:0:$INSTANCES}")"
+		run_load "$1" "$seed" naive "$PROXY"
+	done
+	exec 9>&-
+	fleet_stop || echo "an entry instance did not stop gracefully" >&2
+	trap - EXIT
+	jq -s --arg scenario "$1" --arg command "SEEDS='$SEEDS' scripts/bench.sh $1" \
+		--arg commit "$(git describe --always --dirty)" --arg servers "$FLEET_SERVER_OPTIONS" \
+		--arg text "$TEXT" --argjson instances "$INSTANCES" \
+		'{scenario: $scenario, command: $command, commit: $commit, text: $text, instances: $instances,
+		  servers: $servers, runs: .}' "$TMP/$1.runs" >"bench/results/$1.json"
+	jq -r -f scripts/bench-table.jq "bench/results/$1.json"
+}
+
+mkdir -p "$TMP"
+for name in "$@"; do scenario "$name"; done
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,6 +4,7 @@
 # each of its zones. To be sourced; see scripts/demo.sh.
 #
 #   fleet_start TEXT RUNDIR BASEPORT INSTANCES   starts everything, applies TEXT
+#   start_naive TEXT PORT                        a plain proxy before the same servers
 #   fleet_stop                                   ends everything gracefully
 #
 # Sets PLATFORM, CONTROLS and CALLERS (arrays of HOST:PORT) and ENTRY_PIDS.
@@ -29,6 +30,9 @@
 		END { flush() }' "$1"
 }
 
+# server_addresses prints HOST:PORT of each backend server of a text.
+server_addresses() { text_servers "$1" | sed 's/.*=\(.*\),slots=.*/\1/'; }
+
 # wait_port waits until something listens on 127.0.0.1:PORT.
 wait_port() {
 	for _ in $(seq 100); do
@@ -64,6 +68,26 @@
 	ENTRY_NAMES[i]=$name
 }
 
+# start_backends TEXT starts every backend server of a text.
+start_backends() {
+	local servers=() s
+	while read -r s; do servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}"); done < <(text_servers "$1")
+	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
+	FLEET_PIDS+=($!)
+	BACKENDS_PID=$!
+}
+
+# start_naive TEXT PORT starts a baseline proxy with the naive policy before the
+# servers of a text; sets PROXY.
+start_naive() {
+	local servers=() s
+	while read -r s; do servers+=(--backend "$s"); done < <(server_addresses "$1")
+	PROXY=127.0.0.1:$2
+	"$FLEET_BIN/primrosenotch-load" baseline --policy naive --listen "$PROXY" "${servers[@]}" >"$FLEET_DIR/proxy.log" 2>&1 &
+	FLEET_PIDS+=($!)
+	wait_port "$2"
+}
+
 fleet_start() {
 	local text=$1 i
 	FLEET_TEXT=$1
@@ -76,11 +100,7 @@
 	"$FLEET_BIN/primrosenotch-standin" platform --listen "$PLATFORM" >"$FLEET_DIR/platform.log" 2>&1 &
 	FLEET_PIDS+=($!)
 	PLATFORM_PID=$!
-	local servers=()
-	while read -r s; do servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}"); done < <(text_servers "$text")
-	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
-	FLEET_PIDS+=($!)
-	BACKENDS_PID=$!
+	start_backends "$text"
 	wait_port "$base"
 	"$FLEET_BIN/primrosenotch" apply "$text" --platform "$PLATFORM" -m "fleet start" >"$FLEET_DIR/apply.log"
 	for ((i = 0; i < count; i++)); do
