Links are up only after the peer's Hello

Cause: the system accepts connections for a paused process, so a link to one counted as up; an instance that took over another's address passed for it too.

TestSilentPeerIsNotUp and TestPeerWithAnotherNameIsNotUp fail with the exchange left out (the first run of the latter showed it).

--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -6,6 +6,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/xxh3"
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -17,6 +18,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/reducer"
 	"github.com/primrosenotch/primrosenotch/internal/runtime"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/steering"
 	"github.com/primrosenotch/primrosenotch/internal/upstream"
 )
 
@@ -86,6 +88,7 @@
 			ControlAddr: s.Advertise.Control,
 		},
 		Membership:     group,
+		Steering:       steering.Settings{Seed: xxh3.HashString(s.Instance.ID)},
 		PollEvery:      s.Platform.PollEvery,
 		IdlePollFactor: s.Platform.PollFactor,
 		LookupTTL:      s.Serving.LookupTTL,
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -159,13 +161,42 @@
 	require.Equal(t, model.InstanceID("b"), receive(t, client.up))
 }
 
-// TestSilentPeerIsNoticed connects to a peer that accepts and never answers.
-func TestSilentPeerIsNoticed(t *testing.T) {
+// TestSilentPeerIsNotUp connects to a peer that accepts and never answers, as the
+// system does for a paused process.
+func TestSilentPeerIsNotUp(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	client := newRecorder()
 	s := DefaultSettings()
+	s.DialTimeout = 50 * time.Millisecond
+	links := New(&linkpb.Hello{Instance: "a"}, s, client, client)
+	links.Open(context.Background(), "b", listener.Addr().String())
+	defer links.CloseAll()
+	require.Equal(t, model.InstanceID("b"), receive(t, client.down))
+	require.Empty(t, client.up)
+}
+
+// TestPeerWithAnotherNameIsNotUp connects to an instance that has taken over the
+// address of another.
+func TestPeerWithAnotherNameIsNotUp(t *testing.T) {
+	_, _, listener := pair(t, newRecorder())
+	client := newRecorder()
+	links := New(&linkpb.Hello{Instance: "a"}, DefaultSettings(), client, client)
+	links.Open(context.Background(), "c", listener.Addr().String())
+	defer links.CloseAll()
+	require.Equal(t, model.InstanceID("c"), receive(t, client.down))
+	require.Empty(t, client.up)
+}
+
+// TestPeerThatGoesSilentIsNoticed silences a peer after its Hello.
+func TestPeerThatGoesSilentIsNoticed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go greetThenFallSilent(listener)
+	client := newRecorder()
+	s := DefaultSettings()
 	s.KeepAlive = 20 * time.Millisecond
 	s.PingTimeout = 50 * time.Millisecond
 	links := New(&linkpb.Hello{Instance: "a"}, s, client, client)
@@ -175,6 +206,41 @@
 	require.Equal(t, model.InstanceID("b"), receive(t, client.down))
 }
 
+// greetThenFallSilent answers the Hello of one session and nothing after it.
+func greetThenFallSilent(listener net.Listener) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	config := DefaultSettings().yamux()
+	silenced := &silencedConn{Conn: conn}
+	session, err := yamux.Server(silenced, config)
+	if err != nil {
+		return
+	}
+	stream, err := session.AcceptStream()
+	if err != nil {
+		return
+	}
+	w := newWire(stream, &traffic{})
+	_, _ = w.Receive()
+	_ = w.Send(&linkpb.Frame{Body: &linkpb.Frame_Hello{Hello: &linkpb.Hello{Instance: "b"}}})
+	silenced.silent.Store(true)
+}
+
+// silencedConn drops what it is given to write once it is silent.
+type silencedConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silencedConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
 func TestPipeDeliversThenEnds(t *testing.T) {
 	a, b := Pipe()
 	require.NoError(t, a.Send(&linkpb.Frame{Body: &linkpb.Frame_Accept{Accept: &linkpb.Accept{}}}))
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -71,8 +71,7 @@
 		return
 	}
 	conn := newWire(control, &p.links.traffic)
-	hello := &linkpb.Frame_Hello{Hello: p.links.hello}
-	if conn.Send(&linkpb.Frame{Body: hello}) != nil {
+	if p.greet(conn) != nil {
 		return
 	}
 	p.setSession(session)
@@ -92,6 +91,26 @@
 	}
 }
 
+// greet exchanges Hellos. Without the peer's, the link is not up: the system
+// accepts connections for a process that is paused.
+func (p *peer) greet(conn *wire) error {
+	hello := &linkpb.Frame_Hello{Hello: p.links.hello}
+	if err := conn.Send(&linkpb.Frame{Body: hello}); err != nil {
+		return err
+	}
+	if err := conn.setReadDeadline(time.Now().Add(p.links.settings.DialTimeout)); err != nil {
+		return err
+	}
+	f, err := conn.Receive()
+	if err != nil {
+		return fmt.Errorf("greet %s at %s: %w", p.id, p.addr, err)
+	}
+	if f.GetHello().GetInstance() != string(p.id) {
+		return fmt.Errorf("greet %s at %s: the peer says that it is %q", p.id, p.addr, f.GetHello().GetInstance())
+	}
+	return nil
+}
+
 func (p *peer) setSession(s *yamux.Session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -79,6 +79,9 @@
 	in.mu.Lock()
 	in.from = from
 	in.mu.Unlock()
+	if conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Hello{Hello: in.links.hello}}) != nil {
+		return
+	}
 	for {
 		f, err := conn.Receive()
 		if err != nil {
