Requests to an owner without a link are sent over a session dialled on demand

Cause: membership keeps links to zone peers and from bridge to bridge only, but any instance may choose any owner. Where two zones have two instances or more, an owner that is no bridge had no link, and each such request was refused as owner-lost, then retried into the spill ramp. The demo has one zone with two instances, so all its owners are bridges. Ruled out: wider heartbeats, which cost links by the square of the instances.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -186,3 +187,27 @@
 	require.ErrorIs(t, err, io.EOF)
 	require.Error(t, b.Send(f))
 }
+
+func TestOfferWithoutLinkDials(t *testing.T) {
+	server := newRecorder()
+	from := make(chan model.InstanceID, 4)
+	server.serve = func(peer model.InstanceID, _ *linkpb.Offer, conn Conn) {
+		from <- peer
+		_, _, _ = SendBody(conn, strings.NewReader("answer"), model.CauseBroken)
+	}
+	links, _, listener := pair(t, server)
+	t.Cleanup(links.CloseAll)
+	addr := listener.Addr().String()
+	for range 3 {
+		conn, err := links.OfferAt(context.Background(), "c", addr, &linkpb.Offer{})
+		require.NoError(t, err)
+		got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
+		require.NoError(t, err)
+		require.Equal(t, "answer", string(got))
+		receive(t, from)
+	}
+	require.Len(t, links.onDemand, 1)
+	var down *DownError
+	_, err := links.OfferAt(context.Background(), "d", "127.0.0.1:1", &linkpb.Offer{})
+	require.ErrorAs(t, err, &down, "nothing was sent")
+}
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -77,12 +77,21 @@
 
 	mu    sync.Mutex
 	peers map[model.InstanceID]*peer
-	tasks sync.WaitGroup
+	// onDemand are sessions for offers to instances that are no peers.
+	onDemand map[model.InstanceID]*onDemand
+	tasks    sync.WaitGroup
 }
 
 // New returns links without peers.
 func New(self *linkpb.Hello, s Settings, events Events, handler OfferHandler) *Links {
-	return &Links{settings: s, hello: self, events: events, handler: handler, peers: make(map[model.InstanceID]*peer)}
+	return &Links{
+		settings: s,
+		hello:    self,
+		events:   events,
+		handler:  handler,
+		peers:    make(map[model.InstanceID]*peer),
+		onDemand: make(map[model.InstanceID]*onDemand),
+	}
 }
 
 // Open starts a link to a peer, or replaces it where the address changed.
@@ -118,6 +127,10 @@
 		p.cancel()
 		delete(l.peers, id)
 	}
+	for id, d := range l.onDemand {
+		d.close()
+		delete(l.onDemand, id)
+	}
 	l.mu.Unlock()
 	l.tasks.Wait()
 }
@@ -151,6 +164,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return sendOffer(to, conn, offer)
+}
+
+func sendOffer(to model.InstanceID, conn *wire, offer *linkpb.Offer) (Conn, error) {
 	if err := conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Offer{Offer: offer}}); err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("offer to %s: %w", to, err)
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -133,3 +133,12 @@
 	}
 	return len(home) + 2
 }
+
+// LinkAddress returns where an instance takes links, "" where that is unknown.
+func (g *Group) LinkAddress(id model.InstanceID) string {
+	m, ok := g.members[id]
+	if !ok {
+		return ""
+	}
+	return m.record.LinkAddr
+}
--- a/internal/reducer/inspect.go
+++ b/internal/reducer/inspect.go
@@ -33,6 +33,9 @@
 	return out
 }
 
+// LinkAddress returns where an instance takes links, "" where that is unknown.
+func (r *Reducer) LinkAddress(id model.InstanceID) string { return r.group.LinkAddress(id) }
+
 // Loads summarizes the owned servers by service.
 func (r *Reducer) Loads(now model.Instant) []membership.ServiceLoad { return r.admission.Loads(now) }
 
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -234,7 +234,7 @@
 // openOffer sends an offer to its owner, which may be this instance.
 func (r *Runtime) openOffer(owner model.InstanceID, o *linkpb.Offer) (link.Conn, error) {
 	if owner != r.self {
-		return r.links.Offer(owner, o)
+		return r.links.OfferAt(r.ctx, owner, r.linkAddress(owner), o)
 	}
 	here, there := link.Pipe()
 	go func() {
@@ -244,6 +244,12 @@
 	return here, nil
 }
 
+func (r *Runtime) linkAddress(id model.InstanceID) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reducer.LinkAddress(id)
+}
+
 // attach makes the connection known to callerGone; it reports false where the
 // caller is gone already.
 func (c *call) attach(conn link.Conn) bool {
