--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMANDS := $(notdir $(wildcard cmd/*))
 GOFILES  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test lint fmt tools generate clean
+.PHONY: all build demo test prove lint fmt tools generate clean
 
 all: build
 
@@ -18,10 +18,13 @@
 test: ## the short, deterministic tests; passes over KNOWN-RED.txt only
 	./.ci/test
 
+prove: build ## fault runs with real processes, one after another; RUN selects tests, PROVE_SEED a seed
+	timeout 900 $(GO) test -tags prove -count=1 -timeout 880s -v -run '$(or $(RUN),.)' ./internal/prove
+
 lint: tools ## formatter and linter, without changing anything
 	@out=$$($(TOOLS)/gofumpt -l $(GOFILES)); test -z "$$out" || { echo "gofumpt would change:"; echo "$$out"; exit 1; }
-	$(GO) vet ./...
-	$(TOOLS)/staticcheck ./...
+	$(GO) vet -tags prove ./...
+	$(TOOLS)/staticcheck -tags prove ./...
 
 fmt: tools ## formats every file
 	@$(TOOLS)/gofumpt -w $(GOFILES)
--- /dev/null
+++ b/internal/prove/crash_test.go
@@ -0,0 +1,65 @@
+//go:build prove
+
+package prove
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosenotch/primrosenotch/internal/standin/backend"
+)
+
+const maxCrashedServers = 2
+
+// TestCrashingRequest resends a read that crashes its server through every entry
+// instance in turn.
+func TestCrashingRequest(t *testing.T) {
+	f := startFleet(t, defaultShape)
+	l := f.startLoad(1, steadyRate/2)
+	time.Sleep(time.Second)
+	const rounds = 4
+	for range rounds {
+		for _, p := range f.processes {
+			f.sendCrashing(p)
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	crashes := int64(0)
+	for _, s := range f.servers {
+		crashes += s.Runs().Crashes
+	}
+	t.Logf("%d crashes of backend servers after %d sends", crashes, rounds*len(f.processes))
+	require.LessOrEqual(t, crashes, int64(maxCrashedServers))
+	f.checkRequests(l)
+}
+
+func (f *fleet) sendCrashing(p *process) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + p.callers + "/catalogue/broken")
+	req.Header.Set(backend.HeaderCrash, "true")
+	if err := fasthttp.DoTimeout(req, resp, requestTimeout); err != nil {
+		f.t.Logf("crashing request at %s: %v", p.name, err)
+		return
+	}
+	f.t.Logf("crashing request at %s: %s %s", p.name, resp.Header.Peek("X-Outcome"), resp.Header.Peek("X-Cause"))
+}
+
+// TestSilentConnections silences the open connections of two backend servers;
+// new connections work.
+func TestSilentConnections(t *testing.T) {
+	f := startFleet(t, defaultShape)
+	l := f.startLoad(1, steadyRate)
+	time.Sleep(2 * time.Second)
+	at := time.Now()
+	f.servers["catalogue-zone-a-0"].Silence()
+	f.servers["checkout-zone-b-1"].Silence()
+	time.Sleep(8 * time.Second)
+	f.checkRequests(l)
+	t.Logf("without an answer: %q", l.history.bySecond(at))
+	checkCalm(t, l, at.Add(4*time.Second))
+}
