A reused connection that breaks counts against a request that crashes servers

Cause: drilled on a fleet, a request that crashes its server was sent again 2 s later and crashed the same three servers again. The connections were reused ones, so the attempts ended as "reused connection broken", which the search for such requests did not look at. It does now; a strike still needs the server to fail afterwards, so that a connection that had merely gone stale is none. A golden session shows it.

explain of an instance or server shows the latest 20 decisions about requests besides those about itself: in a flood of refusals the others were hidden. scripts/fleet.sh can listen on another loopback address, since ports on 127.0.0.1 are taken by other processes' outgoing connections.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -49,16 +49,16 @@
 	Limit   int // 0 for all
 }
 
+// maxRequestsOfSubject bounds the lines about requests in what is found about a
+// subject, so that a flood does not hide what was decided about the subject.
+const maxRequestsOfSubject = 20
+
 // Find returns matching decisions, oldest first; where there are more than the
 // limit, the latest. Decisions about requests are formatted here.
 func (j *Journal) Find(q Query) []event.JournalEntry {
-	var found []event.JournalEntry
-	for _, e := range j.findRequests(q) {
-		for _, line := range e.Lines() {
-			if q.matches(&line) {
-				found = append(found, line)
-			}
-		}
+	found := j.requestLines(q)
+	if q.Request == "" && len(found) > maxRequestsOfSubject {
+		found = found[len(found)-maxRequestsOfSubject:]
 	}
 	found = append(found, j.findFleet(q)...)
 	slices.SortStableFunc(found, func(a, b event.JournalEntry) int { return int(a.At.Sub(b.At)) })
@@ -68,6 +68,18 @@
 	return found
 }
 
+func (j *Journal) requestLines(q Query) []event.JournalEntry {
+	var lines []event.JournalEntry
+	for _, e := range j.findRequests(q) {
+		for _, line := range e.Lines() {
+			if q.matches(&line) {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return lines
+}
+
 func (j *Journal) findFleet(q Query) []event.JournalEntry {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -48,6 +48,19 @@
 	require.Equal(t, model.Instant(17), j.Since())
 }
 
+func TestRequestsOfASubjectAreBounded(t *testing.T) {
+	j := New(Sizes{Fleet: 3, Notable: 100, Ordinary: 3})
+	j.Add(event.JournalEntry{At: 1, Subject: "entry-1", What: "leaving"})
+	for i := range 100 {
+		j.AddRequest(RequestEntry{At: model.Instant(10 + i), Request: "r", Step: StepOwnerRefused, Subject: "entry-1"})
+	}
+	found := j.Find(Query{Subject: "entry-1"})
+	require.Len(t, found, 1+maxRequestsOfSubject)
+	require.Equal(t, "leaving", found[0].What)
+	require.Equal(t, model.Instant(109), found[len(found)-1].At)
+	require.Len(t, j.Find(Query{Request: "r"}), 100)
+}
+
 func TestAddRequestAllocatesNothing(t *testing.T) {
 	j := New(testSizes)
 	e := RequestEntry{Request: "r", Step: StepAnswered}
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -30,7 +30,7 @@
 	switch ev.Result {
 	case event.AttemptComplete:
 		r.suspects.Completed(ev.At, o.meta.Fingerprint)
-	case event.AttemptBroken, event.AttemptCut:
+	case event.AttemptBroken, event.AttemptCut, event.AttemptStaleBroken:
 		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
 	case event.AttemptNotSent:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -63,6 +63,24 @@
 			s.arrive(4, "browse")
 			s.step(&event.OwnerLost{At: s.now, Request: 4, Owner: "entry-1", Offered: true})
 		},
+		"crash": func(s *session) {
+			s.comment("a reused connection breaks, and its server then refuses connections: a strike")
+			s.offer(11, "browse")
+			s.attempt(11, "shop-1", event.AttemptStaleBroken)
+			s.attempt(11, "shop-2", event.AttemptCancelled)
+			s.offer(12, "browse")
+			s.attempt(12, "shop-1", event.AttemptNotSent)
+			s.attempt(12, "shop-2", event.AttemptComplete)
+			s.wait(time.Second)
+			s.comment("the same request breaks the other server: refused from now on")
+			s.same(13, 11)
+			s.attempt(13, "shop-2", event.AttemptStaleBroken)
+			s.offer(14, "browse")
+			s.attempt(14, "shop-2", event.AttemptNotSent)
+			s.same(15, 11)
+			s.comment("another request is not refused for it")
+			s.offer(16, "browse")
+		},
 		"planned-stop": func(s *session) {
 			s.offer(11, "browse")
 			s.comment("a planned stop of shop-1: nothing new goes there, what runs there ends")
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -131,6 +131,13 @@
 	return s.step(&event.OfferReceived{At: s.now, Request: id, From: "entry-2", Meta: s.meta(id, route)})
 }
 
+// same offers a request with the fingerprint of another one.
+func (s *session) same(id, as model.RequestID) []event.Effect {
+	m := s.meta(id, "browse")
+	m.Fingerprint = s.metas[as].Fingerprint
+	return s.step(&event.OfferReceived{At: s.now, Request: id, From: "entry-2", Meta: m})
+}
+
 func (s *session) attempt(id model.RequestID, backend model.BackendName, result event.AttemptResult) []event.Effect {
 	return s.step(&event.AttemptFinished{At: s.now, Request: id, Backend: backend, Result: result})
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -29,10 +29,14 @@
 		END { flush() }' "$1"
 }
 
-# wait_port waits until something listens on 127.0.0.1:PORT.
+# FLEET_HOST is the loopback address to listen on. One other than 127.0.0.1 keeps
+# clear of the ports that outgoing connections take.
+FLEET_HOST=${FLEET_HOST:-127.0.0.1}
+
+# wait_port waits until something listens on PORT of FLEET_HOST.
 wait_port() {
 	for _ in $(seq 100); do
-		(exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null && return 0
+		(exec 3<>"/dev/tcp/$FLEET_HOST/$1") 2>/dev/null && return 0
 		sleep 0.05
 	done
 	echo "nothing listens on port $1" >&2
@@ -71,7 +75,7 @@
 	FLEET_BIN=${FLEET_BIN:-bin}
 	mkdir -p "$FLEET_DIR"
 	mapfile -t FLEET_ZONES < <(text_zones "$text")
-	PLATFORM=127.0.0.1:$base
+	PLATFORM=$FLEET_HOST:$base
 	"$FLEET_BIN/primrosenotch-standin" platform --listen "$PLATFORM" >"$FLEET_DIR/platform.log" 2>&1 &
 	FLEET_PIDS+=($!)
 	PLATFORM_PID=$!
@@ -83,9 +87,9 @@
 	wait_port "$base"
 	"$FLEET_BIN/primrosenotch" apply "$text" --platform "$PLATFORM" -m "fleet start" >"$FLEET_DIR/apply.log"
 	for ((i = 0; i < count; i++)); do
-		CALLERS[i]=127.0.0.1:$((base + 100 + i))
-		LINKS[i]=127.0.0.1:$((base + 200 + i))
-		CONTROLS[i]=127.0.0.1:$((base + 300 + i))
+		CALLERS[i]=$FLEET_HOST:$((base + 100 + i))
+		LINKS[i]=$FLEET_HOST:$((base + 200 + i))
+		CONTROLS[i]=$FLEET_HOST:$((base + 300 + i))
 	done
 	for ((i = 0; i < count; i++)); do start_entry "$i"; done
 	for ((i = 0; i < count; i++)); do wait_port $((base + 100 + i)); done
