Close a silent link before it is opened anew

Cause: drilled on a fleet of 7, an instance that was frozen for 10 s (SIGSTOP, SIGCONT) had 0 of 6 peers for as long as it was watched (12 s) and then owned all 18 backend servers of its region together with the others. Membership asks for a silent link to be replaced with a Close and an Open of the same peer, and says that Close comes first. The reducer emitted Open first: it was taken for a link that is open already, and the Close ended it for good.

Ruled out: the hold after a pause; it ended after its start period as it should, with nobody heard since no link came back.

The new test fails without the change ("the link was closed for good").

--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -67,15 +67,15 @@
 
 // applyGroup turns the membership's output into effects.
 func (r *Reducer) applyGroup(now model.Instant, out membership.Output) {
+	for _, id := range out.Close { // before Open: a peer in both gets a new link
+		r.out.add(&event.CloseLink{Peer: id})
+	}
 	for _, p := range out.Open {
 		r.out.add(&event.OpenLink{Peer: p.ID, Addr: p.Addr})
 	}
 	for _, m := range out.Messages {
 		r.out.add(&event.Gossip{To: m.To, Message: m.Message})
 	}
-	for _, id := range out.Close {
-		r.out.add(&event.CloseLink{Peer: id})
-	}
 	if out.FetchFrom != "" {
 		r.out.add(&event.FetchRevision{From: out.FetchFrom, Number: r.revisionNumber() + 1})
 	}
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -148,6 +149,33 @@
 	})
 }
 
+// TestASilentLinkIsReplaced goes through every effect of a peer that falls
+// silent while its link stays up: the link is closed before it is opened anew.
+func TestASilentLinkIsReplaced(t *testing.T) {
+	s := newSession(t, sessionText)
+	s.quiet = true
+	peer := membership.Record{ID: "entry-2", Zone: "north-a", LinkAddr: "127.0.0.1:9", Incarnation: 1, State: membership.Ready}
+	s.step(&event.GossipReceived{At: s.now, From: peer.ID, Message: &membership.Message{Records: []membership.Record{peer}}})
+	s.step(&event.LinkUp{At: s.now, Peer: peer.ID})
+	opened := true
+	replaced := false
+	for range 200 {
+		s.now = s.now.Add(50 * time.Millisecond)
+		for _, f := range s.step(&event.Tick{At: s.now}) {
+			switch f := f.(type) {
+			case *event.CloseLink:
+				require.True(t, opened)
+				opened = false
+			case *event.OpenLink:
+				replaced = replaced || f.Peer == peer.ID && !opened
+				opened = true
+			}
+		}
+		require.True(t, opened, "the link was closed for good")
+	}
+	require.True(t, replaced)
+}
+
 func TestStepAllocatesNothingForARead(t *testing.T) {
 	s := newSession(t, sessionText)
 	s.quiet = true
