--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -97,6 +97,8 @@
 	require.Contains(t, page, "<h1>Service-level burn at 2026-12-04 06:00:00Z</h1>")
 	require.Contains(t, page, `<tr class="alert"><td>checkout</td><td>urgent</td>`)
 	require.Equal(t, 1, strings.Count(page, "<svg"))
-	require.Contains(t, page, "checkout urgent</text>")
+	require.Contains(t, page, "\"></span>checkout urgent\n")
+	require.Contains(t, page, "<td>key-missing</td><td class=\"n\">2</td><td class=\"n\">caller&#39;s own</td>")
+	require.NotContains(t, page, "ZgotmplZ")
 	require.NotContains(t, page, "<?xml")
 }
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -148,5 +148,8 @@
 	if c.Outcome == model.Served {
 		return "slower than the objective"
 	}
+	if c.Outcome == model.Late {
+		return "after the deadline"
+	}
 	return orDash(string(c.Cause))
 }
--- a/internal/cli/report_html.go
+++ b/internal/cli/report_html.go
@@ -27,7 +27,10 @@
 <style>
 body { font-family: sans-serif; margin: 2em; }
 table { border-collapse: collapse; margin-bottom: 2em; }
-th, td { border: 1px solid #ccc; padding: 0.3em 0.6em; text-align: right; }
+th, td { border: 1px solid #ccc; padding: 0.3em 0.6em; text-align: left; }
+td.n, th.n { text-align: right; }
+.swatch { display: inline-block; width: 1em; height: 0.4em; margin: 0 0.4em 0.2em 1em; }
+svg { max-width: 100%; }
 .alert { background: #fdd; }
 </style>
 </head>
@@ -35,16 +38,18 @@
 <h1>Service-level burn at {{time .At}}</h1>
 <p>Burn rate 1 uses up exactly the error budget of 3 days.</p>
 <table>
-<tr><th>service</th><th>rank</th><th>objective</th><th>5m</th><th>1h</th><th>6h</th><th>3d</th><th>budget left</th><th>p50</th><th>p99</th><th>alert</th></tr>
-{{range .Burns}}{{$o := .Objective}}<tr{{if .Alert}} class="alert"{{end}}><td>{{.Service}}</td><td>{{.Rank}}</td><td>{{objective $o}}</td>{{range .Windows}}<td>{{rate $o .}}</td>{{end}}<td>{{budget .}}</td><td>{{latency .Latency.P50}}</td><td>{{latency .Latency.P99}}</td><td>{{.Alert}}</td></tr>
+<tr><th>service</th><th>rank</th><th>objective</th><th class="n">5m</th><th class="n">1h</th><th class="n">6h</th><th class="n">3d</th><th class="n">budget left</th><th class="n">p50</th><th class="n">p99</th><th>alert</th></tr>
+{{range .Burns}}{{$o := .Objective}}<tr{{if .Alert}} class="alert"{{end}}><td>{{.Service}}</td><td>{{.Rank}}</td><td>{{objective $o}}</td>{{range .Windows}}<td class="n">{{rate $o .}}</td>{{end}}<td class="n">{{budget .}}</td><td class="n">{{latency .Latency.P50}}</td><td class="n">{{latency .Latency.P99}}</td><td>{{.Alert}}</td></tr>
 {{end}}</table>
 <h2>What used up the budgets</h2>
 <table>
-<tr><th>service</th><th>rank</th><th>outcome</th><th>cause</th><th>requests</th><th>share</th></tr>
-{{range .Burns}}{{$b := .}}{{range .Consumed}}<tr><td>{{$b.Service}}</td><td>{{$b.Rank}}</td><td>{{.Outcome}}</td><td>{{cause .}}</td><td>{{.Requests}}</td><td>{{percent .Share}}</td></tr>
+<tr><th>service</th><th>rank</th><th>outcome</th><th>cause</th><th class="n">requests</th><th class="n">share</th></tr>
+{{range .Burns}}{{$b := .}}{{range .Consumed}}<tr><td>{{$b.Service}}</td><td>{{$b.Rank}}</td><td>{{.Outcome}}</td><td>{{cause .}}</td><td class="n">{{.Requests}}</td><td class="n">{{percent .Share}}</td></tr>
+{{end}}{{range .Excluded}}<tr><td>{{$b.Service}}</td><td>{{$b.Rank}}</td><td>{{.Outcome}}</td><td>{{cause .}}</td><td class="n">{{.Requests}}</td><td class="n">caller&#39;s own</td></tr>
 {{end}}{{end}}</table>
 <h2>Burn rate over the last 6 hours</h2>
-{{.Plot}}
+{{range .Plot.Legend}}<span class="swatch" style="background: {{.Color}}"></span>{{.Name}}{{end}}
+<div>{{.Plot.SVG}}</div>
 <h2>Coverage</h2>
 <ul>
 {{range .Instances}}<li>{{.Instance}} counts since {{time .Since}}</li>
@@ -57,12 +62,12 @@
 // htmlReport is what the template shows.
 type htmlReport struct {
 	*reportView
-	Plot template.HTML
+	Plot burnPlot
 }
 
 // writeHTML writes the report as one page without outside references.
 func writeHTML(w io.Writer, v *reportView, reports []control.Report) error {
-	plot, err := plotBurn(slo.BurnOverTime(v.At, plotSpan, plotStep, reports))
+	plot, err := plotBurn(slo.BurnOverTime(v.At, plotSpan, plotStep, reports), counted(v.At, reports))
 	if err != nil {
 		return fmt.Errorf("plot burn rates: %w", err)
 	}
@@ -80,3 +85,12 @@
 	plotSpan = 6 * time.Hour
 	plotStep = 5 * time.Minute
 )
+
+// counted is how long the instance that has run longest has counted.
+func counted(now time.Time, reports []control.Report) time.Duration {
+	var longest time.Duration
+	for _, r := range reports {
+		longest = max(longest, now.Sub(r.Since))
+	}
+	return longest
+}
--- a/internal/cli/report_plot.go
+++ b/internal/cli/report_plot.go
@@ -2,47 +2,112 @@
 
 import (
 	"bytes"
+	"fmt"
 	"html/template"
+	"image/color"
+	"math"
 	"strings"
+	"time"
 
-	"github.com/primrosenotch/primrosenotch/internal/slo"
+	"github.com/samber/lo"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"gonum.org/v1/plot/vg/draw"
+	"github.com/primrosenotch/primrosenotch/internal/slo"
 )
 
 const (
-	plotWidth  = 20 * vg.Centimeter
+	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
+	// plotMargin keeps the last label of the time axis inside the picture.
+	plotMargin = vg.Centimeter
+	lineWidth  = 1.5 * vg.Millimeter / 3
+	pointSize  = 2 * vg.Millimeter / 3
 )
 
-// plotBurn draws one line for each service and rank as an SVG element.
-func plotBurn(lines []slo.BurnLine) (template.HTML, error) {
+// legendEntry names one line of the plot.
+type legendEntry struct {
+	Name  string
+	Color template.CSS
+}
+
+// burnPlot is a plot as an SVG element with the legend beside it.
+type burnPlot struct {
+	SVG    template.HTML
+	Legend []legendEntry
+}
+
+// plotBurn draws one line for each service and rank over the time that the
+// instances have counted for.
+func plotBurn(lines []slo.BurnLine, counted time.Duration) (burnPlot, error) {
 	p := plot.New()
 	p.X.Label.Text = "hours ago"
+	p.X.Min, p.X.Max = -plotSpan.Hours(), 0
+	p.X.Tick.Marker = plot.ConstantTicks(hourTicks())
 	p.Y.Label.Text = "burn rate"
-	p.Y.Min = 0
-	p.Legend.Top = true
+	p.Y.Min, p.Y.Max = 0, 1
+	grid := plotter.NewGrid()
+	grid.Vertical.Color, grid.Horizontal.Color = color.Gray{Y: 225}, color.Gray{Y: 225}
+	p.Add(grid)
+	var drawn burnPlot
 	for i, line := range lines {
-		points := make(plotter.XYs, len(line.Points))
-		for j, point := range line.Points {
-			points[j] = plotter.XY{X: -point.Ago.Hours(), Y: point.Rate}
+		if err := addLine(p, line, plotutil.Color(i), counted); err != nil {
+			return burnPlot{}, fmt.Errorf("line of %s %s: %w", line.Service, line.Rank, err)
 		}
-		drawn, err := plotter.NewLine(points)
-		if err != nil {
-			return "", err
+		drawn.Legend = append(drawn.Legend, legendEntry{
+			Name:  string(line.Service) + " " + line.Rank.String(),
+			Color: cssColor(plotutil.Color(i)),
+		})
+	}
+	svg, err := renderSVG(p)
+	drawn.SVG = svg
+	return drawn, err
+}
+
+func addLine(p *plot.Plot, line slo.BurnLine, c color.Color, counted time.Duration) error {
+	var points plotter.XYs
+	for _, point := range line.Points {
+		if point.Ago <= counted+plotStep {
+			points = append(points, plotter.XY{X: -point.Ago.Hours(), Y: point.Rate})
 		}
-		drawn.Color = plotutil.Color(i)
-		drawn.Dashes = plotutil.Dashes(i)
-		p.Add(drawn)
-		p.Legend.Add(string(line.Service)+" "+line.Rank.String(), drawn)
 	}
+	if len(points) == 0 {
+		return nil
+	}
+	drawn, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return err
+	}
+	drawn.Color, dots.Color = c, c
+	drawn.Width, dots.Radius = lineWidth, pointSize
+	dots.Shape = draw.CircleGlyph{}
+	p.Add(drawn, dots)
+	return nil
+}
+
+func hourTicks() []plot.Tick {
+	hours := int(math.Round(plotSpan.Hours()))
+	return lo.Map(lo.Range(hours+1), func(ago, _ int) plot.Tick {
+		label := fmt.Sprint(ago)
+		if ago == 0 {
+			label = "now"
+		}
+		return plot.Tick{Value: -float64(ago), Label: label}
+	})
+}
+
+func cssColor(c color.Color) template.CSS {
+	r, g, b, _ := c.RGBA()
+	return template.CSS(fmt.Sprintf("rgb(%d,%d,%d)", r>>8, g>>8, b>>8))
+}
+
+func renderSVG(p *plot.Plot) (template.HTML, error) {
 	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
+	p.Draw(draw.Crop(draw.New(canvas), 0, -plotMargin, 0, 0))
 	var svg bytes.Buffer
 	if _, err := canvas.WriteTo(&svg); err != nil {
 		return "", err
--- a/internal/runtime/explain.go
+++ b/internal/runtime/explain.go
@@ -80,7 +80,16 @@
 	return journal.RequestEntry{Step: step, Subject: subject, Detail: &journal.Detail{Err: err.Error()}}
 }
 
+// explain records a decision, and before the first one that is out of the
+// ordinary how the owner was chosen.
 func (c *call) explain(e journal.RequestEntry) {
+	if e.Step != journal.StepAnswered && !c.choice.announced && c.choice.owner != "" {
+		c.choice.announced = true
+		chosen := c.choiceEntry(journal.StepForwarded)
+		chosen.At = c.choice.at
+		chosen.Request = c.meta.Trace
+		c.runtime.journal.AddRequest(chosen)
+	}
 	e.At = c.runtime.clock.now()
 	e.Request = c.meta.Trace
 	c.runtime.journal.AddRequest(e)
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -110,3 +110,16 @@
 	require.Equal(t, "2 urgent requests ended not-run in 10s", found[0].What)
 	require.False(t, r.stops()[0].DrainedAt.IsZero())
 }
+
+func TestARefusalTellsHowTheOwnerWasChosen(t *testing.T) {
+	r := newTestRuntime(t)
+	c := &call{runtime: r, meta: model.RequestMeta{Trace: "t1"}, started: r.clock.now()}
+	candidates := &model.Candidates{Baseline: []model.ZoneName{"north-a"}, Spill: []model.ZoneName{"north-a"}}
+	c.choose(&event.Forward{Owner: "entry-1", Zone: "north-a", Candidates: candidates})
+	require.Empty(t, r.journal.Find(journal.Query{Request: "t1"}), "an ordinary choice is told with the answer")
+	c.explainRefusal(&event.Refuse{Outcome: model.NotRun, Cause: model.CauseQueueFull, Final: event.FinalRetryBudget})
+	found := r.journal.Find(journal.Query{Request: "t1"})
+	require.Len(t, found, 2)
+	require.Equal(t, "chosen as owner in north-a", found[0].What)
+	require.Equal(t, "caller told not-run", found[1].What)
+}
