--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -108,7 +108,9 @@
 		g.generation++
 		g.out.Close = append(g.out.Close, l.peer)
 		g.out.Open = append(g.out.Open, PeerAddr{ID: l.peer, Addr: addr})
-		g.note(l.peer, "replaced link", "silent")
+		if !m.dead { // of a dead peer it would be said again and again
+			g.note(l.peer, "replaced link", "silent")
+		}
 	}
 }
 
