--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -186,13 +186,22 @@
 	}
 }
 
+// MeanRun returns the recent mean time that a request of a service holds a slot,
+// 0 where none has run yet.
+func (c *Controller) MeanRun(name model.ServiceName) time.Duration {
+	s := c.byName[name]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.runs.mean)
+}
+
 // Loads summarizes the services with owned servers, sorted by name.
 func (c *Controller) Loads(now model.Instant) []membership.ServiceLoad {
 	loads := make([]membership.ServiceLoad, 0, len(c.services))
 	for _, s := range c.services {
 		s.advance(now, &c.policy)
-		s.ramp.settle(now)
-		loads = append(loads, s.load())
+		loads = append(loads, s.load(now))
 	}
 	return loads
 }
@@ -209,13 +218,13 @@
 // Idle reports whether nothing is queued or running.
 func (c *Controller) Idle() bool { return len(c.requests) == 0 }
 
-func (s *service) load() membership.ServiceLoad {
+func (s *service) load(now model.Instant) membership.ServiceLoad {
 	load := membership.ServiceLoad{
 		Service:       s.name,
 		Slots:         s.capacity,
 		InUse:         s.totalInUse(),
 		MeanRun:       time.Duration(s.runs.mean),
-		SpillLevel:    float64(s.ramp.level),
+		SpillLevel:    s.ramp.offered(now),
 		SpillInUse:    s.spills,
 		BaselineSince: s.baselineSince,
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,8 +26,14 @@
 	At       model.Instant
 	Revision *config.Revision
 	Text     *config.Text
-	// Previous is the text before the revision, nil for the first one.
-	Previous *config.Text
+	// Earlier are the texts from which the baseline still moves, oldest first.
+	Earlier []EarlierText
+}
+
+// EarlierText is a text that was in force before, and when it was accepted.
+type EarlierText struct {
+	Text       *config.Text
+	AcceptedAt model.Instant
 }
 
 // RequestArrived reports a caller's request at the ingress.
@@ -152,6 +158,15 @@
 	BodyUsed bool
 }
 
+// AttemptSlow reports that an attempt has had no answer for as long as its
+// Dispatch allowed. The attempt goes on unless it is cancelled.
+type AttemptSlow struct {
+	At       model.Instant
+	Request  model.RequestID
+	Backend  model.BackendName
+	BodyUsed bool
+}
+
 // ServerReported is a backend server's own word on its health and load.
 type ServerReported struct {
 	At       model.Instant
@@ -205,6 +220,7 @@
 func (*OfferWithdrawn) event()      {}
 func (*ClaimResolved) event()       {}
 func (*AttemptFinished) event()     {}
+func (*AttemptSlow) event()         {}
 func (*ServerReported) event()      {}
 func (*PlatformListed) event()      {}
 func (*LinkUp) event()              {}
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -94,12 +94,13 @@
 
 // replaceSilentLinks gives up links that work by their own account but carry
 // nothing, and asks for new ones: something between the two ends may have lost
-// track of the connection.
+// track of the connection. It waits longer than a suspicion takes, since requests
+// in flight on the link are lost with it.
 func (g *Group) replaceSilentLinks() {
 	for _, l := range g.linkOrder {
 		m, ok := g.members[l.peer]
 		addr, open := g.opened[l.peer]
-		if !ok || !open || !l.up || g.now < l.redialAt || !g.silentTooLong(m) {
+		if !ok || !open || !l.up || g.now < l.redialAt || g.silence(m) < g.settings.ReplaceAfter {
 			continue
 		}
 		l.up = false
@@ -135,17 +136,21 @@
 	}
 }
 
-// heartbeat sends to each peer whose last message is old enough.
+// heartbeat sends to each peer whose last message is old enough; to bridges that
+// only sum loads, less often.
 func (g *Group) heartbeat() {
 	for _, l := range g.linkOrder {
-		due := l.due || g.now.Sub(l.sentAt) >= g.settings.HeartbeatEvery
-		if !l.up || !due {
-			continue
-		}
-		if g.heartbeats[l.peer] {
-			g.send(l, g.takePending(l))
-		} else if g.reports[l.peer] && g.lacksLoads(l) {
-			g.send(l, nil)
+		since := g.now.Sub(l.sentAt)
+		switch {
+		case !l.up:
+		case g.heartbeats[l.peer]:
+			if l.due || since >= g.settings.HeartbeatEvery {
+				g.send(l, g.takePending(l))
+			}
+		case g.reports[l.peer]:
+			if since >= g.settings.ZoneLoadEvery && g.lacksLoads(l) {
+				g.send(l, nil)
+			}
 		}
 	}
 }
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -30,7 +30,7 @@
 		r.homes[group.Name] = group.Home
 	}
 	r.group.SetRevision(ev.Revision.Number)
-	r.planner.Configure(ev.At, ev.Text, ev.Previous, model.InstantOf(ev.Revision.TextAcceptedAt))
+	r.planner.Configure(ev.Text, model.InstantOf(ev.Revision.TextAcceptedAt), ev.Earlier)
 	why := fmt.Sprintf("applied by %s: %s", ev.Revision.Author, ev.Revision.Reason)
 	r.out.record(ev.At, "", fmt.Sprintf("revision %d", ev.Revision.Number), "adopted", why)
 	r.applyGroup(ev.At, r.group.Configure(ev.At, ev.Text, ev.Revision.Stops))
@@ -65,6 +65,32 @@
 	return !added || now.Sub(at) > newServerPeriod
 }
 
+// commonStart is the longest time between the starts of instances that counts as
+// one start of the whole fleet.
+const commonStart = 10 * time.Second
+
+// regionReturns reports whether the instances of this one's region are new to a
+// fleet that has run without them. The region's traffic is elsewhere then, and
+// comes back at the shift cap's rate. Where an older instance of the region runs,
+// it has owned the region's servers, and their traffic is here.
+func (r *Reducer) regionReturns() bool {
+	olderElsewhere := false
+	for _, p := range r.group.Peers() {
+		if p.Health != membership.HealthAlive || !r.startedLongBefore(p.Record.Incarnation) {
+			continue
+		}
+		if r.regionOf(p.Record.Zone) == r.regionOf(r.zone) {
+			return false
+		}
+		olderElsewhere = olderElsewhere || p.Record.State == membership.Ready
+	}
+	return olderElsewhere
+}
+
+func (r *Reducer) startedLongBefore(incarnation uint64) bool {
+	return incarnation+uint64(commonStart) < r.group.Self().Incarnation
+}
+
 // applyGroup turns the membership's output into effects.
 func (r *Reducer) applyGroup(now model.Instant, out membership.Output) {
 	for _, id := range out.Close { // before Open: a peer in both gets a new link
@@ -108,6 +134,7 @@
 	watched := make([]health.Server, 0, len(names))
 	gained := make(map[model.ServiceName]bool)
 	owned := make(map[model.BackendName]bool, len(names))
+	returns := r.regionReturns()
 	for _, name := range names {
 		b, ok := r.index.Backend(name)
 		if !ok {
@@ -115,7 +142,7 @@
 		}
 		servers = append(servers, admission.Server{Name: b.Name, Service: b.Service, Slots: b.Slots})
 		watched = append(watched, health.Server{
-			Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Warm: r.warm(now, b.Name),
+			Name: b.Name, Service: b.Service, Zone: b.Zone, Slots: b.Slots, Warm: r.warm(now, b.Name) && !returns,
 		})
 		owned[name] = true
 		if !r.owned[name] {
@@ -179,9 +206,18 @@
 	r.admission.SetLimit(now, name, r.health.Limit(now, name))
 }
 
+// syncLimits passes on every limit that changed: what is learnt about one server
+// may change the limits of others of its service.
+func (r *Reducer) syncLimits(now model.Instant) {
+	r.limits = r.health.Limits(r.limits[:0])
+	for _, l := range r.limits {
+		r.admission.SetLimit(now, l.Name, l.Limit)
+	}
+}
+
 func (r *Reducer) serverReported(ev *event.ServerReported) {
 	r.health.Report(ev.At, ev)
-	r.syncLimit(ev.At, ev.Backend)
+	r.syncLimits(ev.At)
 	r.pump(ev.At)
 }
 
@@ -201,16 +237,14 @@
 	} else {
 		r.health.Staying(now, line.Backend, health.SourcePlatform)
 	}
-	r.syncLimit(now, line.Backend)
+	r.syncLimits(now)
 }
 
 // tick does everything that depends on time alone.
 func (r *Reducer) tick(ev *event.Tick) {
 	now := ev.At
 	r.health.Tick(now)
-	for _, name := range r.ownedNames {
-		r.syncLimit(now, name)
-	}
+	r.syncLimits(now)
 	r.changes = r.health.Changes(r.changes[:0])
 	for _, c := range r.changes {
 		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), string(c.Why))
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -59,6 +59,7 @@
 	decisions admission.Decisions
 	probes    []model.BackendName
 	changes   []health.Change
+	limits    []health.LimitChange
 	out       effects
 
 	owned      map[model.BackendName]bool
@@ -102,6 +103,8 @@
 		r.offerReceived(ev)
 	case *event.AttemptFinished:
 		r.attemptFinished(ev)
+	case *event.AttemptSlow:
+		r.attemptSlow(ev)
 	case *event.RequestFinished:
 		r.requestFinished(ev)
 	case *event.OwnerRefused:
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,7 +3,9 @@
 # platform stand-in, every backend server of the text, and entry instances in
 # each of its zones. To be sourced; see scripts/demo.sh.
 #
-#   fleet_start TEXT RUNDIR BASEPORT INSTANCES   starts everything, applies TEXT
+#   fleet_start TEXT RUNDIR BASEPORT INSTANCES   starts everything, applies TEXT;
+#       BASEPORT + 400 must stay below the system's ephemeral ports (32768 here)
+#   start_naive TEXT PORT                        a plain proxy before the same servers
 #   fleet_stop                                   ends everything gracefully
 #
 # Sets PLATFORM, CONTROLS and CALLERS (arrays of HOST:PORT) and ENTRY_PIDS.
@@ -29,6 +31,9 @@
 		END { flush() }' "$1"
 }
 
+# server_addresses prints HOST:PORT of each backend server of a text.
+server_addresses() { text_servers "$1" | sed 's/.*=\(.*\),slots=.*/\1/'; }
+
 # FLEET_HOST is the loopback address to listen on. One other than 127.0.0.1 keeps
 # clear of the ports that outgoing connections take.
 FLEET_HOST=${FLEET_HOST:-127.0.0.1}
@@ -68,8 +73,29 @@
 	ENTRY_NAMES[i]=$name
 }
 
+# start_backends TEXT starts every backend server of a text.
+start_backends() {
+	local servers=() s
+	while read -r s; do servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}"); done < <(text_servers "$1")
+	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
+	FLEET_PIDS+=($!)
+	BACKENDS_PID=$!
+}
+
+# start_naive TEXT PORT starts a baseline proxy with the naive policy before the
+# servers of a text; sets PROXY.
+start_naive() {
+	local servers=() s
+	while read -r s; do servers+=(--backend "$s"); done < <(server_addresses "$1")
+	PROXY=$FLEET_HOST:$2
+	"$FLEET_BIN/primrosenotch-load" baseline --policy naive --listen "$PROXY" "${servers[@]}" >"$FLEET_DIR/proxy.log" 2>&1 &
+	FLEET_PIDS+=($!)
+	wait_port "$2"
+}
+
 fleet_start() {
 	local text=$1 i
+	FLEET_TEXT=$1
 	FLEET_DIR=$2
 	local base=$3 count=$4
 	FLEET_BIN=${FLEET_BIN:-bin}
@@ -79,11 +105,7 @@
 	"$FLEET_BIN/primrosenotch-standin" platform --listen "$PLATFORM" >"$FLEET_DIR/platform.log" 2>&1 &
 	FLEET_PIDS+=($!)
 	PLATFORM_PID=$!
-	local servers=()
-	while read -r s; do servers+=(--server "$s${FLEET_SERVER_OPTIONS:-,time=exponential:10ms,answer=2000}"); done < <(text_servers "$text")
-	"$FLEET_BIN/primrosenotch-standin" backend "${servers[@]}" >"$FLEET_DIR/backends.log" 2>&1 &
-	FLEET_PIDS+=($!)
-	BACKENDS_PID=$!
+	[ -n "${FLEET_NO_SERVERS:-}" ] || start_backends "$text"
 	wait_port "$base"
 	"$FLEET_BIN/primrosenotch" apply "$text" --platform "$PLATFORM" -m "fleet start" >"$FLEET_DIR/apply.log"
 	for ((i = 0; i < count; i++)); do
@@ -108,13 +130,26 @@
 	return "$failed"
 }
 
-# wait_ready waits until every entry instance is ready with the configuration.
+# wait_ready waits until every entry instance is ready with the configuration and
+# knows an owner for each backend server of the text: an instance is ready some
+# time before it owns anything, and what nobody owns is refused.
 wait_ready() {
-	local c
+	local c slots status
+	slots=$(text_servers "$FLEET_TEXT" | sed 's/.*slots=//' | sum_lines)
 	for c in "${CONTROLS[@]}"; do
-		for _ in $(seq 200); do
-			curl -sf -m 1 "http://$c/v1/status" 2>/dev/null | grep -q '"state":"ready"' && break
+		for _ in $(seq 400); do
+			status=$(curl -sf -m 1 "http://$c/v1/status" 2>/dev/null) || status=
+			[[ $status == *'"state":"ready"'* && $(known_slots "$status") == "$slots" ]] && continue 2
 			sleep 0.05
 		done
+		echo "$c does not know an owner for each of $slots slots" >&2
+		return 1
 	done
 }
+
+# known_slots adds up the usable slots of all zones in a status answer.
+known_slots() {
+	grep -o '"services":\[[^]]*\]' <<<"$1" | grep -o '"slots":[0-9]*' | sed 's/.*://' | sum_lines
+}
+
+sum_lines() { awk '{ sum += $1 } END { print sum + 0 }'; }
