--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -76,6 +77,24 @@
 			s.arrive(4, "browse")
 			s.step(&event.OwnerLost{At: s.now, Request: 4, Owner: "entry-1", Offered: true})
 		},
+		"crash": func(s *session) {
+			s.comment("a reused connection breaks, and its server then refuses connections: a strike")
+			s.offer(11, "browse")
+			s.attempt(11, "shop-1", event.AttemptStaleBroken)
+			s.attempt(11, "shop-2", event.AttemptCancelled)
+			s.offer(12, "browse")
+			s.attempt(12, "shop-1", event.AttemptNotSent)
+			s.attempt(12, "shop-2", event.AttemptComplete)
+			s.wait(time.Second)
+			s.comment("the same request breaks the other server: refused from now on")
+			s.same(13, 11)
+			s.attempt(13, "shop-2", event.AttemptStaleBroken)
+			s.offer(14, "browse")
+			s.attempt(14, "shop-2", event.AttemptNotSent)
+			s.same(15, 11)
+			s.comment("another request is not refused for it")
+			s.offer(16, "browse")
+		},
 		"planned-stop": func(s *session) {
 			s.offer(11, "browse")
 			s.comment("a planned stop of shop-1: nothing new goes there, what runs there ends")
@@ -147,6 +166,33 @@
 	})
 }
 
+// TestASilentLinkIsReplaced goes through every effect of a peer that falls
+// silent while its link stays up: the link is closed before it is opened anew.
+func TestASilentLinkIsReplaced(t *testing.T) {
+	s := newSession(t, sessionText)
+	s.quiet = true
+	peer := membership.Record{ID: "entry-2", Zone: "north-a", LinkAddr: "127.0.0.1:9", Incarnation: 1, State: membership.Ready}
+	s.step(&event.GossipReceived{At: s.now, From: peer.ID, Message: &membership.Message{Records: []membership.Record{peer}}})
+	s.step(&event.LinkUp{At: s.now, Peer: peer.ID})
+	opened := true
+	replaced := false
+	for range 200 {
+		s.now = s.now.Add(50 * time.Millisecond)
+		for _, f := range s.step(&event.Tick{At: s.now}) {
+			switch f := f.(type) {
+			case *event.CloseLink:
+				require.True(t, opened)
+				opened = false
+			case *event.OpenLink:
+				replaced = replaced || f.Peer == peer.ID && !opened
+				opened = true
+			}
+		}
+		require.True(t, opened, "the link was closed for good")
+	}
+	require.True(t, replaced)
+}
+
 func TestStepAllocatesNothingForARead(t *testing.T) {
 	s := newSession(t, sessionText)
 	s.quiet = true
