Peers learn at once whether an owner admits spill

Cause: a change of spill in use was told from an eighth of the slots on, so the one slot of a service of 16 looked used long after it was free, went unused, and its level came down again. Peers are now told whenever room appears or goes, still at most every half second.

The scenarios use 20 % in 10 s, the same rate: a ramp forgets what was unused for a quarter of its window, and in 5 s that is as short as the reports' own lag.

--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -62,6 +62,9 @@
 			return true
 		}
 	}
+	if sent.admitsSpill() != current.admitsSpill() {
+		return true
+	}
 	spillDelta := max(sent.SpillLevel-current.SpillLevel, current.SpillLevel-sent.SpillLevel)
 	if spillDelta >= spillStep {
 		return true
@@ -69,6 +72,11 @@
 	return runDiffers(sent.MeanRun, current.MeanRun)
 }
 
+// admitsSpill reports whether senders see room for spill. Without a message on
+// each change of that, a few slots of spill in a large service would be taken for
+// used long after they are free.
+func (l *ServiceLoad) admitsSpill() bool { return l.SpillLevel > float64(l.SpillInUse) }
+
 func runDiffers(sent, current time.Duration) bool {
 	delta := (sent - current).Abs()
 	return delta > time.Duration(float64(sent)*runStepShare)
--- a/scripts/shift.sh
+++ b/scripts/shift.sh
@@ -161,7 +161,7 @@
 
 rm -rf "$dir"
 mkdir -p "$dir" bench/results
-sed -e "s/127\.0\.0\.1:21/$host:39/" -e 's/per 30s/per 5s/' examples/kaderwerk.ini >"$text"
+sed -e "s/127\.0\.0\.1:21/$host:39/" -e 's/10% of capacity per 30s/20% of capacity per 10s/' examples/kaderwerk.ini >"$text"
 trap 'kill "${ENTRY_PIDS[@]}" "${FLEET_PIDS[@]}" 2>/dev/null || true' EXIT
 status=0
 
