What a returning zone cannot take goes on as spill

A zone that has a part of its slots and none free now hands on what it cannot take at once, where spill is admitted; a zone with all its slots still queues first.

--- a/internal/steering/cell.go
+++ b/internal/steering/cell.go
@@ -111,6 +111,14 @@
 	return c.load.Slots - c.load.InUse - c.queuedBefore(rank) - c.sent
 }
 
+// overloadedOnReturn reports whether the zone has only a part of its slots, and
+// none free: its servers are lost or open slowly. What the baseline brings beyond
+// them then goes on as spill where that is admitted, and does not queue up here
+// until it is late.
+func (c *cell) overloadedOnReturn(rank model.Rank) bool {
+	return c.known && c.load.Slots < c.slots && c.free(rank) <= 0
+}
+
 // queuedBefore counts the queued work that is as urgent as a rank or more.
 func (c *cell) queuedBefore(rank model.Rank) int {
 	queued := 0
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -43,6 +43,11 @@
 	r := request{now: now, meta: m, view: v, tried: tried}
 	target := &plan.targets[p.draw(plan, now)]
 	cause := p.fits(&r, target)
+	if cause == model.CauseNone && target.cell.overloadedOnReturn(m.Rank) {
+		if choice := p.spill(&r, plan, target.cell); choice.OK() {
+			return choice
+		}
+	}
 	if cause == model.CauseNone {
 		if choice, refused := p.send(&r, target, false); choice.OK() {
 			return choice
--- a/internal/steering/choose_test.go
+++ b/internal/steering/choose_test.go
@@ -150,6 +150,29 @@
 	require.Equal(t, model.ZoneName("east-a"), c.Zone, "the owner decides where nobody else takes it")
 }
 
+// TestReturningHomeKeepsItsSpill sends what a home zone with a part of its slots
+// cannot take at once on as spill, and queues it there where no spill is admitted.
+func TestReturningHomeKeepsItsSpill(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-a", load(2, 2, 0))
+	v.set("web", "east-b", load(10, 0, 1))
+	home := []model.ZoneName{"east-a"}
+	m := testRequest(model.Normal)
+	c := p.Choose(testNow, m, home, v, nil)
+	require.Equal(t, model.ZoneName("east-b"), c.Zone)
+	require.True(t, c.Spill)
+	p.Sent(testNow, m, c)
+	c = p.Choose(testNow, m, home, v, nil)
+	require.Equal(t, model.ZoneName("east-a"), c.Zone, "the cap admits no more")
+	require.False(t, c.Spill)
+
+	v.set("web", "east-a", load(2, 1, 0))
+	p = newTestPlanner(text)
+	c = p.Choose(testNow, m, home, v, nil)
+	require.Equal(t, model.ZoneName("east-a"), c.Zone, "a slot is free at home")
+}
+
 func TestRetryBudgetIsATenthOfTraffic(t *testing.T) {
 	b := NewRetryBudget()
 	for b.Allow(testNow, "web") {
