Owners of a service in one zone take turns at the steps of a shift

Cause: each owner held its own share of the cap, and a share below one slot took its one slot whenever due. Owners whose share is below one slot now take turns by the clock, far enough apart that two steps are never closer than the zone's interval. The new tests play two owners of three slots with a cap of 1.2 in 10 s: at most one slot more in any window, for spill and for the return, and all six open in the end.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -138,6 +138,7 @@
 	s.floors = c.policy.Floors
 	s.recount(now, &c.policy)
 	s.ramp.configure(c.policy.ShiftCap, s.slots)
+	s.ramp.turn = c.policy.Turns[s.name]
 	s.maxQueue = c.policy.QueuePerSlot * s.slots
 	s.dropUnusedRoutes()
 }
--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -23,6 +23,8 @@
 	Floors [model.RankCount]float64
 	// ShiftCap bounds the growth of spill. A zero Window or Fraction admits none.
 	ShiftCap config.ShiftCap
+	// Turns are this owner's turns among the owners of a service in its zone.
+	Turns map[model.ServiceName]config.Turn
 	// QueuePerSlot bounds the queue of a service: requests per owned slot.
 	QueuePerSlot int
 	// MaxWait bounds the expected time in the queue; 0 leaves it to the deadlines.
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -18,6 +18,7 @@
 type ramp struct {
 	interval time.Duration // between two steps; 0 admits no spill
 	growth   float64       // slots by which the cap lets the level rise in a window
+	turn     config.Turn   // among the owners of the service in the zone
 	period   time.Duration // of use measurement
 
 	slots    int // owned; bounds the level
@@ -92,10 +93,10 @@
 	if r.interval == 0 || r.level >= r.slots {
 		return false
 	}
-	if r.wanted == 0 || now.Sub(r.wanted) > 2*r.interval {
+	if !r.demanded(now) {
 		r.wanted = now
 	}
-	if now < r.stepDue() {
+	if !r.due(now) {
 		return false
 	}
 	r.level++
@@ -105,6 +106,17 @@
 	return true
 }
 
+// demanded reports whether there has been demand since wanted: some of it in two
+// intervals and the owner's turn after them.
+func (r *ramp) demanded(now model.Instant) bool {
+	return r.wanted != 0 && now.Sub(r.wanted) <= 2*r.interval+r.turn.Cycle()
+}
+
+// due reports whether a step may be taken.
+func (r *ramp) due(now model.Instant) bool {
+	return now >= r.stepDue() && r.turn.Allows(int64(now))
+}
+
 // stepDue is the earliest time of the next step. A first step that is larger
 // than the cap waits its whole interval.
 func (r *ramp) stepDue() model.Instant {
@@ -129,7 +141,7 @@
 		return level
 	case r.waitsForDemand(now):
 		return level + r.growth
-	case now >= r.stepDue():
+	case r.due(now):
 		return level + 1
 	}
 	return level
@@ -138,7 +150,7 @@
 // waitsForDemand reports whether the interval of a first step that is larger than
 // the cap has yet to begin.
 func (r *ramp) waitsForDemand(now model.Instant) bool {
-	return !r.stepped && r.growth < 1 && (r.wanted == 0 || now.Sub(r.wanted) > 2*r.interval)
+	return !r.stepped && r.growth < 1 && !r.demanded(now)
 }
 
 // settle lowers the level to the most that was admitted in the last period.
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -59,3 +59,32 @@
 	require.Equal(t, model.CauseShiftCap, offerSpill(c, now, 3, true, model.Normal))
 	require.Equal(t, model.CauseNone, offerSpill(c, now, 4, true, model.Urgent))
 }
+
+// TestOwnersOfAZoneShareTheCap offers spill without end to two owners of three
+// slots each, in a zone whose cap is 1.2 slots in a window.
+func TestOwnersOfAZoneShareTheCap(t *testing.T) {
+	limit := config.ShiftCap{Fraction: 0.2, Window: 10 * time.Second}
+	now := model.Instant(time.Hour)
+	owners := make([]*Controller, 2)
+	for i := range owners {
+		p := Policy{ShiftCap: limit, Turns: map[model.ServiceName]config.Turn{"orders": limit.NewTurn([]int{3, 3}, i)}}
+		owners[i] = New(p)
+		owners[i].Configure(now, p, []Server{{Name: "orders-1", Service: "orders", Slots: 3}})
+	}
+	id := model.RequestID(0)
+	var levels []float64
+	for range 2400 { // two minutes
+		now = now.Add(50 * time.Millisecond)
+		sum := 0.0
+		for _, c := range owners {
+			id++
+			offerSpill(c, now, id, true, model.Normal)
+			sum += float64(c.byName["orders"].ramp.level)
+		}
+		levels = append(levels, sum)
+	}
+	for i := range levels[:len(levels)-199] {
+		require.LessOrEqual(t, levels[i+199]-levels[i], 1.0, "from %v", time.Duration(i)*50*time.Millisecond)
+	}
+	require.InDelta(t, 6, levels[len(levels)-1], 0)
+}
--- a/internal/config/moves.go
+++ b/internal/config/moves.go
@@ -44,3 +44,55 @@
 	}
 	return changes
 }
+
+// turnShare is the part of a turn in which its owner may step, as 1/turnShare of
+// the interval between two steps.
+const turnShare = 8
+
+// Turn says when one of several owners of a service in a zone may take a step of
+// a shift. Owners whose part of the cap is below one slot take turns, since each
+// would else take its one slot at the same time. The zero value allows any time.
+type Turn struct {
+	Interval time.Duration // least time between the steps of two owners
+	Place    int           // 0 to Owners-1
+	Owners   int
+}
+
+// NewTurn returns the turn of the owner at a place, given the slots of all owners.
+// It takes turns with those whose part of the cap is below one slot, as its own.
+func (c ShiftCap) NewTurn(slots []int, place int) Turn {
+	var turn Turn
+	shared := 0
+	for i, n := range slots {
+		if c.Fraction*float64(n) >= 1 {
+			continue
+		}
+		if i < place {
+			turn.Place++
+		}
+		turn.Owners++
+		shared += n
+	}
+	if turn.Owners < 2 || c.Fraction*float64(slots[place]) >= 1 {
+		return Turn{}
+	}
+	turn.Interval = c.StepInterval(shared)
+	return turn
+}
+
+// Allows reports whether a step may be taken at a time, in nanoseconds since the
+// epoch. Each turn lasts longer than the interval by the part in which a step may
+// be taken, so that two steps are never closer than the interval.
+func (t Turn) Allows(now int64) bool {
+	if t.Owners < 2 || t.Interval <= 0 {
+		return true
+	}
+	open := int64(t.Interval / turnShare)
+	length := int64(t.Interval) + open
+	return now/length%int64(t.Owners) == int64(t.Place) && now%length < open
+}
+
+// Cycle is how long it takes until the same owner's next turn.
+func (t Turn) Cycle() time.Duration {
+	return time.Duration(t.Owners) * (t.Interval + t.Interval/turnShare)
+}
--- a/internal/config/moves_test.go
+++ b/internal/config/moves_test.go
@@ -41,3 +41,44 @@
 	require.Equal(t, 10*time.Second, ShiftCap{Fraction: 0.1, Window: window}.StepInterval(5))
 	require.Zero(t, ShiftCap{}.StepInterval(5))
 }
+
+// TestOwnersTakeTurns lets all owners of a service in a zone step whenever they
+// may, each at most once an interval of its own: no window holds more steps than
+// the cap of the whole zone.
+func TestOwnersTakeTurns(t *testing.T) {
+	limit := ShiftCap{Fraction: 0.1, Window: 5 * time.Second}
+	for _, slots := range [][]int{{3, 3}, {9, 9}, {3, 3, 3}, {9, 9, 9, 9}, {6}, {6, 6, 6, 6, 6, 6, 6}} {
+		total := 0
+		for _, n := range slots {
+			total += n
+		}
+		last := make([]time.Duration, len(slots))
+		taken := make([]int, len(slots))
+		var steps []time.Duration
+		for now := time.Duration(0); now < 10*time.Minute; now += 50 * time.Millisecond {
+			for i, n := range slots {
+				due := taken[i] == 0 || now-last[i] >= limit.StepInterval(n)
+				if due && limit.NewTurn(slots, i).Allows(int64(now)) {
+					taken[i]++
+					last[i] = now
+					steps = append(steps, now)
+				}
+			}
+		}
+		bound := max(1, int(limit.Fraction*float64(total)))
+		for i := range steps {
+			in := 0
+			for _, at := range steps[i:] {
+				if at-steps[i] < limit.Window {
+					in++
+				}
+			}
+			require.LessOrEqual(t, in, bound, "%v from %v", slots, steps[i])
+		}
+		for i := range slots {
+			require.Positive(t, taken[i], "%v: owner %d never steps", slots, i)
+		}
+	}
+	require.Zero(t, limit.NewTurn([]int{30, 3}, 0))
+	require.Zero(t, limit.NewTurn([]int{30, 3}, 1), "no other has less than one slot")
+}
--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -149,6 +149,36 @@
 	require.Equal(t, 15, open[len(open)-1])
 }
 
+// TestOwnersOfAZoneReturnTogether brings two owners' servers of a zone back: their
+// slots open at the rate of the zone's cap, not of one each.
+func TestOwnersOfAZoneReturnTogether(t *testing.T) {
+	limit := config.ShiftCap{Fraction: 0.2, Window: 10 * time.Second} // 1.2 of 6 slots
+	owners := make([]*Tracker, 2)
+	stop := []config.Stop{{Scope: config.StopZone, Target: "petrolina-a"}}
+	for i := range owners {
+		owners[i] = New(Settings{ShiftCap: limit})
+		servers := threeSlotServers(1)
+		owners[i].SetTurns(map[model.ServiceName]config.Turn{servers[0].Service: limit.NewTurn([]int{3, 3}, i)})
+		owners[i].Configure(epoch, servers, stop, nil)
+		owners[i].Configure(at(60), servers, nil, nil)
+	}
+	now := at(60)
+	var open []int
+	for range 2400 { // two minutes
+		now = now.Add(50 * time.Millisecond)
+		sum := 0
+		for _, tracker := range owners {
+			tracker.Tick(now)
+			sum += tracker.Limit(now, threeSlotServers(1)[0].Name)
+		}
+		open = append(open, sum)
+	}
+	for i := range open[:len(open)-199] {
+		require.LessOrEqual(t, open[i+199]-open[i], 1)
+	}
+	require.Equal(t, 6, open[len(open)-1])
+}
+
 // TestAgainstNaiveTwin compares the Tracker with a count of failures in a row,
 // for one server of two.
 func TestAgainstNaiveTwin(t *testing.T) {
--- a/internal/health/slowstart.go
+++ b/internal/health/slowstart.go
@@ -27,7 +27,7 @@
 // than the interval, so call it more often than that.
 func (t *Tracker) stepSlowStarts(now model.Instant, g *group) {
 	interval := t.stepInterval(g)
-	for now >= g.nextStep {
+	for now >= g.nextStep && t.turns[g.service].Allows(int64(now)) {
 		s := g.leastOpen()
 		if s == nil {
 			return
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -24,6 +24,7 @@
 	servers    []*server // sorted by name
 	byName     map[model.BackendName]*server
 	groups     []*group // sorted by service and zone
+	turns      map[model.ServiceName]config.Turn
 	changes    []Change
 	dirty      bool // some limit may have changed
 }
@@ -36,6 +37,10 @@
 // SetSettings replaces the settings.
 func (t *Tracker) SetSettings(s Settings) { t.settings = s.withDefaults() }
 
+// SetTurns replaces this owner's turns among the owners of a service in its zone;
+// slow starts step in their turn only.
+func (t *Tracker) SetTurns(turns map[model.ServiceName]config.Turn) { t.turns = turns }
+
 // Configure replaces the set of owned servers and the planned stops. The servers
 // of the first call, and warm ones, are healthy at once; others start slowly. A
 // server that moves to another service or zone counts as new.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/primrosenotch/primrosenotch/internal/admission"
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
@@ -160,8 +162,10 @@
 	settings := r.settings.Health
 	settings.ShiftCap = r.text.Limits.ShiftCap
 	r.health.SetSettings(settings)
+	turns := r.turns()
+	r.health.SetTurns(turns)
 	r.health.Configure(now, watched, r.revision.Stops, r.regionOf)
-	r.admission.Configure(now, r.policy(), servers)
+	r.admission.Configure(now, r.policy(turns), servers)
 	for _, s := range servers {
 		r.syncLimit(now, s.Name)
 	}
@@ -174,8 +178,22 @@
 	return region
 }
 
-func (r *Reducer) policy() admission.Policy {
-	return admission.Policy{Floors: r.text.Limits.Floors, ShiftCap: r.text.Limits.ShiftCap}
+func (r *Reducer) policy(turns map[model.ServiceName]config.Turn) admission.Policy {
+	return admission.Policy{Floors: r.text.Limits.Floors, ShiftCap: r.text.Limits.ShiftCap, Turns: turns}
+}
+
+// turns works out when this owner may take steps of a shift into its zone.
+func (r *Reducer) turns() map[model.ServiceName]config.Turn {
+	turns := make(map[model.ServiceName]config.Turn)
+	for _, s := range r.text.Services {
+		owners := r.group.Owners(s.Name, r.zone)
+		slots := lo.Map(owners, func(o membership.Owner, _ int) int { return o.Slots })
+		place := slices.IndexFunc(owners, func(o membership.Owner) bool { return o.Instance == r.self })
+		if place >= 0 {
+			turns[s.Name] = r.text.Limits.ShiftCap.NewTurn(slots, place)
+		}
+	}
+	return turns
 }
 
 // seedRamps takes the spill ramps of services over from what the zone's owners
