--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -51,6 +51,11 @@
 func (p *Planner) chooseFrom(plan *plan, r request) Choice {
 	target := &plan.targets[p.draw(plan, r.now)]
 	cause := p.fits(&r, target)
+	if cause == model.CauseNone && target.cell.overloadedOnReturn(r.meta.Rank) {
+		if choice := p.spill(&r, plan, target.cell); choice.OK() {
+			return choice
+		}
+	}
 	if cause != model.CauseNone {
 		p.reject(target.cell, "", false, cause)
 	} else {
