Steering: a refusal holds back its own rank only; own requests in flight always count

Cause: a refusal of urgent work as queue-full or deadline held the owner back for urgent and every less urgent rank, renewed by each further one, so that floors that hold at the owner were starved before it. Ruled out: the owner's queue, which makes room for a rank below its floor's share. Now it holds back its rank alone.

Also: an instance took its own load, as last published up to 500 ms ago, for one of age 0, and a heartbeat that only vouched for an old report reset the count of what was sent since it. The own load is now that of the last tick, the count is reset by reports only, and an owner never counts as freer than what this instance has in flight there leaves.

--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -19,6 +19,7 @@
 type ownLoads struct {
 	current     []ServiceLoad // as SetLoads last gave it
 	generation  uint64        // grows when record.Loads changes
+	takenAt     model.Instant // of current
 	publishedAt model.Instant
 }
 
@@ -26,6 +27,7 @@
 // of changes that matter, and not more often than the settings allow.
 func (g *Group) SetLoads(now model.Instant, loads []ServiceLoad) {
 	g.loads.current = append(g.loads.current[:0], loads...)
+	g.loads.takenAt = now
 	g.publishLoads(now)
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -49,6 +49,7 @@
 	heardAt     model.Instant // last message from it
 	monitoredAt model.Instant // when it became a heartbeat peer, 0 where it is none
 	loadsAt     model.Instant // last message that vouches for record.Loads
+	reportedAt  model.Instant // when record.Loads was received
 	nextAccuse  model.Instant // earliest next accusation after a refutation
 	accuseDelay time.Duration
 	haveLoads   bool
--- a/internal/membership/owners.go
+++ b/internal/membership/owners.go
@@ -22,6 +22,9 @@
 	Load ServiceLoad
 	// Age is the time since Load was vouched for; negative where no load is known.
 	Age time.Duration
+	// ReportAge is the time since Load was received, at least Age: a heartbeat
+	// vouches for a load that changed little, without a new report.
+	ReportAge time.Duration
 }
 
 // unknownAge is the Age of an Owner without a load.
@@ -135,25 +138,34 @@
 		}
 		owner.Load = load
 		owner.Age = age
+		owner.ReportAge = max(age, g.reportAge(m))
 	}
 }
 
 // ownLoad returns what an instance said itself of a service's servers.
 func (g *Group) ownLoad(m *member, service model.ServiceName) (ServiceLoad, time.Duration, bool) {
-	at := m.loadsAt
+	loads, at := m.record.Loads, m.loadsAt
 	if m == g.self {
-		at = g.now
+		loads, at = g.loads.current, g.now
 	} else if !m.haveLoads {
 		return ServiceLoad{}, 0, false
 	}
-	for i := range m.record.Loads {
-		if m.record.Loads[i].Service == service {
-			return m.record.Loads[i], g.now.Sub(at), true
+	for i := range loads {
+		if loads[i].Service == service {
+			return loads[i], g.now.Sub(at), true
 		}
 	}
 	return ServiceLoad{}, 0, false
 }
 
+// reportAge is the time since an instance's loads were received.
+func (g *Group) reportAge(m *member) time.Duration {
+	if m == g.self {
+		return g.now.Sub(g.loads.takenAt)
+	}
+	return g.now.Sub(m.reportedAt)
+}
+
 func (g *Group) reachable(m *member) bool {
 	if m == g.self {
 		return g.owning()
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -175,5 +175,6 @@
 	m.record.Loads = r.Loads
 	m.haveLoads = true
 	m.loadsAt = g.now
+	m.reportedAt = g.now
 	g.generation++
 }
--- a/internal/steering/budget.go
+++ b/internal/steering/budget.go
@@ -160,6 +160,7 @@
 	}
 	c.cell.sent++
 	c.state.sent++
+	c.state.inFlight[m.Rank]++
 	if c.Spill {
 		c.cell.sentSpill++
 	}
@@ -174,6 +175,7 @@
 	// A report may include the request as in use, so the counts may fall below 0.
 	c.cell.sent--
 	c.state.sent--
+	c.state.inFlight[m.Rank]--
 	if c.Spill {
 		c.cell.sentSpill--
 	}
--- a/internal/steering/cell.go
+++ b/internal/steering/cell.go
@@ -33,7 +33,8 @@
 // ownerState is what this instance learnt about one owner of a cell.
 type ownerState struct {
 	instance   model.InstanceID
-	sent       int // since the owner's report, less what finished
+	sent       int                  // since the owner's report, less what finished
+	inFlight   [model.RankCount]int // sent by this instance and not finished
 	reportedAt model.Instant
 	heldUntil  [model.RankCount]model.Instant // refused recently
 	spillHeld  model.Instant                  // refused spill recently
@@ -54,7 +55,7 @@
 		if c.owners[i].Reachable {
 			c.reachable++
 		}
-		c.states[i].report(now, c.owners[i].Age)
+		c.states[i].report(now, c.owners[i].ReportAge)
 	}
 	load, age, ok := v.ZoneLoad(c.zone, c.service)
 	c.reported = c.reported || ok
--- a/internal/steering/choose.go
+++ b/internal/steering/choose.go
@@ -196,18 +196,22 @@
 	return true, model.CauseNone
 }
 
-// score is an owner's free slots by its last report and what was sent since; the
-// older the report, the less a high number counts.
+// score is an owner's free slots by its last report and what was sent since, or by
+// what this instance has in flight there where that is more; the older the report,
+// the less a high number counts.
 func (c *cell) score(r *request, at int, spill bool) float64 {
 	owner := &c.owners[at]
 	if owner.Age < 0 {
 		return 0
 	}
 	load := &owner.Load
-	free := float64(load.Slots - load.InUse - c.states[at].sent)
+	state := c.states[at]
+	reported, own := load.InUse+state.sent, 0
 	for rank := model.Urgent; rank <= r.meta.Rank; rank++ {
-		free -= float64(load.Queued[rank])
+		reported += load.Queued[rank]
+		own += state.inFlight[rank]
 	}
+	free := float64(load.Slots - max(reported, own))
 	if spill {
 		free = min(free, load.SpillLevel-float64(load.SpillInUse))
 	}
--- a/internal/steering/choose_test.go
+++ b/internal/steering/choose_test.go
@@ -101,6 +101,39 @@
 	require.True(t, p.Choose(later, testRequest(model.Background), nil, v, nil).OK())
 }
 
+// A flood of one rank leaves the floors of the others in force at the owner, so
+// its refusals hold back nothing else, less urgent work included.
+func TestRefusalOfUrgentWorkHoldsBackNothingElse(t *testing.T) {
+	for _, cause := range []model.Cause{model.CauseQueueFull, model.CauseDeadline} {
+		text := testText()
+		p, v := newTestPlanner(text), testView(text)
+		p.Choose(testNow, testRequest(model.Urgent), nil, v, nil)
+		p.Observe(testNow, Observation{
+			Service: "web", Rank: model.Urgent, Zone: "east-a", Owner: "east-a/0",
+			Outcome: model.NotRun, Cause: cause,
+		})
+		require.False(t, p.Choose(testNow, testRequest(model.Urgent), nil, v, nil).OK(), cause)
+		require.True(t, p.Choose(testNow, testRequest(model.Normal), nil, v, nil).OK(), cause)
+		require.True(t, p.Choose(testNow, testRequest(model.Background), nil, v, nil).OK(), cause)
+	}
+}
+
+// What is in flight counts however old the report is that it came after.
+func TestOwnRequestsInFlightCountAfterAReport(t *testing.T) {
+	text := testText()
+	p, v := newTestPlanner(text), testView(text)
+	v.set("web", "east-a", load(3, 0, 0), load(3, 0, 0))
+	sent := map[model.InstanceID]int{}
+	for i := range 6 {
+		now := testNow.Add(time.Duration(i) * 100 * time.Millisecond)
+		c := p.Choose(now, testRequest(model.Normal), nil, v, nil)
+		require.True(t, c.OK())
+		p.Sent(now, testRequest(model.Normal), c)
+		sent[c.Owner]++
+	}
+	require.Equal(t, map[model.InstanceID]int{"east-a/0": 3, "east-a/1": 3}, sent)
+}
+
 func TestLinkBudgetKeepsSomeForUrgentWork(t *testing.T) {
 	text := testText()
 	p, v := newTestPlanner(text), testView(text)
--- a/internal/steering/observe.go
+++ b/internal/steering/observe.go
@@ -17,8 +17,10 @@
 }
 
 // Observe makes refusals hold this instance back from the owner that refused,
-// for a short jittered time: for the rank and what is less urgent where its
-// queue is full, for spill where its ramp is exhausted, for all otherwise.
+// for a short jittered time: for the rank alone where its queue is full or too
+// long, since each rank has a floor of its own; for the rank and what is less
+// urgent where the owner is overloaded; for spill where its ramp is exhausted;
+// for all otherwise.
 func (p *Planner) Observe(now model.Instant, o Observation) {
 	if p.layout == nil || o.Outcome == model.Served {
 		return
@@ -44,7 +46,9 @@
 	switch o.Cause {
 	case model.CauseShiftCap:
 		s.spillHeld = max(s.spillHeld, until)
-	case model.CauseQueueFull, model.CauseDeadline, model.CauseOverload:
+	case model.CauseQueueFull, model.CauseDeadline:
+		s.heldUntil[o.Rank] = max(s.heldUntil[o.Rank], until)
+	case model.CauseOverload:
 		s.holdRanks(o.Rank, until)
 	case model.CauseNoBackend, model.CauseNotOwner, model.CauseOwnerLost, model.CauseStopping, model.CauseShed:
 		s.holdRanks(model.Urgent, until)
