A pooled connection that stays silent is given up and its pool closed

An attempt on a connection that had gone silent waited for the progress time-out of 5 s or the caller's deadline: the runtime set no answer time-out, and nothing in the reducer asked to condemn a pool. A request that may be sent again now waits on a pooled connection for three times a run that few exceed, at least 100 ms; then the server's pool is closed and the request goes, within the retry budget, to another server on a new connection. A once request has a new connection anyway and is never cut short. Attempts lost together now count as one failure of their server, since the health tracker gets the time of their start.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
 
 const (
 	gain = 1.0 / 32 // weight of a new sample
@@ -67,6 +71,16 @@
 	return float64(unknownRun)
 }
 
+// LongRun returns a time that few runs of a request's route exceed, 0 while
+// nothing is known.
+func (c *Controller) LongRun(id model.RequestID) time.Duration {
+	r := c.requests[id]
+	if r == nil || r.route.samples == 0 {
+		return 0
+	}
+	return time.Duration(r.route.high(1))
+}
+
 // reserved is the time that a run needs before its deadline; 0 while nothing is
 // known.
 func (e *routeEstimate) reserved(pressure float64) time.Duration {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -42,6 +44,9 @@
 	Backend model.BackendName
 	// FreshConnection forbids a pooled connection.
 	FreshConnection bool
+	// SilentAfter bounds the wait for an answer on a pooled connection, which may
+	// have gone silent; 0 leaves it to the progress time-out.
+	SilentAfter time.Duration
 }
 
 // Replay answers a repeated once request with the answer that the ledger
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -2,16 +2,21 @@
 
 import (
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 func (r *Reducer) attemptFinished(ev *event.AttemptFinished) {
-	r.health.Outcome(ev.At, ev.Backend, ev.Result, ev.Draining)
 	o := r.offers[ev.Request]
 	if o == nil || !o.running {
+		r.health.Outcome(ev.At, ev.Backend, ev.Result, ev.Draining)
 		return
 	}
 	o.running = false
+	r.health.Attempted(ev.At, health.Attempt{
+		Backend: ev.Backend, Result: ev.Result, Started: o.started, Draining: ev.Draining,
+	})
+	r.noteSilence(ev, o)
 	r.noteSuspicion(ev, o)
 	switch ev.Result {
 	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut, event.AttemptCancelled:
@@ -25,6 +30,17 @@
 	r.pump(ev.At)
 }
 
+// noteSilence closes the pooled connections of a server that left one without an
+// answer: what is between the two ends may have lost track of all of them.
+func (r *Reducer) noteSilence(ev *event.AttemptFinished, o *offer) {
+	if ev.Result != event.AttemptTimeout {
+		return
+	}
+	o.timedOut = true
+	r.out.add(&event.CondemnConnections{Backend: ev.Backend})
+	r.out.record(ev.At, o.meta.Trace, string(ev.Backend), "pooled connections closed", "no answer in time")
+}
+
 // noteSuspicion feeds the search for requests that crash backend servers.
 func (r *Reducer) noteSuspicion(ev *event.AttemptFinished, o *offer) {
 	switch ev.Result {
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -1,11 +1,20 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/admission"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
+// Bounds of the wait for an answer on a pooled connection: so many times a run
+// that few exceed, and not less than the least.
+const (
+	silentAfterRuns  = 3
+	leastSilentAfter = 100 * time.Millisecond
+)
+
 // maxAttempts bounds the backend servers that one offer is sent to.
 const maxAttempts = 3
 
@@ -23,6 +32,8 @@
 	backend  model.BackendName
 	started  model.Instant
 	attempts int
+	longRun  time.Duration // that few runs of the route exceed
+	timedOut bool          // an attempt got no answer; the next takes a new connection
 	// uncertain reports that an attempt may have run the request.
 	uncertain bool
 	withdrawn bool
@@ -112,6 +123,7 @@
 	o.slot = true
 	o.backend = s.Backend
 	o.started = now
+	o.longRun = r.admission.LongRun(s.ID)
 	if !o.claiming {
 		r.dispatch(s.ID, o)
 	}
@@ -124,10 +136,20 @@
 	r.out.addDispatch(event.Dispatch{
 		Request:         id,
 		Backend:         o.backend,
-		FreshConnection: o.meta.Kind == model.Once,
+		FreshConnection: o.meta.Kind == model.Once || o.timedOut,
+		SilentAfter:     o.silentAfter(),
 	})
 }
 
+// silentAfter is how long a pooled connection may stay without an answer before
+// it is taken for silent. Only a request that can be sent again is cut short.
+func (o *offer) silentAfter() time.Duration {
+	if o.longRun == 0 || !o.meta.Kind.Repeatable() || !o.meta.Replayable {
+		return 0
+	}
+	return max(silentAfterRuns*o.longRun, leastSilentAfter)
+}
+
 // leaveAdmission gives back an offer's slot or its place in the queue.
 func (r *Reducer) leaveAdmission(now model.Instant, id model.RequestID, o *offer) {
 	if o.slot {
--- /dev/null
+++ b/internal/reducer/silence_test.go
@@ -0,0 +1,53 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+)
+
+// dispatchOf returns the only dispatch among effects.
+func dispatchOf(t *testing.T, effects []event.Effect) event.Dispatch {
+	t.Helper()
+	var found []event.Dispatch
+	for _, f := range effects {
+		if d, ok := f.(*event.Dispatch); ok {
+			found = append(found, *d)
+		}
+	}
+	require.Len(t, found, 1)
+	return found[0]
+}
+
+// A read whose pooled connection stays silent goes to another server on a new
+// connection, and the pool of the first is closed.
+func TestReadLeavesASilentConnection(t *testing.T) {
+	s := newSession(t, sessionText)
+	first := s.offer(1, "browse")
+	require.Zero(t, dispatchOf(t, first).SilentAfter, "nothing is known of the route's runs")
+	s.now = s.now.Add(20 * time.Millisecond)
+	s.attempt(1, dispatchOf(t, first).Backend, event.AttemptComplete)
+
+	again := dispatchOf(t, s.offer(2, "browse"))
+	require.GreaterOrEqual(t, again.SilentAfter, leastSilentAfter)
+	require.False(t, again.FreshConnection)
+	s.now = s.now.Add(again.SilentAfter)
+	effects := s.attempt(2, again.Backend, event.AttemptTimeout)
+	require.Contains(t, effects, event.Effect(&event.CondemnConnections{Backend: again.Backend}))
+	third := dispatchOf(t, effects)
+	require.NotEqual(t, again.Backend, third.Backend)
+	require.True(t, third.FreshConnection)
+}
+
+// A once request is never cut short: it has a new connection and must not run
+// twice.
+func TestOnceRequestWaitsForItsAnswer(t *testing.T) {
+	s := newSession(t, sessionText)
+	s.offer(1, "order")
+	d := dispatchOf(t, s.claim(1, event.ClaimGranted))
+	require.True(t, d.FreshConnection)
+	require.Zero(t, d.SilentAfter)
+}
--- a/internal/runtime/execute.go
+++ b/internal/runtime/execute.go
@@ -18,7 +18,7 @@
 	case *event.Settle:
 		r.command(f.Request, callCommand{op: opSettle})
 	case *event.Dispatch:
-		r.instruct(f.Request, offerCommand{op: opDispatch, backend: f.Backend, fresh: f.FreshConnection})
+		r.instruct(f.Request, offerCommand{op: opDispatch, backend: f.Backend, fresh: f.FreshConnection, silentAfter: f.SilentAfter})
 	case *event.RefuseOffer:
 		r.instruct(f.Request, offerCommand{op: opRefuseOffer, outcome: f.Outcome, cause: f.Cause, release: f.Release})
 	case *event.Claim:
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -30,9 +30,11 @@
 	op      offerOp
 	backend model.BackendName
 	fresh   bool
-	outcome model.Outcome
-	cause   model.Cause
-	release bool
+	// silentAfter bounds the wait for an answer on a pooled connection.
+	silentAfter time.Duration
+	outcome     model.Outcome
+	cause       model.Cause
+	release     bool
 }
 
 // offer is a request at the owner of its backend server, served by one
@@ -196,6 +198,7 @@
 		IdempotencyKey:  o.meta.IdempotencyKey,
 		DeadlineLeft:    max(o.meta.Deadline.Sub(o.runtime.clock.now()), time.Millisecond),
 		FreshConnection: cmd.fresh,
+		SilentAfter:     cmd.silentAfter,
 	}
 	if o.body != nil {
 		a.BodyStream = o.body
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,6 +32,8 @@
 	// AnswerTimeout bounds the wait for the first byte of the answer after the
 	// request has been sent; 0 means the client's progress time-out.
 	AnswerTimeout time.Duration
+	// SilentAfter replaces AnswerTimeout on a pooled connection; 0 does not.
+	SilentAfter time.Duration
 	// FreshConnection forbids a pooled connection.
 	FreshConnection bool
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -27,7 +27,7 @@
 		return nil, failure(ctx, a, nil, step, err)
 	}
 	reused := cn.requests > 0
-	cn.begin(a.AnswerTimeout)
+	cn.begin(a.answerTimeout(reused))
 	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
@@ -47,6 +47,14 @@
 	return newAnswer(resp, body, reused), nil
 }
 
+// answerTimeout is how long the first byte of the answer may take.
+func (a *Attempt) answerTimeout(reused bool) time.Duration {
+	if reused && a.SilentAfter > 0 {
+		return a.SilentAfter
+	}
+	return a.AnswerTimeout
+}
+
 // roundTrip sends the request and reads the answer's header. It reports whether
 // the whole request was sent.
 func roundTrip(a *Attempt, cn *conn, resp *fasthttp.Response) (bool, Step, error) {
