Owner's connections to one server: up to 320; make bench

The bound is now below the roughly 350 connections that a worker holds, and above any slots in use today. Left: that the client's own bound counts as a refusal by the server.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 COMMANDS := $(notdir $(wildcard cmd/*))
 GOFILES  := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test lint fmt tools generate clean
+.PHONY: all bench build demo test lint fmt tools generate clean
 
 all: build
 
@@ -15,6 +15,10 @@
 demo: build ## the Kaderwerk example as processes on loopback, with a few seconds of load
 	@scripts/demo.sh
 
+bench: build ## the short set: both floods and silent connections, one seed each, and the idle cost
+	SEEDS=1 scripts/bench.sh flood-background-three-slots flood-urgent-three-slots silent-connections
+	scripts/idle.sh bench/results/idle.json
+
 test: ## the short, deterministic tests; passes over KNOWN-RED.txt only
 	./.ci/test
 
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -29,7 +29,7 @@
 	DefaultProgressTimeout   = 5 * time.Second
 	DefaultIdleTimeout       = 30 * time.Second
 	DefaultMaxIdlePerAddress = 32
-	DefaultMaxOpenPerAddress = 128
+	DefaultMaxOpenPerAddress = 320
 	DefaultStatusTimeout     = 500 * time.Millisecond
 )
 
