Crash suspects: pooled connections and own retries count as strikes

A crash on a pooled connection is classified as stale-broken, which the reducer did not tell the search for crashing requests, so that nearly no crash counted. A strike was dated when the server was found failed, after this system's own retry had begun, so that the second server's crash did not count either; it is now dated when the connection broke.

--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -33,14 +33,15 @@
 // ServerFailed records that a server refuses connections or lost others. Every
 // request whose connection broke there within the window gets a strike.
 //
-// An attempt that had begun before the request's last strike gets none: when the
-// network fails, a request that many callers send breaks at several servers at
-// once, and that proves nothing against it.
+// An attempt that had begun before the connection of the request's last strike
+// broke gets none: when the network fails, a request that many callers send breaks
+// at several servers at once, and that proves nothing against it. One that began
+// after, such as a retry, does count.
 func (s *Suspects) ServerFailed(now model.Instant, backend model.BackendName) {
 	s.dropOld(now)
 	for _, b := range s.broken {
 		if b.backend == backend && s.countsAsStrike(now, b) {
-			s.Strike(now, b.fingerprint, backend)
+			s.strike(now, b.fingerprint, backend, b.at)
 		}
 	}
 	s.broken = slices.DeleteFunc(s.broken, func(b brokenConnection) bool { return b.backend == backend })
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -63,7 +63,7 @@
 type suspect struct {
 	fingerprint uint64
 	servers     []model.BackendName // sorted, at most blockedServers
-	struckAt    model.Instant       // last strike
+	struckAt    model.Instant       // when the connection of the last strike broke
 	expires     model.Instant
 	cleared     model.Instant // strikes that expire by then no longer count
 }
@@ -75,12 +75,17 @@
 
 // Strike records that the request broke the server.
 func (s *Suspects) Strike(now model.Instant, fingerprint uint64, backend model.BackendName) {
+	s.strike(now, fingerprint, backend, now)
+}
+
+// strike records that the request broke the server at an earlier moment.
+func (s *Suspects) strike(now model.Instant, fingerprint uint64, backend model.BackendName, at model.Instant) {
 	known := s.open(now, fingerprint)
 	if known == nil {
 		return
 	}
 	known.add(backend)
-	known.struckAt = now
+	known.struckAt = max(known.struckAt, at)
 	known.expires = max(known.expires, now.Add(s.settings.Lifetime))
 }
 
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -46,7 +46,7 @@
 	switch ev.Result {
 	case event.AttemptComplete:
 		r.suspects.Completed(ev.At, o.meta.Fingerprint)
-	case event.AttemptBroken, event.AttemptCut:
+	case event.AttemptBroken, event.AttemptStaleBroken, event.AttemptCut:
 		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
 	case event.AttemptNotSent:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
@@ -72,7 +72,8 @@
 func (r *Reducer) mayHaveRun(ev *event.AttemptFinished, o *offer) {
 	o.uncertain = true
 	cause := causeOf(ev.Result)
-	if !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
+	atRisk := r.suspects.AtRisk(ev.At, o.meta.Fingerprint)
+	if atRisk || !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
 		r.giveUp(ev, o, cause)
 		return
 	}
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -138,7 +138,7 @@
 	if bodyUsed && !c.meta.Replayable {
 		return false
 	}
-	if c.uncertain && !c.meta.Kind.Repeatable() {
+	if c.uncertain && (!c.meta.Kind.Repeatable() || r.suspects.AtRisk(now, c.meta.Fingerprint)) {
 		return false
 	}
 	if !otherOwnerMayServe(cause) {
--- a/internal/reducer/silence_test.go
+++ b/internal/reducer/silence_test.go
@@ -10,7 +10,7 @@
 )
 
 // dispatchOf returns the only dispatch among effects.
-func dispatchOf(t *testing.T, effects []event.Effect) event.Dispatch {
+func dispatchOf(t testing.TB, effects []event.Effect) event.Dispatch {
 	t.Helper()
 	var found []event.Dispatch
 	for _, f := range effects {
