--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,8 @@
 #   scripts/bench.sh SCENARIO...      writes bench/results/SCENARIO.json
 #
 # SEEDS (default "1 2 3") and BASE (first port, default 12000) may be set, and
-# LOCK, a file that is locked during each run. Needs curl and jq.
+# LOCK, a file that is locked during each run; RESULTS, the directory for results;
+# SERVER_THOUSANDS, where the servers' ports go (default 13). Needs curl and jq.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/fleet.sh
@@ -15,7 +16,9 @@
 SEEDS=${SEEDS:-1 2 3}
 BASE=${BASE:-12000}
 LOCK=${LOCK:-/tmp/primrosenotch-bench.lock}
-TMP=bench/results/tmp
+RESULTS=${RESULTS:-bench/results}
+TMP=$RESULTS/tmp
+COMMIT=${COMMIT:-$(git describe --always --dirty)} # of the binaries
 FLOOD_OPTIONS=",time=lognormal:45ms:0.25,queue=4,answer=1000"
 MIXED_OPTIONS=",time=lognormal:45ms:0.25,time/catalogue=lognormal:15ms:0.25,queue=4,answer=2000"
 
@@ -58,7 +61,10 @@
 	jq -c --arg policy "$3" --argjson seed "$2" --slurpfile fault "$TMP/$name.fault" '{
 		policy: $policy, seed: $seed, started, command: (.command | join(" ")), fault: $fault[0],
 		dispatch_lag, failed_lookups, problems,
-		rows: [.rows[] | del(.statuses, .moved, .retries)]}' "$TMP/$name.json" >>"$TMP/$1.runs"
+		rows: [.rows[] | del(.statuses, .moved, .retries)],
+		answered: [.series | group_by(.class)[] | {class: .[0].class,
+			served_by_second: [.[] | {key: (.second | tostring), value: (.outcomes.served // 0)}] | from_entries}]}' \
+		"$TMP/$name.json" >>"$TMP/$1.runs"
 }
 
 scenario() {
@@ -80,11 +86,11 @@
 	fleet_stop || echo "an entry instance did not stop gracefully" >&2
 	trap - EXIT
 	jq -s --arg scenario "$1" --arg command "SEEDS='$SEEDS' scripts/bench.sh $1" \
-		--arg commit "$(git describe --always --dirty)" --arg servers "$FLEET_SERVER_OPTIONS" \
+		--arg commit "$COMMIT" --arg servers "$FLEET_SERVER_OPTIONS" \
 		--arg text "$TEXT" --argjson instances "$INSTANCES" \
 		'{scenario: $scenario, command: $command, commit: $commit, text: $text, instances: $instances,
-		  servers: $servers, runs: .}' "$TMP/$1.runs" >"bench/results/$1.json"
-	jq -r -f scripts/bench-table.jq "bench/results/$1.json"
+		  servers: $servers, runs: .}' "$TMP/$1.runs" >"$RESULTS/$1.json"
+	jq -r -f scripts/bench-table.jq "$RESULTS/$1.json"
 }
 
 mkdir -p "$TMP"
