--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -150,6 +150,9 @@
 	// Draining reports that the server announced on this answer that it is leaving.
 	Draining bool
 	BodyUsed bool
+	// OwnLimit reports that nothing was sent since this instance has too many
+	// connections open, which says nothing about the server.
+	OwnLimit bool
 }
 
 // ServerReported is a backend server's own word on its health and load.
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -13,11 +13,9 @@
 		return
 	}
 	o.running = false
-	r.health.Attempted(ev.At, health.Attempt{
-		Backend: ev.Backend, Result: ev.Result, Started: o.started, Draining: ev.Draining,
-	})
-	r.noteSilence(ev, o)
-	r.noteSuspicion(ev, o)
+	if !ev.OwnLimit {
+		r.noteAttempt(ev, o)
+	}
 	switch ev.Result {
 	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut, event.AttemptCancelled:
 		r.endOffer(ev, o)
@@ -30,6 +28,15 @@
 	r.pump(ev.At)
 }
 
+// noteAttempt records what an attempt says about its server and its request.
+func (r *Reducer) noteAttempt(ev *event.AttemptFinished, o *offer) {
+	r.health.Attempted(ev.At, health.Attempt{
+		Backend: ev.Backend, Result: ev.Result, Started: o.started, Draining: ev.Draining,
+	})
+	r.noteSilence(ev, o)
+	r.noteSuspicion(ev, o)
+}
+
 // noteSilence closes the pooled connections of a server that left one without an
 // answer: what is between the two ends may have lost track of all of them.
 func (r *Reducer) noteSilence(ev *event.AttemptFinished, o *offer) {
--- a/internal/reducer/silence_test.go
+++ b/internal/reducer/silence_test.go
@@ -7,8 +7,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
+// firstDispatch returns the first dispatch among effects, nil without one.
+func firstDispatch(effects []event.Effect) *event.Dispatch {
+	for _, f := range effects {
+		if d, ok := f.(*event.Dispatch); ok {
+			return d
+		}
+	}
+	return nil
+}
+
 // dispatchOf returns the only dispatch among effects.
 func dispatchOf(t testing.TB, effects []event.Effect) event.Dispatch {
 	t.Helper()
@@ -51,3 +62,26 @@
 	require.True(t, d.FreshConnection)
 	require.Zero(t, d.SilentAfter)
 }
+
+// An instance that has too many connections open itself ejects no server for it.
+func TestOwnConnectionLimitEjectsNoServer(t *testing.T) {
+	for _, ownLimit := range []bool{false, true} {
+		s := newSession(t, sessionText)
+		for id := model.RequestID(1); id <= 4; id++ {
+			effects := s.offer(id, "browse")
+			for d := firstDispatch(effects); d != nil; d = firstDispatch(effects) {
+				effects = s.step(&event.AttemptFinished{
+					At: s.now, Request: id, Backend: d.Backend, Result: event.AttemptNotSent, OwnLimit: ownLimit,
+				})
+			}
+			s.now = s.now.Add(time.Millisecond)
+		}
+		ejected := 0
+		for _, server := range s.r.Servers(s.now) {
+			if server.Limit == 0 {
+				ejected++
+			}
+		}
+		require.Equal(t, !ownLimit, ejected > 0)
+	}
+}
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -216,6 +216,7 @@
 		BodyUsed: o.body != nil && o.body.used(),
 	}
 	if err != nil {
+		ev.OwnLimit = err.Step == upstream.StepLimit
 		ev.RetryAfter = err.RetryAfter
 		ev.Draining = err.Draining
 	}
