--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -156,6 +156,9 @@
 	// Draining reports that the server announced on this answer that it is leaving.
 	Draining bool
 	BodyUsed bool
+	// OwnLimit reports that nothing was sent since this instance has too many
+	// connections open, which says nothing about the server.
+	OwnLimit bool
 }
 
 // AttemptSlow reports that an attempt has had no answer for as long as its
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -9,21 +9,13 @@
 func (r *Reducer) attemptFinished(ev *event.AttemptFinished) {
 	o := r.offers[ev.Request]
 	if o == nil || !o.running {
+		r.health.Outcome(ev.At, ev.Backend, ev.Result, ev.Draining)
 		return
 	}
 	o.running = false
-	result := ev.Result
-	if result == event.AttemptCancelled && o.replaced {
-		result = event.AttemptTimeout
+	if !ev.OwnLimit {
+		r.noteAttempt(ev, o)
 	}
-	r.health.Attempted(ev.At, health.Attempt{
-		Backend:  ev.Backend,
-		Result:   result,
-		Started:  o.started,
-		Draining: ev.Draining,
-	})
-	r.noteSuspicion(ev, o)
-	r.condemn(ev)
 	switch ev.Result {
 	case event.AttemptComplete, event.AttemptFailed, event.AttemptCut:
 		r.endOffer(ev, o)
@@ -38,6 +30,23 @@
 	r.pump(ev.At)
 }
 
+// noteAttempt records what an attempt says about its server and its request. One
+// that was cancelled for another counts as a time-out.
+func (r *Reducer) noteAttempt(ev *event.AttemptFinished, o *offer) {
+	result := ev.Result
+	if result == event.AttemptCancelled && o.replaced {
+		result = event.AttemptTimeout
+	}
+	r.health.Attempted(ev.At, health.Attempt{
+		Backend:  ev.Backend,
+		Result:   result,
+		Started:  o.started,
+		Draining: ev.Draining,
+	})
+	r.noteSuspicion(ev, o)
+	r.condemn(ev)
+}
+
 // noteSuspicion feeds the search for requests that crash backend servers.
 func (r *Reducer) noteSuspicion(ev *event.AttemptFinished, o *offer) {
 	switch ev.Result {
@@ -76,6 +85,7 @@
 	}
 	o.replaced = true
 	r.out.add(&event.CondemnConnections{Backend: ev.Backend})
+	r.out.record(ev.At, o.meta.Trace, string(ev.Backend), "attempt replaced", "no answer in time")
 	r.out.add(&event.CancelAttempt{Request: ev.Request})
 }
 
@@ -88,11 +98,28 @@
 	}
 	o.replaced = false
 	o.slot = false
-	if refused := r.admission.Requeue(ev.At, ev.Request, ""); refused != model.CauseNone {
+	if refused := r.admission.Requeue(ev.At, ev.Request, r.otherThan(ev)); refused != model.CauseNone {
 		r.refuseOffer(ev.Request, o, model.CauseTimeout)
 	}
 }
 
+// otherThan returns the server that a replaced attempt is to avoid: its own,
+// unless this instance has no other for the service. A new connection to the
+// same server may well work.
+func (r *Reducer) otherThan(ev *event.AttemptFinished) model.BackendName {
+	silent, ok := r.index.Backend(ev.Backend)
+	if !ok {
+		return ""
+	}
+	for _, name := range r.ownedNames {
+		b, known := r.index.Backend(name)
+		if known && name != silent.Name && b.Service == silent.Service && r.health.Limit(ev.At, name) > 0 {
+			return silent.Name
+		}
+	}
+	return ""
+}
+
 func (r *Reducer) endOffer(ev *event.AttemptFinished, o *offer) {
 	learn := ev.Result == event.AttemptComplete
 	r.admission.Finish(ev.At, ev.Request, ev.At.Sub(o.started), learn)
@@ -112,7 +139,8 @@
 func (r *Reducer) mayHaveRun(ev *event.AttemptFinished, o *offer) {
 	o.uncertain = true
 	cause := causeOf(ev.Result)
-	if !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
+	atRisk := r.suspects.AtRisk(ev.At, o.meta.Fingerprint)
+	if atRisk || !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
 		r.giveUp(ev, o, cause)
 		return
 	}
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -151,6 +151,8 @@
 		return event.FinalBodyUsed
 	case c.uncertain && !c.meta.Kind.Repeatable():
 		return event.FinalMayHaveRun
+	case c.uncertain && r.suspects.AtRisk(now, c.meta.Fingerprint):
+		return event.FinalMayHaveRun
 	case !otherOwnerMayServe(cause):
 		return event.FinalCause
 	case movedOwnership(cause) || r.retries.Allow(now, c.meta.Service):
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -25,6 +25,7 @@
 	backend  model.BackendName
 	started  model.Instant
 	attempts int
+	longRun  time.Duration // that few runs of the route exceed
 	// uncertain reports that an attempt may have run the request.
 	uncertain bool
 	withdrawn bool
@@ -116,6 +117,7 @@
 	o.slot = true
 	o.backend = s.Backend
 	o.started = now
+	o.longRun = r.admission.LongRun(s.ID)
 	if !o.claiming {
 		r.dispatch(s.ID, o)
 	}
@@ -134,9 +136,9 @@
 }
 
 const (
-	// patienceRuns is how many mean run times an answer may take to begin. Of
-	// exponential run times one in 3000 takes longer.
-	patienceRuns = 8
+	// patienceRuns is how many times a run that few exceed an answer may take to
+	// begin.
+	patienceRuns = 3
 	// minPatience keeps short run times from making the noise of the network look
 	// like silence.
 	minPatience = 100 * time.Millisecond
@@ -149,8 +151,11 @@
 	if !o.meta.Kind.Repeatable() {
 		return 0
 	}
-	expected := max(minPatience, patienceRuns*r.admission.MeanRun(o.meta.Service))
-	return min(expected, o.meta.Deadline.Sub(o.started)/2)
+	half := o.meta.Deadline.Sub(o.started) / 2
+	if o.longRun == 0 {
+		return half
+	}
+	return min(max(minPatience, patienceRuns*o.longRun), half)
 }
 
 // leaveAdmission gives back an offer's slot or its place in the queue.
--- /dev/null
+++ b/internal/reducer/silence_test.go
@@ -0,0 +1,90 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// firstDispatch returns the first dispatch among effects, nil without one.
+func firstDispatch(effects []event.Effect) *event.Dispatch {
+	for _, f := range effects {
+		if d, ok := f.(*event.Dispatch); ok {
+			return d
+		}
+	}
+	return nil
+}
+
+// dispatchOf returns the only dispatch among effects.
+func dispatchOf(t testing.TB, effects []event.Effect) event.Dispatch {
+	t.Helper()
+	var found []event.Dispatch
+	for _, f := range effects {
+		if d, ok := f.(*event.Dispatch); ok {
+			found = append(found, *d)
+		}
+	}
+	require.Len(t, found, 1)
+	return found[0]
+}
+
+// A read whose pooled connection stays silent goes to another server on a new
+// connection, and the pool of the first is closed.
+func TestReadLeavesASilentConnection(t *testing.T) {
+	s := newSession(t, sessionText)
+	first := s.offer(1, "browse")
+	require.Equal(t, 500*time.Millisecond, dispatchOf(t, first).Patience, "nothing is known of the route's runs: half of what is left")
+	s.now = s.now.Add(20 * time.Millisecond)
+	s.attempt(1, dispatchOf(t, first).Backend, event.AttemptComplete)
+
+	again := dispatchOf(t, s.offer(2, "browse"))
+	require.GreaterOrEqual(t, again.Patience, minPatience)
+	require.False(t, again.FreshConnection)
+	s.now = s.now.Add(again.Patience)
+	effects := s.step(&event.AttemptSlow{At: s.now, Request: 2, Backend: again.Backend})
+	require.Contains(t, effects, event.Effect(&event.CondemnConnections{Backend: again.Backend}))
+	require.Contains(t, effects, event.Effect(&event.CancelAttempt{Request: 2}))
+	effects = s.attempt(2, again.Backend, event.AttemptCancelled)
+	third := dispatchOf(t, effects)
+	require.NotEqual(t, again.Backend, third.Backend)
+	require.True(t, third.FreshConnection)
+}
+
+// A once request is never cut short: it has a new connection and must not run
+// twice.
+func TestOnceRequestWaitsForItsAnswer(t *testing.T) {
+	s := newSession(t, sessionText)
+	s.offer(1, "order")
+	d := dispatchOf(t, s.claim(1, event.ClaimGranted))
+	require.True(t, d.FreshConnection)
+	require.Zero(t, d.Patience)
+	require.Empty(t, s.step(&event.AttemptSlow{At: s.now, Request: 1, Backend: d.Backend}))
+}
+
+// An instance that has too many connections open itself ejects no server for it.
+func TestOwnConnectionLimitEjectsNoServer(t *testing.T) {
+	for _, ownLimit := range []bool{false, true} {
+		s := newSession(t, sessionText)
+		for id := model.RequestID(1); id <= 4; id++ {
+			effects := s.offer(id, "browse")
+			for d := firstDispatch(effects); d != nil; d = firstDispatch(effects) {
+				effects = s.step(&event.AttemptFinished{
+					At: s.now, Request: id, Backend: d.Backend, Result: event.AttemptNotSent, OwnLimit: ownLimit,
+				})
+			}
+			s.now = s.now.Add(time.Millisecond)
+		}
+		ejected := 0
+		for _, server := range s.r.Servers(s.now) {
+			if server.Limit == 0 {
+				ejected++
+			}
+		}
+		require.Equal(t, !ownLimit, ejected > 0)
+	}
+}
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -246,6 +246,7 @@
 		BodyUsed: o.bodyUsed(),
 	}
 	if err != nil {
+		ev.OwnLimit = err.Step == upstream.StepLimit
 		ev.RetryAfter = err.RetryAfter
 		ev.Draining = err.Draining
 	}
