explain: a wait that ran out is not called a broken link

Cause: where the owner had not answered half a second after the deadline, the ingress closed the stream itself, and explain said "use of closed network connection". It now says how long it waited. The label of the cause stays owner-lost.

--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -179,6 +179,9 @@
 	for {
 		f, err := conn.Receive()
 		if err != nil {
+			if c.timeLeft() <= -lateGrace { // closed by the timer of forward
+				err = fmt.Errorf("no word from %s until %s after the deadline", owner, lateGrace)
+			}
 			c.ownerLost(owner, true, err)
 			return false
 		}
