--- a/internal/confstore/store_test.go
+++ b/internal/confstore/store_test.go
@@ -169,3 +169,58 @@
 	require.NoError(t, err)
 	require.Equal(t, late(), second.AcceptedAt)
 }
+
+// cappedChange is a change to a text whose moves of the baseline last 100 s.
+func cappedChange(base int64, slots int) Change {
+	c := change(base, slots, fmt.Sprintf("op-%d", base))
+	c.Source = append(c.Source, "[limits]\nshift cap = 10% of capacity per 10s\n"...)
+	return c
+}
+
+// TestRevisionsCarryTheMovesUnderWay changes the text during moves, with a planned
+// stop in between, and waits until the moves are over.
+func TestRevisionsCarryTheMovesUnderWay(t *testing.T) {
+	now := time.Unix(1000, 0).UTC()
+	store := New(newFakeTable(noFaults), WithClock(func() time.Time { return now }))
+	apply := func(base int64, after time.Duration) *config.Revision {
+		now = now.Add(after)
+		revision, err := store.Apply(t.Context(), cappedChange(base, int(base)+1))
+		require.NoError(t, err)
+		return revision
+	}
+	first := apply(0, 0)
+	second := apply(1, time.Second)
+	require.Len(t, second.Earlier, 1)
+	third := apply(2, 50*time.Second)
+	require.Equal(t, []config.TextChange{
+		{Source: first.Source, AcceptedAt: first.AcceptedAt},
+		{Source: second.Source, AcceptedAt: second.AcceptedAt},
+	}, third.Earlier)
+	now = now.Add(time.Second)
+	stopped, err := store.Announce(t.Context(), stop("a"))
+	require.NoError(t, err)
+	require.Equal(t, third.Earlier, stopped.Earlier)
+	fifth := apply(4, 98*time.Second)
+	require.Len(t, fifth.Earlier, 3, "the move to the third text was not over")
+	sixth := apply(5, 100*time.Second)
+	require.Len(t, sixth.Earlier, 1, "the move to the fifth text was")
+	loaded, err := store.Load(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, sixth, loaded)
+}
+
+func TestTooManyMovesAreRefused(t *testing.T) {
+	now := time.Unix(1000, 0).UTC()
+	store := New(newFakeTable(noFaults), WithClock(func() time.Time { return now }))
+	for base := range int64(maxEarlier + 1) {
+		_, err := store.Apply(t.Context(), cappedChange(base, int(base)+1))
+		require.NoError(t, err)
+	}
+	_, err := store.Apply(t.Context(), cappedChange(maxEarlier+1, 1))
+	var pending *PendingMovesError
+	require.ErrorAs(t, err, &pending)
+	require.Equal(t, maxEarlier+1, pending.Moves)
+	now = now.Add(100 * time.Second)
+	_, err = store.Apply(t.Context(), cappedChange(maxEarlier+1, 1))
+	require.NoError(t, err)
+}
