Link test: the instance that is dialled on demand has its own name

Cause: two changes met; a peer that names itself otherwise is refused now, and the test dialled "c" at the address of "b". It dials "b" from "c" and also checks which instance the offer is said to come from, which is stricter.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -261,16 +261,18 @@
 		from <- peer
 		_, _, _ = SendBody(conn, strings.NewReader("answer"), model.CauseBroken)
 	}
-	links, _, listener := pair(t, server)
+	_, _, listener := pair(t, server)
+	client := newRecorder()
+	links := New(&linkpb.Hello{Instance: "c"}, DefaultSettings(), client, client)
 	t.Cleanup(links.CloseAll)
 	addr := listener.Addr().String()
 	for range 3 {
-		conn, err := links.OfferAt(context.Background(), "c", addr, &linkpb.Offer{})
+		conn, err := links.OfferAt(context.Background(), "b", addr, &linkpb.Offer{})
 		require.NoError(t, err)
 		got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
 		require.NoError(t, err)
 		require.Equal(t, "answer", string(got))
-		receive(t, from)
+		require.Equal(t, model.InstanceID("c"), receive(t, from))
 	}
 	require.Len(t, links.onDemand, 1)
 	var down *DownError
