--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -166,7 +166,7 @@
 // about the request.
 func otherOwnerMayServe(cause model.Cause) bool {
 	switch cause {
-	case model.CauseDeadline, model.CauseCrashSuspect, model.CauseDigestMismatch, model.CauseInProgress,
+	case model.CauseCrashSuspect, model.CauseDigestMismatch, model.CauseInProgress,
 		model.CauseCancelled, model.CauseKeyMissing, model.CauseLedgerBudget, model.CauseLedgerDown, model.CauseCallerGone:
 		return false
 	default:
