A link that membership gives up finishes the offers on it

Cause: Links.Close ended the session at once, so a change of topology (another bridge after an instance came or left) cut every request in flight on that link: a planned stop could cut requests of third parties.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -211,3 +211,26 @@
 	_, err := links.OfferAt(context.Background(), "d", "127.0.0.1:1", &linkpb.Offer{})
 	require.ErrorAs(t, err, &down, "nothing was sent")
 }
+
+// TestClosedLinkFinishesOffers closes a link, as membership does when its
+// topology changes, while an offer is being served over it.
+func TestClosedLinkFinishesOffers(t *testing.T) {
+	server := newRecorder()
+	serving, closed := make(chan struct{}), make(chan struct{})
+	server.serve = func(_ model.InstanceID, _ *linkpb.Offer, conn Conn) {
+		close(serving)
+		<-closed
+		_, _, _ = SendBody(conn, strings.NewReader("answer"), model.CauseBroken)
+	}
+	links, _, _ := pair(t, server)
+	t.Cleanup(links.CloseAll)
+	conn, err := links.Offer("b", &linkpb.Offer{})
+	require.NoError(t, err)
+	receive(t, serving)
+	links.Close("b")
+	time.Sleep(2 * drainCheck)
+	close(closed)
+	got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(got))
+}
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -80,6 +80,8 @@
 	// onDemand are sessions for offers to instances that are no peers.
 	onDemand map[model.InstanceID]*onDemand
 	tasks    sync.WaitGroup
+	closing  chan struct{} // closed by CloseAll
+	once     sync.Once
 }
 
 // New returns links without peers.
@@ -91,6 +93,7 @@
 		handler:  handler,
 		peers:    make(map[model.InstanceID]*peer),
 		onDemand: make(map[model.InstanceID]*onDemand),
+		closing:  make(chan struct{}),
 	}
 }
 
@@ -110,7 +113,7 @@
 	l.tasks.Go(func() { p.run(ctx) })
 }
 
-// Close ends the link to a peer.
+// Close ends the link to a peer. Offers on it run to their end.
 func (l *Links) Close(id model.InstanceID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,6 +125,7 @@
 
 // CloseAll ends every link and waits until they have ended.
 func (l *Links) CloseAll() {
+	l.once.Do(func() { close(l.closing) })
 	l.mu.Lock()
 	for id, p := range l.peers {
 		p.cancel()
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -65,12 +65,16 @@
 
 // serve sends membership messages on a control stream until the session ends.
 func (p *peer) serve(ctx context.Context, session *yamux.Session) {
-	defer func() { _ = session.Close() }()
 	control, err := session.OpenStream()
 	if err != nil {
+		_ = session.Close()
 		return
 	}
 	conn := newWire(control)
+	defer func() {
+		_ = conn.Close()
+		p.links.tasks.Go(func() { p.links.drain(session) })
+	}()
 	hello := &linkpb.Frame_Hello{Hello: p.links.hello}
 	if conn.Send(&linkpb.Frame{Body: hello}) != nil {
 		return
@@ -92,6 +96,27 @@
 	}
 }
 
+// drainCheck is how often a session of a closed link is asked whether its
+// offers have ended.
+const drainCheck = 100 * time.Millisecond
+
+// drain closes a session once its offers have ended, or when all links close.
+// The keepalive ends a session that has gone silent.
+func (l *Links) drain(session *yamux.Session) {
+	defer func() { _ = session.Close() }()
+	ticker := time.NewTicker(drainCheck)
+	defer ticker.Stop()
+	for session.NumStreams() > 0 {
+		select {
+		case <-l.closing:
+			return
+		case <-session.CloseChan():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (p *peer) setSession(s *yamux.Session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/prove/fleet_test.go
+++ b/internal/prove/fleet_test.go
@@ -32,9 +32,13 @@
 	startStaggered = 300 * time.Millisecond
 )
 
+// firstPort is where listening ports begin; PROVE_PORT names another, so that
+// two runs do not meet.
+const firstPort = 30000
+
 // nextPort hands out listening ports, so that an instance can be restarted on
 // the addresses that it had.
-var nextPort = 30000
+var nextPort = int(numberFromEnvironment("PROVE_PORT", firstPort))
 
 func takeAddress() string {
 	nextPort++
@@ -261,8 +265,16 @@
 }
 
 func seedsFromEnvironment(defaults ...uint64) []uint64 {
-	if seed, err := strconv.ParseUint(os.Getenv("PROVE_SEED"), 10, 64); err == nil {
+	if seed := numberFromEnvironment("PROVE_SEED", 0); seed != 0 {
 		return []uint64{seed}
 	}
 	return defaults
 }
+
+func numberFromEnvironment(name string, absent uint64) uint64 {
+	number, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return absent
+	}
+	return number
+}
