--- a/internal/prove/configuration_test.go
+++ b/internal/prove/configuration_test.go
@@ -128,11 +128,14 @@
 }
 
 // registerModel is the configuration: a change counts only on its base.
-var registerModel = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{registerState{1, "start"}} },
-	Step: func(state, input, output any) []any {
-		return stepRegister(state.(registerState), input.(registerOperation), output.(registerOutput))
-	},
+func registerModel(start registerState) porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{start} },
+		Step: func(state, input, output any) []any {
+			return stepRegister(state.(registerState), input.(registerOperation), output.(registerOutput))
+		},
+	}
+	return model.ToModel()
 }
 
 func stepRegister(s registerState, in registerOperation, out registerOutput) []any {
@@ -175,7 +178,7 @@
 		if err != nil {
 			continue
 		}
-		id := fmt.Sprintf("%s-%d", name, i)
+		id := fmt.Sprintf("%s-%d-%d", name, head.Number, i)
 		called = time.Now().UnixNano()
 		revision, err := f.store.Apply(ctx, confstore.Change{
 			Base: head.Number, Source: f.text(id), Author: name, Reason: id, OperationID: id,
@@ -201,6 +204,8 @@
 	var mu sync.Mutex
 	var history []porcupine.Operation
 	var operators sync.WaitGroup
+	head, err := f.store.Load(context.Background())
+	require.NoError(f.t, err)
 	for client, name := range []string{"ana", "ben"} {
 		operators.Go(func() {
 			f.operate(name, times, func(o porcupine.Operation) {
@@ -219,5 +224,6 @@
 		}
 	}
 	f.t.Logf("two operators: %v", outcomes)
-	require.Equal(f.t, porcupine.Ok, porcupine.CheckOperationsTimeout(registerModel.ToModel(), history, time.Minute))
+	model := registerModel(registerState{head.Number, head.Reason})
+	require.Equal(f.t, porcupine.Ok, porcupine.CheckOperationsTimeout(model, history, time.Minute))
 }
