A request whose connections broke goes to no third server

Cause: nothing proves a crash while the request's own retries are under way, and the first request alone was tried at two servers of an owner, then, forwarded as connection-broken, at two of the next. Now an owner tries at most two servers that may have run a request, and the ingress does not forward after a broken connection. The price: a read that loses its connection at an owner with one server is answered unknown.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -79,7 +79,7 @@
 func (r *Reducer) mayHaveRun(ev *event.AttemptFinished, o *offer) {
 	o.uncertain = true
 	cause := causeOf(ev.Result)
-	atRisk := r.suspects.AtRisk(ev.At, o.meta.Fingerprint)
+	atRisk := r.suspects.AtRisk(ev.At, o.meta.Fingerprint) || o.attempts >= maxUncertainAttempts
 	if atRisk || !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
 		r.giveUp(ev, o, cause)
 		return
--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -154,6 +154,8 @@
 	case model.CauseDeadline, model.CauseCrashSuspect, model.CauseDigestMismatch, model.CauseInProgress,
 		model.CauseCancelled, model.CauseKeyMissing, model.CauseLedgerBudget, model.CauseLedgerDown, model.CauseCallerGone:
 		return false
+	case model.CauseBroken:
+		return false // it may be what broke the servers that the owner tried
 	default:
 		return true
 	}
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -45,3 +45,23 @@
 		require.Equal(t, model.CauseCrashSuspect, effects[0].(*event.RefuseOffer).Cause, broken)
 	}
 }
+
+// Neither the owner nor the ingress sends a request on to a third server after
+// its connections broke.
+func TestRequestThatBrokeTwoServersGoesNoFurther(t *testing.T) {
+	s := newSession(t, threeServersText)
+	d := dispatchOf(t, s.offer(1, "browse"))
+	d = dispatchOf(t, s.attempt(1, d.Backend, event.AttemptStaleBroken))
+	effects := s.attempt(1, d.Backend, event.AttemptBroken)
+	require.Nil(t, firstDispatch(effects))
+	require.Contains(t, effects, event.Effect(&event.RefuseOffer{Request: 1, Outcome: model.Unknown, Cause: model.CauseBroken}))
+	require.False(t, otherOwnerMayServe(model.CauseBroken))
+}
+
+const threeServersText = sessionText + `
+[backend shop-3]
+service = shop
+zone = north-a
+address = 127.0.0.1:21003
+slots = 1
+`
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -18,6 +18,10 @@
 // maxAttempts bounds the backend servers that one offer is sent to.
 const maxAttempts = 3
 
+// maxUncertainAttempts bounds the backend servers that may have run one offer: it
+// may be what crashes them.
+const maxUncertainAttempts = 2
+
 // offer is a request at the owner of the backend servers that may serve it.
 type offer struct {
 	meta    *model.RequestMeta
