--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -55,6 +55,7 @@
 		r.suspects.Completed(ev.At, o.meta.Fingerprint)
 	case event.AttemptBroken, event.AttemptStaleBroken, event.AttemptCut:
 		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
+		r.out.add(&event.Probe{Backend: ev.Backend}) // a refused connection proves a crash
 	case event.AttemptNotSent:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
 	}
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -1,9 +1,11 @@
 package reducer
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/admission"
@@ -181,6 +183,9 @@
 
 func (r *Reducer) serverReported(ev *event.ServerReported) {
 	r.health.Report(ev.At, ev)
+	if errors.Is(ev.Err, syscall.ECONNREFUSED) {
+		r.suspects.ServerFailed(ev.At, ev.Backend)
+	}
 	r.syncLimit(ev.At, ev.Backend)
 	r.pump(ev.At)
 }
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,3 +67,19 @@
 address = 127.0.0.1:21003
 slots = 1
 `
+
+// A broken connection is followed by a probe, and a refused one is the proof.
+func TestRefusedProbeProvesACrash(t *testing.T) {
+	s := newSession(t, threeServersText)
+	first := dispatchOf(t, s.offer(1, "browse"))
+	effects := s.attempt(1, first.Backend, event.AttemptStaleBroken)
+	require.Contains(t, effects, event.Effect(&event.Probe{Backend: first.Backend}))
+	second := dispatchOf(t, effects)
+	refused := fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	s.step(&event.ServerReported{At: s.now, Backend: first.Backend, Err: refused})
+	s.now = s.now.Add(time.Millisecond)
+	require.False(t, s.r.suspects.Blocked(s.now, 1))
+	s.attempt(1, second.Backend, event.AttemptBroken)
+	s.step(&event.ServerReported{At: s.now, Backend: second.Backend, Err: refused})
+	require.True(t, s.r.suspects.Blocked(s.now, 1))
+}
