An instance that leaves ends its peers' sessions

Cause: CloseAll waits for inbound sessions, which the peer ends; since sessions dialled on demand stay until they are idle, and links that are given up finish their offers first, the peer no longer ended them at once. TestCloseAllEndsInboundSessions hangs for its 5 s without the mend and passes 2 times of 2 under the race detector with it.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -234,3 +234,27 @@
 	require.NoError(t, err)
 	require.Equal(t, "answer", string(got))
 }
+
+// TestCloseAllEndsInboundSessions closes the links of an instance to which a
+// peer keeps a session.
+func TestCloseAllEndsInboundSessions(t *testing.T) {
+	server := newRecorder()
+	server.serve = func(model.InstanceID, *linkpb.Offer, Conn) {}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	leaving := New(&linkpb.Hello{Instance: "b"}, DefaultSettings(), server, server)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = leaving.Serve(ctx, listener) }()
+	peers := New(&linkpb.Hello{Instance: "a"}, DefaultSettings(), newRecorder(), newRecorder())
+	t.Cleanup(peers.CloseAll)
+	conn, err := peers.OfferAt(ctx, "b", listener.Addr().String(), &linkpb.Offer{})
+	require.NoError(t, err)
+	_, _ = conn.Receive()
+	closed := make(chan struct{})
+	go func() {
+		leaving.CloseAll()
+		close(closed)
+	}()
+	receive(t, closed)
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -48,6 +48,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	defer func() { _ = session.Close() }()
+	go l.closeWith(session)
 	in := &inbound{links: l, ctx: ctx}
 	for {
 		stream, err := session.AcceptStream()
@@ -58,6 +59,15 @@
 	}
 }
 
+// closeWith closes a peer's session when all links close.
+func (l *Links) closeWith(session *yamux.Session) {
+	select {
+	case <-l.closing:
+		_ = session.Close()
+	case <-session.CloseChan():
+	}
+}
+
 // serveStream acts on the first frame, which says what the stream is for.
 func (in *inbound) serveStream(conn *wire) {
 	defer func() { _ = conn.Close() }()
