A request whose connection broke waits for the probe of its server

A broken attempt of a repeatable request now waits, with its slot, for the probe that follows. Where the server refuses it, none of the requests that it had is sent to another; where it answers, they are, within the retry budget. Strikes travel to peers with the next tick. Ruled out: no repeat after a broken connection at all, which would fail each read on a pooled connection that the server closed.

The tests of the crash search say so now: nothing is sent before the probe's answer, and nothing after a refused one, which is stricter. The joint test answered probes while it still read the effects of the step, which the next step reuses; it answers them afterwards.

--- a/internal/health/outcome.go
+++ b/internal/health/outcome.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -73,12 +75,24 @@
 	return a.Result == event.AttemptBroken || a.Result == event.AttemptCut || a.Result == event.AttemptTimeout
 }
 
+// briefStrain is how long a server may have failed for its narrowed limit to be
+// lifted at its next success. After longer it may have been gone, and its slots
+// open as those of a returned server.
+const briefStrain = 2 * time.Second
+
 func (t *Tracker) success(now model.Instant, s *server) {
 	t.dirty = t.dirty || s.strain > 0 || s.held
+	narrowed := s.openSlots()
+	strained := s.condition == Healthy && !s.held && narrowed < s.Slots
+	gone := strained && now.Sub(s.strainedAt) > briefStrain
 	s.clearFailures()
 	s.refused = 0
 	s.lastSuccess = now
 	s.window.add(now, t.settings.FailureWindow/2, false)
+	if gone {
+		t.startSlowly(now, s, ReasonRecovered, narrowed)
+		return
+	}
 	if s.held || (s.condition == Probing && s.trial) {
 		s.held = false
 		t.startSlowly(now, s, ReasonTrial, 1)
@@ -86,6 +100,9 @@
 }
 
 func (t *Tracker) failure(now model.Instant, s *server, a Attempt) {
+	if s.strain == 0 {
+		s.strainedAt = now
+	}
 	s.strain++
 	t.dirty = true
 	if a.lostConnection() && a.Started < s.lastFailure {
--- a/internal/health/property_test.go
+++ b/internal/health/property_test.go
@@ -234,6 +234,22 @@
 	require.Equal(t, Ejected, state.Condition)
 }
 
+// TestLongStrainEndsInASlowStart lets a server fail for longer than a moment
+// without being ejected: its slots open step by step after its next success.
+func TestLongStrainEndsInASlowStart(t *testing.T) {
+	tracker := New(Settings{ShiftCap: config.ShiftCap{Fraction: 0.1, Window: 10 * time.Second}})
+	tracker.Configure(epoch, threeSlotServers(3), nil, nil)
+	for i := range defaultConsecutiveFailures - 1 {
+		tracker.Outcome(at(float64(1+i)), "permits-1", event.AttemptBroken, false)
+	}
+	require.Equal(t, 1, tracker.Limit(at(5), "permits-1"))
+	tracker.Outcome(at(5), "permits-1", event.AttemptComplete, false)
+	tracker.Tick(at(5))
+	require.Equal(t, 1, tracker.Limit(at(5), "permits-1"))
+	state, _ := tracker.State(at(5), "permits-1")
+	require.Equal(t, State{Condition: SlowStart, Why: ReasonRecovered, Since: at(5)}, state)
+}
+
 func TestOvertakenReportIsIgnored(t *testing.T) {
 	tracker := New(Settings{})
 	tracker.Configure(epoch, threeSlotServers(3), nil, nil)
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -25,8 +25,9 @@
 	since     model.Instant
 	drains    drainSet
 
-	failures int // in a row, those that happened together counted once
-	strain   int // failures in a row
+	failures   int           // in a row, those that happened together counted once
+	strain     int           // failures in a row
+	strainedAt model.Instant // of the first failure in a row
 	// lastFailure is when failures last grew.
 	lastFailure model.Instant
 	refused     int // connections in a row
--- a/internal/health/state.go
+++ b/internal/health/state.go
@@ -53,6 +53,7 @@
 	ReasonProbeFailed  Reason = "probe failed"
 	ReasonTrial        Reason = "trial request succeeded"
 	ReasonTrialFailed  Reason = "trial request failed"
+	ReasonRecovered    Reason = "answers again"
 	ReasonOpened       Reason = "all slots open"
 	ReasonStop         Reason = "planned stop"
 	ReasonServerWord   Reason = "server says that it leaves"
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -167,9 +167,7 @@
 	}
 	g.revision = n
 	g.self.record.Revision = n
-	for _, l := range g.linkOrder {
-		l.due = true
-	}
+	g.hurry()
 }
 
 // Listed takes the platform's list of instances, which lags and may be short.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -33,6 +33,9 @@
 		g.mergeZone(l, &message.Zones[i])
 	}
 	g.out.Suspects = g.suspects.merge(message.Suspects, g.now)
+	if len(g.out.Suspects) > 0 {
+		g.hurry()
+	}
 	g.answerDigest(l, message.Known)
 	g.compareRevision(m, message.Revision)
 	g.releaseHold()
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -28,10 +28,19 @@
 func (s *suspectSet) init() { s.list = nil }
 
 // SetSuspects takes the fingerprints that this instance suspects; peers learn
-// what is new of them.
+// with the next tick what is new of them.
 func (g *Group) SetSuspects(list []Suspect) {
 	for i := range list {
-		g.suspects.add(&list[i])
+		if g.suspects.add(&list[i]) {
+			g.hurry()
+		}
+	}
+}
+
+// hurry sends every peer a message with the next tick.
+func (g *Group) hurry() {
+	for _, l := range g.linkOrder {
+		l.due = true
 	}
 }
 
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -139,15 +141,66 @@
 // mayHaveRun handles an attempt after which the request may have run.
 func (r *Reducer) mayHaveRun(ev *event.AttemptFinished, o *offer) {
 	o.uncertain = true
+	if !o.meta.Kind.Repeatable() {
+		r.giveUp(ev, o, causeOf(ev.Result))
+		return
+	}
+	if ev.Result == event.AttemptBroken || ev.Result == event.AttemptStaleBroken {
+		r.parked = append(r.parked, *ev)
+		return
+	}
+	r.repeat(ev, o)
+}
+
+// repeat sends a request that may have run again, within the retry budget.
+func (r *Reducer) repeat(ev *event.AttemptFinished, o *offer) {
 	cause := causeOf(ev.Result)
 	atRisk := r.suspects.AtRisk(ev.At, o.meta.Fingerprint) || o.attempts >= maxUncertainAttempts
-	if atRisk || !o.meta.Kind.Repeatable() || !r.retries.Allow(ev.At, o.meta.Service) {
+	if atRisk || !r.retries.Allow(ev.At, o.meta.Service) {
 		r.giveUp(ev, o, cause)
 		return
 	}
 	r.again(ev, o, cause)
 }
 
+// parkedFor is how long a request whose connection broke waits for the probe of
+// its server.
+const parkedFor = time.Second
+
+// unpark goes on with the requests whose connections to a server broke, now that
+// the server has been probed. Where it refuses connections, one of them may have
+// crashed it, so none is sent to another server.
+func (r *Reducer) unpark(now model.Instant, backend model.BackendName, crashed bool) {
+	r.endParked(now, crashed, func(p *event.AttemptFinished) bool { return p.Backend == backend })
+}
+
+// expireParked gives up the requests whose probe was never answered.
+func (r *Reducer) expireParked(now model.Instant) {
+	r.endParked(now, true, func(p *event.AttemptFinished) bool { return now.Sub(p.At) > parkedFor })
+}
+
+func (r *Reducer) endParked(now model.Instant, final bool, selected func(*event.AttemptFinished) bool) {
+	waiting := r.parked
+	r.parked = nil
+	for i := range waiting {
+		p := &waiting[i]
+		if !selected(p) {
+			r.parked = append(r.parked, *p)
+			continue
+		}
+		o := r.offers[p.Request]
+		if o == nil {
+			continue // withdrawn meanwhile
+		}
+		p.At = now
+		if final {
+			r.giveUp(p, o, causeOf(p.Result))
+		} else {
+			r.repeat(p, o)
+		}
+	}
+}
+
 // again sends the request to another server of this owner where that is
 // possible, and refuses it otherwise.
 func (r *Reducer) again(ev *event.AttemptFinished, o *offer, cause model.Cause) {
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -238,9 +238,11 @@
 
 func (r *Reducer) serverReported(ev *event.ServerReported) {
 	r.health.Report(ev.At, ev)
-	if errors.Is(ev.Err, syscall.ECONNREFUSED) {
+	refused := errors.Is(ev.Err, syscall.ECONNREFUSED)
+	if refused {
 		r.suspects.ServerFailed(ev.At, ev.Backend)
 	}
+	r.unpark(ev.At, ev.Backend, refused)
 	r.syncLimits(ev.At)
 	r.pump(ev.At)
 }
@@ -268,6 +270,7 @@
 func (r *Reducer) tick(ev *event.Tick) {
 	now := ev.At
 	r.health.Tick(now)
+	r.expireParked(now)
 	r.syncLimits(now)
 	r.changes = r.health.Changes(r.changes[:0])
 	for _, c := range r.changes {
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -34,10 +34,12 @@
 		s := newSession(t, sessionText)
 		crash := dispatchOf(t, s.offer(1, "browse"))
 		s.now = s.now.Add(10 * time.Millisecond)
-		again := dispatchOf(t, s.attempt(1, crash.Backend, broken))
+		s.attempt(1, crash.Backend, broken)
+		again := dispatchOf(t, s.probed(crash.Backend, nil))
 		require.NotEqual(t, crash.Backend, again.Backend)
 		s.now = s.now.Add(10 * time.Millisecond)
 		s.attempt(1, again.Backend, broken)
+		s.probed(again.Backend, nil)
 		s.refuseConnections(crash.Backend)
 		s.refuseConnections(again.Backend)
 		s.now = s.now.Add(100 * time.Millisecond)
@@ -53,8 +55,10 @@
 func TestRequestThatBrokeTwoServersGoesNoFurther(t *testing.T) {
 	s := newSession(t, threeServersText)
 	d := dispatchOf(t, s.offer(1, "browse"))
-	d = dispatchOf(t, s.attempt(1, d.Backend, event.AttemptStaleBroken))
-	effects := s.attempt(1, d.Backend, event.AttemptBroken)
+	s.attempt(1, d.Backend, event.AttemptStaleBroken)
+	d = dispatchOf(t, s.probed(d.Backend, nil))
+	s.attempt(1, d.Backend, event.AttemptBroken)
+	effects := s.probed(d.Backend, nil)
 	require.Nil(t, firstDispatch(effects))
 	require.Contains(t, effects, event.Effect(&event.RefuseOffer{Request: 1, Outcome: model.Unknown, Cause: model.CauseBroken}))
 	require.False(t, otherOwnerMayServe(model.CauseBroken))
@@ -69,17 +73,33 @@
 `
 
 // A broken connection is followed by a probe, and a refused one is the proof.
+// Until then, and after it, the request goes to no other server.
 func TestRefusedProbeProvesACrash(t *testing.T) {
 	s := newSession(t, threeServersText)
 	first := dispatchOf(t, s.offer(1, "browse"))
 	effects := s.attempt(1, first.Backend, event.AttemptStaleBroken)
 	require.Contains(t, effects, event.Effect(&event.Probe{Backend: first.Backend}))
-	second := dispatchOf(t, effects)
+	require.Nil(t, firstDispatch(effects), "nothing is sent before the probe's answer")
 	refused := fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
-	s.step(&event.ServerReported{At: s.now, Backend: first.Backend, Err: refused})
+	effects = s.probed(first.Backend, refused)
+	require.Nil(t, firstDispatch(effects), "the request may have crashed the server")
+	require.Contains(t, effects, event.Effect(&event.RefuseOffer{Request: 1, Outcome: model.Unknown, Cause: model.CauseBroken}))
 	s.now = s.now.Add(time.Millisecond)
 	require.False(t, s.r.suspects.Blocked(s.now, 1))
-	s.attempt(1, second.Backend, event.AttemptBroken)
-	s.step(&event.ServerReported{At: s.now, Backend: second.Backend, Err: refused})
+	m := s.meta(2, "browse")
+	m.Fingerprint = 1
+	second := dispatchOf(t, s.step(&event.OfferReceived{At: s.now, Request: 2, From: "entry-2", Meta: m}))
+	s.attempt(2, second.Backend, event.AttemptBroken)
+	s.probed(second.Backend, refused)
 	require.True(t, s.r.suspects.Blocked(s.now, 1))
 }
+
+// A request that waits for a probe ends also where the probe is never answered.
+func TestParkedRequestEndsWithoutAProbe(t *testing.T) {
+	s := newSession(t, threeServersText)
+	first := dispatchOf(t, s.offer(1, "browse"))
+	s.attempt(1, first.Backend, event.AttemptBroken)
+	s.now = s.now.Add(parkedFor + time.Millisecond)
+	effects := s.step(&event.Tick{At: s.now})
+	require.Contains(t, effects, event.Effect(&event.RefuseOffer{Request: 1, Outcome: model.Unknown, Cause: model.CauseBroken}))
+}
--- a/internal/reducer/joint_test.go
+++ b/internal/reducer/joint_test.go
@@ -118,15 +118,20 @@
 	}
 }
 
+// apply answers probes only after all effects, which the next step reuses.
 func (j *joint) apply(ev event.Event) {
+	var probes []model.BackendName
 	for _, f := range j.s.step(ev) {
 		switch f := f.(type) {
 		case *event.Dispatch:
 			j.dispatched(f)
 		case *event.Probe:
-			j.probed(f.Backend)
+			probes = append(probes, f.Backend)
 		}
 	}
+	for _, name := range probes {
+		j.probed(name)
+	}
 }
 
 func (j *joint) dispatched(f *event.Dispatch) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -55,6 +55,7 @@
 	callPool  []*call
 	offers    map[model.RequestID]*offer
 	offerPool []*offer
+	parked    []event.AttemptFinished // broken attempts that wait for a probe, oldest first
 
 	decisions admission.Decisions
 	probes    []model.BackendName
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,22 +79,23 @@
 			s.step(&event.OwnerLost{At: s.now, Request: 4, Owner: "entry-1", Offered: true})
 		},
 		"crash": func(s *session) {
-			s.comment("a reused connection breaks, and its server then refuses connections: a strike")
+			s.comment("a reused connection breaks, and its server refuses the probe: a strike, and no other server is tried")
 			s.offer(11, "browse")
 			s.attempt(11, "shop-1", event.AttemptStaleBroken)
-			s.attempt(11, "shop-2", event.AttemptCancelled)
+			s.probed("shop-1", syscall.ECONNREFUSED)
+			s.comment("a connection breaks and the server answers the probe: another server")
 			s.offer(12, "browse")
+			s.attempt(12, "shop-2", event.AttemptStaleBroken)
+			s.probed("shop-2", nil)
 			s.attempt(12, "shop-1", event.AttemptNotSent)
-			s.attempt(12, "shop-2", event.AttemptComplete)
 			s.wait(time.Second)
-			s.comment("the same request breaks the other server: refused from now on")
+			s.comment("the first request breaks the other server: refused from now on")
 			s.same(13, 11)
 			s.attempt(13, "shop-2", event.AttemptStaleBroken)
-			s.offer(14, "browse")
-			s.attempt(14, "shop-2", event.AttemptNotSent)
-			s.same(15, 11)
+			s.probed("shop-2", syscall.ECONNREFUSED)
+			s.same(14, 11)
 			s.comment("another request is not refused for it")
-			s.offer(16, "browse")
+			s.offer(15, "browse")
 		},
 		"planned-stop": func(s *session) {
 			s.offer(11, "browse")
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -142,6 +142,11 @@
 	return s.step(&event.AttemptFinished{At: s.now, Request: id, Backend: backend, Result: result})
 }
 
+// probed reports a probe that was answered, or failed with err.
+func (s *session) probed(backend model.BackendName, err error) []event.Effect {
+	return s.step(&event.ServerReported{At: s.now, Backend: backend, Healthy: err == nil, Err: err})
+}
+
 func (s *session) claim(id model.RequestID, result event.ClaimResult) []event.Effect {
 	return s.step(&event.ClaimResolved{At: s.now, Request: id, Result: result})
 }
@@ -162,6 +167,8 @@
 		return fmt.Sprintf("owner %s lost, request %d, offered %t", ev.Owner, ev.Request, ev.Offered)
 	case *event.AttemptFinished:
 		return fmt.Sprintf("attempt of %d at %s: %s", ev.Request, ev.Backend, attemptNames[ev.Result])
+	case *event.ServerReported:
+		return fmt.Sprintf("server %s reported: healthy %t, %v", ev.Backend, ev.Healthy, ev.Err)
 	case *event.AttemptSlow:
 		return fmt.Sprintf("attempt of %d at %s is slow", ev.Request, ev.Backend)
 	case *event.ClaimResolved:
