Whole path tested in one process; usable slots told at once; links end cleanly

Found by it: an owner that had just gained servers told its own ingress only after up to 500 ms, which refused with no-backend meanwhile (loads were held to their period); changes of usable slots now travel with the next tick. With -race: CloseAll waited while Serve still accepted sessions.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/standin/backend"
+	"github.com/primrosenotch/primrosenotch/internal/standin/tablestore"
+)
+
+// eventually bounds every wait of this test.
+const eventually = 15 * time.Second
+
+// fleet is two entry instances in two zones, the platform's stand-in, and one
+// backend server in each zone.
+type fleet struct {
+	t         *testing.T
+	callers   []string
+	controls  []string
+	servers   map[string]*backend.Server
+	stop      []context.CancelFunc
+	ended     []chan error
+	transport *http.Transport
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	store := tablestore.New(tablestore.Faults{})
+	require.NoError(t, store.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = store.Close() })
+	f := &fleet{t: t, servers: make(map[string]*backend.Server), transport: &http.Transport{}}
+	text := "[service shop]\n" +
+		"[route order]\nservice = shop\nmatch = POST /orders\nrank = urgent\nkind = once\ndeadline = 5s\n" +
+		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
+		"[route browse]\nservice = shop\nmatch = GET /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
+		"[limits]\nshift cap = 100% of capacity per 1s\n"
+	for _, zone := range []string{"north-a", "north-b"} {
+		server := backend.New(backend.Config{Name: "shop-" + zone, Slots: 4, AnswerBytes: 100})
+		require.NoError(t, server.Start("127.0.0.1:0"))
+		t.Cleanup(func() { _ = server.Close() })
+		f.servers[server.Name()] = server
+		text += fmt.Sprintf("[zone %s]\nregion = north\n[backend %s]\nservice = shop\nzone = %s\naddress = %s\nslots = 4\n",
+			zone, server.Name(), zone, server.Addr())
+	}
+	client := platform.NewClient(platform.DefaultSettings(store.Addr()))
+	t.Cleanup(client.Close)
+	_, err := confstore.New(client.Table()).Apply(t.Context(), confstore.Change{
+		Source: []byte(text), Author: "test", Reason: "start", OperationID: "start",
+	})
+	require.NoError(t, err)
+	for i, zone := range []string{"north-a", "north-b"} {
+		f.startInstance(fmt.Sprintf("entry-%d", i+1), zone, store.Addr())
+	}
+	t.Cleanup(f.transport.CloseIdleConnections)
+	f.waitUntilOwned()
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (f *fleet) startInstance(id, zone, store string) {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: id, Zone: zone}
+	s.Listen = settings.Listen{Callers: freeAddress(f.t), Links: freeAddress(f.t), Control: freeAddress(f.t)}
+	s.Advertise = settings.Advertise(s.Listen)
+	s.Platform.Address = store
+	s.Platform.PollEvery = 100 * time.Millisecond
+	s.Serving.LookupTTL = 200 * time.Millisecond
+	s.Log.Level = "error"
+	injector := do.New()
+	provide(injector, s)
+	i, err := do.Invoke[*instance](injector)
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.run(ctx) }()
+	f.callers = append(f.callers, s.Listen.Callers)
+	f.controls = append(f.controls, s.Listen.Control)
+	f.stop = append(f.stop, cancel)
+	f.ended = append(f.ended, ended)
+	f.t.Cleanup(cancel)
+}
+
+// waitUntilOwned waits until every backend server has an owner.
+func (f *fleet) waitUntilOwned() {
+	client := control.NewClient(time.Second)
+	defer client.Close()
+	require.Eventually(f.t, func() bool {
+		owned := 0
+		for _, address := range f.controls {
+			status, err := client.Status(f.t.Context(), address)
+			if err != nil || status.State != "ready" {
+				return false
+			}
+			owned += len(status.Backends)
+		}
+		return owned == len(f.servers)
+	}, eventually, 50*time.Millisecond)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error // the connection broke before the answer or inside it
+}
+
+func (f *fleet) send(entry int, method, path string, body io.Reader, header ...string) answer {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.callers[entry]+path, body)
+	require.NoError(f.t, err)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Transport: f.transport, Timeout: eventually}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	a := answer{status: response.StatusCode, header: response.Header}
+	a.body, a.err = io.ReadAll(response.Body)
+	return a
+}
+
+// TestWholePath serves requests of each kind from end to end, through the own
+// zone's owner and through the other's.
+func TestWholePath(t *testing.T) {
+	f := startFleet(t)
+
+	t.Run("read through either instance", func(t *testing.T) {
+		for entry := range f.callers {
+			a := f.send(entry, http.MethodGet, "/shop/shirts", nil, "X-Request-Id", "read-1")
+			require.Equal(t, http.StatusOK, a.status, a.header.Get("X-Cause"))
+			require.Equal(t, "read-1", a.header.Get("X-Request-Id"))
+			require.Equal(t, "served", a.header.Get("X-Outcome"))
+			require.True(t, strings.HasPrefix(string(a.body), "read-1\n"))
+		}
+	})
+
+	t.Run("once runs once and repeats get the stored answer", func(t *testing.T) {
+		first := f.send(0, http.MethodPost, "/orders", strings.NewReader("a"), "Idempotency-Key", "k1", "X-Request-Id", "order-1")
+		require.Equal(t, http.StatusOK, first.status)
+		var repeat answer
+		require.Eventually(t, func() bool { // the answer is stored after it was passed on
+			repeat = f.send(1, http.MethodPost, "/orders", strings.NewReader("a"), "Idempotency-Key", "k1")
+			return repeat.status == http.StatusOK
+		}, eventually, 20*time.Millisecond)
+		require.Equal(t, first.body, repeat.body)
+		other := f.send(1, http.MethodPost, "/orders", strings.NewReader("b"), "Idempotency-Key", "k1")
+		require.Equal(t, http.StatusUnprocessableEntity, other.status)
+		require.Equal(t, "not-run", other.header.Get("X-Outcome"))
+		runs := int64(0)
+		for _, server := range f.servers {
+			runs += int64(server.Runs().IdempotencyKeys["k1"])
+		}
+		require.EqualValues(t, 1, runs)
+	})
+
+	t.Run("bodies are streamed whole both ways", func(t *testing.T) {
+		body := bytes.Repeat([]byte("0123456789abcdef"), 64<<10) // 1 MiB
+		a := f.send(0, http.MethodPut, "/files/x?answer_bytes=3000000", bytes.NewReader(body), "X-Request-Id", "up-1")
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status)
+		n, err := backend.CheckAnswer("up-1", bytes.NewReader(a.body))
+		require.NoError(t, err)
+		require.EqualValues(t, 3_000_000, n)
+	})
+
+	t.Run("refusals say why", func(t *testing.T) {
+		a := f.send(0, http.MethodGet, "/nowhere", nil)
+		require.Equal(t, http.StatusNotFound, a.status)
+		require.Equal(t, "no-route", a.header.Get("X-Cause"))
+		a = f.send(0, http.MethodPost, "/orders", strings.NewReader("a"))
+		require.Equal(t, http.StatusBadRequest, a.status)
+		require.Equal(t, "key-missing", a.header.Get("X-Cause"))
+	})
+
+	t.Run("a cut answer never ends cleanly", func(t *testing.T) {
+		for _, faults := range []backend.Faults{{CutLengthShare: 1}, {CutChunkedShare: 1}} {
+			for _, server := range f.servers {
+				server.SetFaults(faults)
+			}
+			a := f.send(0, http.MethodGet, "/shop/big?answer_bytes=500000", nil)
+			require.True(t, a.err != nil || a.status >= 500, "status %d with %d bytes", a.status, len(a.body))
+		}
+	})
+
+	t.Run("instances leave gracefully", func(t *testing.T) {
+		for i, stop := range f.stop {
+			stop()
+			select {
+			case err := <-f.ended[i]:
+				require.NoError(t, err)
+			case <-time.After(eventually):
+				require.Fail(t, "the instance did not end")
+			}
+		}
+	})
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -13,10 +13,14 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// Serve accepts peers' sessions until ctx ends or the listener fails.
+// Serve accepts peers' sessions until ctx ends, CloseAll is called or the
+// listener fails.
 func (l *Links) Serve(ctx context.Context, listener net.Listener) error {
+	l.tasks.Add(1) // so that CloseAll waits, and no session begins while it does
+	defer l.tasks.Done()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	go l.closeWhenClosing(ctx, listener)
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -29,6 +33,14 @@
 	}
 }
 
+func (l *Links) closeWhenClosing(ctx context.Context, listener net.Listener) {
+	select {
+	case <-l.closing:
+		_ = listener.Close()
+	case <-ctx.Done():
+	}
+}
+
 // inbound is one session that a peer dialled. The peer names itself on its
 // control stream.
 type inbound struct {
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -24,7 +24,8 @@
 }
 
 // SetLoads takes the loads of the servers that this instance owns. Peers learn
-// of changes that matter, and not more often than the settings allow.
+// of changes that matter: of usable slots with the next tick, of others not more
+// often than the settings allow.
 func (g *Group) SetLoads(now model.Instant, loads []ServiceLoad) {
 	g.loads.current = append(g.loads.current[:0], loads...)
 	g.loads.takenAt = now
@@ -32,8 +33,8 @@
 }
 
 func (g *Group) publishLoads(now model.Instant) {
-	first := g.loads.generation == 0
-	if !first && now.Sub(g.loads.publishedAt) < g.settings.LoadEvery {
+	capacity := !slices.EqualFunc(g.self.record.Loads, g.loads.current, sameCapacity)
+	if !capacity && now.Sub(g.loads.publishedAt) < g.settings.LoadEvery {
 		return
 	}
 	if !loadsDiffer(g.self.record.Loads, g.loads.current) {
@@ -43,8 +44,14 @@
 	g.loads.publishedAt = now
 	g.loads.generation++
 	g.generation++
+	if capacity {
+		g.hurry()
+	}
 }
 
+// sameCapacity reports whether two loads are of the same service and slots.
+func sameCapacity(a, b ServiceLoad) bool { return a.Service == b.Service && a.Slots == b.Slots }
+
 // loadsDiffer reports whether peers should learn of new loads.
 func loadsDiffer(sent, current []ServiceLoad) bool {
 	return !slices.EqualFunc(sent, current, func(a, b ServiceLoad) bool { return !loadDiffers(&a, &b) })
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -173,6 +173,7 @@
 		r.syncLimit(now, s.Name)
 	}
 	r.seedRamps(now, gained)
+	r.group.SetLoads(now, r.admission.Loads(now))
 	r.viewStale = true
 }
 
