Short answers travel in short buffers

Cause: BenchmarkRead (new; read through the owner itself, servers and callers in the same process) allocated 48 KB a request: SendBody took a 32 KiB buffer for an answer of 100 bytes. Ruled out: a pool of buffers, since the receiver owns what was sent and a frame may be held.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/samber/do/v2"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
 	"github.com/primrosenotch/primrosenotch/internal/control"
@@ -28,7 +29,7 @@
 // fleet is two entry instances in two zones, the platform's stand-in, and one
 // backend server in each zone.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	callers   []string
 	controls  []string
 	servers   map[string]*backend.Server
@@ -37,7 +38,7 @@
 	transport *http.Transport
 }
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t testing.TB) *fleet {
 	t.Helper()
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
@@ -70,7 +71,7 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -218,3 +219,22 @@
 		}
 	})
 }
+
+// BenchmarkRead measures a small read through the instance that owns its server,
+// callers and server included, over kept connections.
+func BenchmarkRead(b *testing.B) {
+	f := startFleet(b)
+	client := &fasthttp.HostClient{Addr: f.callers[0], MaxConns: 16}
+	b.ReportAllocs()
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.SetRequestURI("http://" + f.callers[0] + "/shop/x")
+		for pb.Next() {
+			if err := client.Do(request, response); err != nil || response.StatusCode() != http.StatusOK {
+				b.Errorf("status %d, error %v", response.StatusCode(), err)
+				return
+			}
+		}
+	})
+}
--- a/internal/link/body.go
+++ b/internal/link/body.go
@@ -89,18 +89,21 @@
 	b.err = &CutError{Step: b.step, Cause: model.Cause(e.GetCause())}
 }
 
-// SendBody sends a body in chunks and its end. A reader's error is passed on as
-// an incomplete end and returned as readErr; sendErr reports the connection's.
-func SendBody(conn Conn, r io.Reader, cause model.Cause) (sent int64, readErr, sendErr error) {
+// SendBody sends a body in chunks and its end. The length is -1 where it is not
+// known. A reader's error is passed on as an incomplete end and returned as
+// readErr; sendErr reports the connection's.
+func SendBody(conn Conn, r io.Reader, length int64, cause model.Cause) (sent int64, readErr, sendErr error) {
+	buffers := chunkBuffers{left: length}
 	for readErr == nil {
-		buf := make([]byte, ChunkBytes) // the receiver owns what was sent
+		buf := buffers.next()
 		var n int
 		n, readErr = r.Read(buf)
 		if n == 0 {
 			continue
 		}
+		buffers.take(n)
 		sent += int64(n)
-		chunk := &linkpb.Frame_Chunk{Chunk: &linkpb.Chunk{Data: buf[:n]}}
+		chunk := &linkpb.Frame_Chunk{Chunk: &linkpb.Chunk{Data: buf[:n:n]}}
 		if sendErr = conn.Send(&linkpb.Frame{Body: chunk}); sendErr != nil {
 			return sent, nil, sendErr
 		}
@@ -115,3 +118,32 @@
 	sendErr = conn.Send(&linkpb.Frame{Body: &linkpb.Frame_End{End: end}})
 	return sent, readErr, sendErr
 }
+
+// minRead is the least room in bytes that a read gets; the one that finds the end
+// of the body needs no more.
+const minRead = 512
+
+// chunkBuffers hands out room for reads. The receiver owns what was sent, so no
+// byte is handed out twice; a short body gets a short buffer.
+type chunkBuffers struct {
+	left int64 // of the body, negative when unknown
+	room []byte
+}
+
+func (b *chunkBuffers) next() []byte {
+	if len(b.room) < minRead {
+		size := int64(ChunkBytes)
+		if b.left >= 0 {
+			size = min(size, b.left+minRead)
+		}
+		b.room = make([]byte, size)
+	}
+	return b.room
+}
+
+func (b *chunkBuffers) take(n int) {
+	b.room = b.room[n:]
+	if b.left >= 0 {
+		b.left = max(b.left-int64(n), 0)
+	}
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -89,12 +89,12 @@
 	body := bytes.Repeat([]byte("0123456789"), 100_000)
 	server := newRecorder()
 	server.serve = func(_ model.InstanceID, _ *linkpb.Offer, conn Conn) {
-		_, _, _ = SendBody(conn, NewBody(conn.Receive, "upload"), model.CauseCallerGone)
+		_, _, _ = SendBody(conn, NewBody(conn.Receive, "upload"), -1, model.CauseCallerGone)
 	}
 	links, _, _ := pair(t, server)
 	conn, err := links.Offer("b", &linkpb.Offer{Trace: "t"})
 	require.NoError(t, err)
-	go func() { _, _, _ = SendBody(conn, bytes.NewReader(body), model.CauseCallerGone) }()
+	go func() { _, _, _ = SendBody(conn, bytes.NewReader(body), -1, model.CauseCallerGone) }()
 	got, err := io.ReadAll(NewBody(conn.Receive, "answer"))
 	require.NoError(t, err)
 	require.True(t, bytes.Equal(body, got))
@@ -118,7 +118,7 @@
 		},
 		"reader fails": func(conn Conn) {
 			broken := io.MultiReader(bytes.NewReader([]byte("part")), &failing{})
-			_, readErr, _ := SendBody(conn, broken, model.CauseBroken)
+			_, readErr, _ := SendBody(conn, broken, -1, model.CauseBroken)
 			require.Error(t, readErr)
 		},
 	}
@@ -259,7 +259,7 @@
 	from := make(chan model.InstanceID, 4)
 	server.serve = func(peer model.InstanceID, _ *linkpb.Offer, conn Conn) {
 		from <- peer
-		_, _, _ = SendBody(conn, strings.NewReader("answer"), model.CauseBroken)
+		_, _, _ = SendBody(conn, strings.NewReader("answer"), -1, model.CauseBroken)
 	}
 	_, _, listener := pair(t, server)
 	client := newRecorder()
@@ -288,7 +288,7 @@
 	server.serve = func(_ model.InstanceID, _ *linkpb.Offer, conn Conn) {
 		close(serving)
 		<-closed
-		_, _, _ = SendBody(conn, strings.NewReader("answer"), model.CauseBroken)
+		_, _, _ = SendBody(conn, strings.NewReader("answer"), -1, model.CauseBroken)
 	}
 	links, _, _ := pair(t, server)
 	t.Cleanup(links.CloseAll)
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -201,7 +201,7 @@
 }
 
 func (c *call) sendBody(conn link.Conn) {
-	_, readErr, _ := link.SendBody(conn, c.body, model.CauseCallerGone)
+	_, readErr, _ := link.SendBody(conn, c.body, c.meta.BodyBytes, model.CauseCallerGone)
 	if readErr != nil {
 		c.runtime.log.WithError(readErr).WithField("request", c.meta.Trace).Debug("caller's body ended early")
 	}
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -276,7 +276,7 @@
 	sendErr := o.conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: head}})
 	var readErr error
 	if sendErr == nil {
-		_, readErr, sendErr = link.SendBody(o.conn, body, model.CauseAnswerIncomplete)
+		_, readErr, sendErr = link.SendBody(o.conn, body, a.BodyBytes, model.CauseAnswerIncomplete)
 	}
 	if sendErr != nil && once && readErr == nil {
 		_, readErr = io.Copy(io.Discard, body) // the ledger needs the whole answer
--- a/internal/runtime/once.go
+++ b/internal/runtime/once.go
@@ -139,7 +139,7 @@
 	if o.conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Answer{Answer: head}}) != nil {
 		return
 	}
-	_, _, _ = link.SendBody(o.conn, newMemoryBody(o.stored.Body), model.CauseAnswerIncomplete)
+	_, _, _ = link.SendBody(o.conn, newMemoryBody(o.stored.Body), int64(len(o.stored.Body)), model.CauseAnswerIncomplete)
 }
 
 func toFrameHeaders(list httpheader.List) []*linkpb.Header {
