--- a/internal/runtime/classify.go
+++ b/internal/runtime/classify.go
@@ -53,10 +53,15 @@
 	return route
 }
 
+// hashers are reused; each is over 1 KB.
+var hashers = sync.Pool{New: func() any { return xxh3.New() }}
+
 // fingerprint hashes what makes two requests the same to a backend server. Of a
 // streamed body only the declared length is known.
 func fingerprint(x *ingress.Exchange) uint64 {
-	h := xxh3.New()
+	h := hashers.Get().(*xxh3.Hasher)
+	defer hashers.Put(h)
+	h.Reset()
 	_, _ = h.WriteString(x.Method)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write(x.URI)
