A request that servers answer is no crash suspect; idle connections up to the open ones

Ruled out: lifting a block when it completes, since a blocked request never runs. TestRequestInFlightAtEveryCrashIsNotBlocked fails without it.

Cause 2: the pool kept 32 idle connections where 320 may be open, so above 32 requests at a time connections were closed and opened again.

--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -48,6 +48,9 @@
 }
 
 func (s *Suspects) countsAsStrike(now model.Instant, b brokenConnection) bool {
+	if s.completed.has(b.fingerprint) {
+		return false
+	}
 	known := s.byPrint[b.fingerprint]
 	if known == nil || known.expires <= now || len(known.servers) == 0 {
 		return true
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -51,11 +51,15 @@
 
 // Suspects remembers requests that may crash the servers that run them. A
 // request gets a strike when its connection broke before any answer and its
-// server then failed. After strikes at two distinct servers it is blocked.
+// server then failed, unless a server has answered it in full of late. After
+// strikes at two distinct servers it is blocked.
 type Suspects struct {
 	settings SuspectSettings
 	byPrint  map[uint64]*suspect
 	broken   []brokenConnection // oldest first
+	// completed holds requests that were answered in full of late; they get no
+	// strikes.
+	completed completedSet
 }
 
 // suspect is one fingerprint with its strikes. One without servers was cleared
@@ -70,7 +74,7 @@
 
 // NewSuspects returns a Suspects without any.
 func NewSuspects(s SuspectSettings) *Suspects {
-	return &Suspects{settings: s.withDefaults(), byPrint: make(map[uint64]*suspect)}
+	return &Suspects{settings: s.withDefaults(), byPrint: make(map[uint64]*suspect), completed: newCompletedSet()}
 }
 
 // Strike records that the request broke the server.
@@ -112,6 +116,7 @@
 // Completed records that a server answered the request in full: what broke the
 // servers before was something else. It does not lift a block.
 func (s *Suspects) Completed(now model.Instant, fingerprint uint64) {
+	s.completed.add(now, fingerprint)
 	if len(s.byPrint) == 0 {
 		return
 	}
--- a/internal/health/suspects_test.go
+++ b/internal/health/suspects_test.go
@@ -107,3 +107,22 @@
 	require.LessOrEqual(t, len(s.broken), 4)
 	require.True(t, s.AtRisk(at(100), 1099), "the newest stays")
 }
+
+// TestRequestInFlightAtEveryCrashIsNotBlocked has many callers send one request
+// all the time while another request crashes two servers: only the latter is
+// blocked.
+func TestRequestInFlightAtEveryCrashIsNotBlocked(t *testing.T) {
+	const popular, crashing = 1, 2
+	s := NewSuspects(SuspectSettings{})
+	s.Completed(at(1), popular)
+	for i, server := range []model.BackendName{"permits-1", "permits-2"} {
+		started := at(float64(10 * (i + 1)))
+		broke := started.Add(20 * time.Millisecond)
+		s.ConnectionBroken(broke, popular, server, started)
+		s.ConnectionBroken(broke, crashing, server, started)
+		s.ServerFailed(broke.Add(time.Millisecond), server)
+	}
+	require.False(t, s.Blocked(at(30), popular))
+	require.False(t, s.AtRisk(at(30), popular))
+	require.True(t, s.Blocked(at(30), crashing))
+}
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -28,7 +28,7 @@
 	DefaultDialTimeout       = 250 * time.Millisecond
 	DefaultProgressTimeout   = 5 * time.Second
 	DefaultIdleTimeout       = 30 * time.Second
-	DefaultMaxIdlePerAddress = 32
+	DefaultMaxIdlePerAddress = 320
 	DefaultMaxOpenPerAddress = 320
 	DefaultStatusTimeout     = 500 * time.Millisecond
 )
