--- a/scripts/shift.sh
+++ b/scripts/shift.sh
@@ -20,7 +20,8 @@
 # The fleet listens on a loopback address of its own: on 127.0.0.1 the ports of
 # others' outgoing connections may be in its way.
 host=${SHIFT_HOST:-127.9.0.1}
-. <(sed "s/127\.0\.0\.1/$host/g" scripts/fleet.sh)
+export FLEET_HOST=$host
+. scripts/fleet.sh
 
 scenario=$1
 seed=${2:-1}
