--- /dev/null
+++ b/cmd/primrosenotch-edge/main.go
@@ -0,0 +1,50 @@
+// Command primrosenotch-edge runs an entry instance on a platform that lists routes
+// and backend servers in its own store. It ends gracefully on SIGTERM and SIGINT.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" required:"true" description:"INI file with this instance's settings; see docs/CONFIGURATION.md"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitSettings
+	}
+	s, err := load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println(o.Settings, "is in order")
+		return exitOK
+	}
+	if err := serve(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/dispatch/choose.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// regionRoundTrip is the round trip between two regions that is reckoned with.
+const regionRoundTrip = 110 * time.Millisecond
+
+// choice is the outcome of choosing a server.
+type choice struct {
+	server *server
+	// wait is, without a server, how long until one may be free.
+	wait  time.Duration
+	cause model.Cause
+}
+
+// choose picks the server with the least expected time for a request.
+//
+// It answers a load in which most requests meet their objective only at a server
+// that knows their object: a server that knows it costs nothing beyond its queue
+// and the way; any other costs what it takes longer, graded by a hash of object
+// and server, so that all instances agree on where an object is learnt first.
+func (d *Dispatcher) choose(now model.Instant, q *request) choice {
+	best := choice{cause: model.CauseNoBackend, wait: noServerRetry}
+	var bestCost time.Duration
+	for _, s := range d.byService[q.service] {
+		if !d.usable(now, s, q) {
+			continue
+		}
+		if wait := d.coldWait(now, s); wait > 0 {
+			if best.server == nil {
+				best.wait = min(best.wait, wait)
+			}
+			continue
+		}
+		cost := d.cost(now, s, q)
+		if best.server == nil || cost < bestCost {
+			best.server, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// noServerRetry is when a caller should ask again where no server is in sight:
+// about the time after which a server that crashed is back.
+const noServerRetry = time.Second
+
+func (d *Dispatcher) usable(now model.Instant, s *server, q *request) bool {
+	switch {
+	case s.gone, s.entry.Draining, d.evacuated[s.entry.Zone]:
+		return false
+	case s.ejectedUntil != 0:
+		return false
+	case slices.Contains(q.tried, s):
+		return false
+	case len(q.route.Homes) > 0 && !slices.Contains(q.route.Homes, s.region):
+		return false
+	case d.settings.Naive && s.region != d.settings.Region:
+		return false
+	}
+	return true
+}
+
+// cost is the expected time that a request takes at a server, compared with the
+// best possible.
+func (d *Dispatcher) cost(now model.Instant, s *server, q *request) time.Duration {
+	if d.settings.Naive {
+		return time.Duration(d.nextRandom() >> 32)
+	}
+	var cost time.Duration
+	if s.region != d.settings.Region {
+		cost += regionRoundTrip
+	}
+	learn := d.learnCost(q)
+	if !s.warm.knows(now, q.object) {
+		cost += scale(learn, learnFloor+(1-learnFloor)*spread(q.object, s.hash))
+	}
+	if s.cold(now) {
+		cost += learn
+	}
+	return cost + d.queueCost(now, s, q)
+}
+
+// learnFloor is the least part of the cost of learning that an unknown object is
+// reckoned at; the rest grades the servers.
+const learnFloor = 0.3
+
+// queueCost is the time until a slot is free, and a little for each request that
+// is there already, so that equal servers share.
+func (d *Dispatcher) queueCost(now model.Instant, s *server, q *request) time.Duration {
+	slots := float64(max(1, s.entry.Slots))
+	load := s.load(now)
+	run := d.runTime(q)
+	waiting := max(0, load+1-slots)
+	cost := scale(run, waiting/slots) + scale(run, loadShare*load/slots)
+	return cost + scale(run, shedShare*s.shed.value)
+}
+
+const (
+	// loadShare is the part of a run time that a fully loaded server counts for
+	// against an idle one.
+	loadShare = 0.1
+	// shedShare is how many run times a server counts for that refuses everything.
+	shedShare = 3
+)
+
+// learnCost is how much longer a request takes where its object is not known: as
+// observed, or else its objective.
+func (d *Dispatcher) learnCost(q *request) time.Duration {
+	svc := d.service(q.service)
+	if svc.warmRun.n >= minObserved && svc.coldRun.n >= minObserved {
+		return seconds(max(0, svc.coldRun.value-svc.warmRun.value))
+	}
+	return q.route.Goal
+}
+
+// runTime is how long a request holds a slot: as observed, or else half of its
+// objective.
+func (d *Dispatcher) runTime(q *request) time.Duration {
+	svc := d.service(q.service)
+	if svc.warmRun.n >= minObserved {
+		return seconds(svc.warmRun.value)
+	}
+	return q.route.Goal / 2
+}
+
+// minObserved is how many observations a mean needs before it is used.
+const minObserved = 8
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// spread maps an object and a server to [0, 1).
+func spread(object, server uint64) float64 {
+	var b [16]byte
+	for i := range 8 {
+		b[i] = byte(object >> (8 * i))
+		b[8+i] = byte(server >> (8 * i))
+	}
+	return float64(xxh3.Hash(b[:])>>11) / (1 << 53)
+}
+
+// objectOf hashes what a request is about, with its route: the same key of two
+// routes may be two objects.
+func objectOf(r *catalog.Route, affinity, path string) uint64 {
+	if affinity == "" {
+		affinity = path
+	}
+	return xxh3.HashString(string(r.Name) + "\x00" + affinity)
+}
+
+// nextRandom is a small generator, so that Step depends on nothing outside.
+func (d *Dispatcher) nextRandom() uint64 {
+	d.random ^= d.random << 13
+	d.random ^= d.random >> 7
+	d.random ^= d.random << 17
+	return d.random
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,264 @@
+// Package dispatch decides what an entry instance does with each request that it
+// sends to backend servers itself: which server, how often, and when to refuse.
+// Dispatcher.Step takes one event and returns effects; it reads no clock and does
+// no I/O.
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
+)
+
+// Settings of a Dispatcher.
+type Settings struct {
+	Region  model.RegionName
+	Regions map[model.ZoneName]model.RegionName
+	Retry   pacing.RetrySettings
+	Cold    ColdSettings
+	// Naive picks a random server of the region and never queues, as a baseline for
+	// measurements.
+	Naive bool
+}
+
+// Dispatcher is the whole decision state. It is not safe for concurrent use.
+type Dispatcher struct {
+	settings  Settings
+	config    *catalog.Configuration
+	servers   map[model.BackendName]*server
+	byService map[model.ServiceName][]*server // by identifier
+	evacuated map[model.ZoneName]bool
+	services  map[model.ServiceName]*service
+	splits    map[model.RouteName]*split
+	requests  map[model.RequestID]*request
+	instances int
+	store     storeHealth
+	random    uint64
+	out       []Effect
+}
+
+// service is what is learnt of one service.
+type service struct {
+	budget  *pacing.RetryBudget
+	warmRun average // seconds, of requests for objects that the server knew
+	coldRun average // seconds, of others
+}
+
+// New returns a Dispatcher that knows no configuration.
+func New(s Settings) *Dispatcher {
+	return &Dispatcher{
+		settings:  s,
+		servers:   map[model.BackendName]*server{},
+		byService: map[model.ServiceName][]*server{},
+		evacuated: map[model.ZoneName]bool{},
+		services:  map[model.ServiceName]*service{},
+		splits:    map[model.RouteName]*split{},
+		requests:  map[model.RequestID]*request{},
+		random:    1,
+	}
+}
+
+// Step applies an event. The effects are valid until the next call.
+func (d *Dispatcher) Step(ev Event) []Effect {
+	d.out = d.out[:0]
+	switch ev := ev.(type) {
+	case *Tick:
+		d.tick(ev.At)
+	case *CatalogChanged:
+		d.catalogChanged(ev)
+	case *StoreTried:
+		d.store.tried(ev.At, ev.OK)
+	case *FleetCounted:
+		d.instances = ev.Instances
+	case *RequestArrived:
+		d.requestArrived(ev)
+	case *AttemptEnded:
+		d.attemptEnded(ev)
+	case *RequestEnded:
+		delete(d.requests, ev.Request)
+	case *ServerProbed:
+		d.serverProbed(ev)
+	}
+	return d.out
+}
+
+func (d *Dispatcher) add(f Effect) { d.out = append(d.out, f) }
+
+func (d *Dispatcher) record(at model.Instant, subject, what, why string) {
+	d.add(&Record{At: at, Subject: subject, What: what, Why: why})
+}
+
+// Configured reports whether a configuration is in force.
+func (d *Dispatcher) Configured() bool { return d.config != nil }
+
+// Configuration returns the configuration in force, or nil.
+func (d *Dispatcher) Configuration() *catalog.Configuration { return d.config }
+
+// Servers returns how many servers are listed.
+func (d *Dispatcher) Servers() int { return len(d.servers) }
+
+func (d *Dispatcher) catalogChanged(ev *CatalogChanged) {
+	switch c := ev.Change.(type) {
+	case *catalog.ConfigurationChange:
+		d.configure(ev.At, c.Configuration)
+	case *catalog.ServerChange:
+		d.serverListed(ev.At, &c.Server)
+	case *catalog.ServerGone:
+		d.serverUnlisted(ev.At, c.ID)
+	case *catalog.EvacuationChange:
+		d.evacuate(ev.At, c)
+	}
+}
+
+// configure takes a configuration over unless it is older than the one in force.
+func (d *Dispatcher) configure(at model.Instant, c *catalog.Configuration) {
+	if d.config != nil && c.Version <= d.config.Version {
+		return
+	}
+	d.config = c
+	known := map[model.RouteName]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		known[r.Name] = true
+		if old := d.splits[r.Name]; old == nil || !slices.Equal(old.targets, r.Targets) {
+			d.splits[r.Name] = newSplit(r.Targets)
+		}
+	}
+	for name := range d.splits {
+		if !known[name] {
+			delete(d.splits, name)
+		}
+	}
+	d.record(at, "configuration", "adopted", "newer version")
+}
+
+func (d *Dispatcher) serverListed(at model.Instant, entry *catalog.Server) {
+	old := d.servers[entry.ID]
+	if old != nil && old.entry.SameIncarnation(entry) {
+		d.serverUpdated(at, old, entry)
+		return
+	}
+	s := &server{
+		entry:     *entry,
+		region:    d.settings.Regions[entry.Zone],
+		hash:      xxh3.HashString(string(entry.ID)),
+		coldSends: pacing.Window{Span: time.Second},
+		warm:      warmth{},
+	}
+	s.coldUntil = at.Add(entry.ColdLeft)
+	if old != nil {
+		d.dropServer(old)
+		d.record(at, string(entry.ID), "restarted", "newer incarnation")
+	}
+	d.servers[entry.ID] = s
+	list := d.byService[entry.Service]
+	pos, _ := slices.BinarySearchFunc(list, s, byID)
+	d.byService[entry.Service] = slices.Insert(list, pos, s)
+}
+
+func byID(a, b *server) int { return strings.Compare(string(a.entry.ID), string(b.entry.ID)) }
+
+// serverUpdated takes over a later word of the same incarnation. A server that
+// speaks again after it failed is probed at once.
+func (d *Dispatcher) serverUpdated(at model.Instant, s *server, entry *catalog.Server) {
+	if entry.Sequence < s.entry.Sequence {
+		return
+	}
+	s.goneAt = 0
+	if entry.Draining && !s.entry.Draining {
+		d.record(at, string(entry.ID), "leaves", "its entry")
+	}
+	s.entry = *entry
+	if entry.ColdLeft > 0 {
+		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
+	}
+}
+
+func (d *Dispatcher) serverUnlisted(at model.Instant, id model.BackendName) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	s.goneAt = at
+	if !d.store.mayHaveLapsed(at) || s.entry.Draining {
+		d.removeServer(at, s, "its entry is gone")
+	}
+}
+
+func (d *Dispatcher) removeServer(at model.Instant, s *server, why string) {
+	d.dropServer(s)
+	delete(d.servers, s.entry.ID)
+	d.record(at, string(s.entry.ID), "removed", why)
+}
+
+func (d *Dispatcher) dropServer(s *server) {
+	list := d.byService[s.entry.Service]
+	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
+	d.add(&Forget{Server: &s.entry})
+}
+
+func (d *Dispatcher) evacuate(at model.Instant, c *catalog.EvacuationChange) {
+	if d.evacuated[c.Zone] == c.Active {
+		return
+	}
+	what := "evacuation ended"
+	if c.Active {
+		d.evacuated[c.Zone] = true
+		what = "evacuated"
+	} else {
+		delete(d.evacuated, c.Zone)
+		d.coolZone(at, c.Zone)
+	}
+	d.record(at, string(c.Zone), what, "the operator's word")
+}
+
+// coolZone takes every server of a zone for cold, as idle servers forget what they
+// knew; their next word corrects it.
+func (d *Dispatcher) coolZone(at model.Instant, zone model.ZoneName) {
+	for _, s := range d.servers {
+		if s.entry.Zone != zone {
+			continue
+		}
+		if svc := d.config.Service(s.entry.Service); svc != nil {
+			s.coldUntil = max(s.coldUntil, at.Add(svc.ColdFor))
+		}
+	}
+}
+
+func (d *Dispatcher) tick(now model.Instant) {
+	d.expireLapsed(now)
+	d.probeEjected(now)
+}
+
+// expireLapsed removes servers whose entries did not come back after the store
+// had been away.
+func (d *Dispatcher) expireLapsed(now model.Instant) {
+	if !d.store.settled(now) {
+		return
+	}
+	var lapsed []*server
+	for _, s := range d.servers {
+		if s.goneAt != 0 {
+			lapsed = append(lapsed, s)
+		}
+	}
+	slices.SortFunc(lapsed, byID)
+	for _, s := range lapsed {
+		d.removeServer(now, s, "its entry did not come back")
+	}
+}
+
+func (d *Dispatcher) service(name model.ServiceName) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{budget: pacing.NewRetryBudget(d.settings.Retry)}
+		d.services[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/dispatch/event.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Event is anything that can happen to a Dispatcher.
+type Event interface{ event() }
+
+// Tick is posted at a fixed period.
+type Tick struct{ At model.Instant }
+
+// CatalogChanged reports what the platform's store says anew.
+type CatalogChanged struct {
+	At     model.Instant
+	Change catalog.Change
+}
+
+// StoreTried reports whether the store could be read.
+type StoreTried struct {
+	At model.Instant
+	OK bool
+}
+
+// FleetCounted reports how many instances may be sending.
+type FleetCounted struct {
+	At        model.Instant
+	Instances int
+}
+
+// RequestArrived reports a caller's request.
+type RequestArrived struct {
+	At       model.Instant
+	Request  model.RequestID
+	Host     string
+	Path     string
+	Affinity string // object that it is about, empty where unknown
+	// Patience is how long the caller waits, 0 where it does not say.
+	Patience   time.Duration
+	Replayable bool // the whole body is at hand
+}
+
+// ServerReport is what a backend server said of itself on an answer.
+type ServerReport struct {
+	HasLoad  bool
+	Running  int
+	Waiting  int
+	HasCold  bool
+	ColdLeft time.Duration
+}
+
+// AttemptEnded reports how sending a request to a backend server ended. With
+// AttemptComplete a whole answer is at hand or has been passed on.
+type AttemptEnded struct {
+	At      model.Instant
+	Request model.RequestID
+	Result  event.AttemptResult
+	// Misdirected reports that another server answers at the address.
+	Misdirected bool
+	// Draining reports that the server said that it is leaving.
+	Draining bool
+	// BodyUsed reports that the request cannot be sent again.
+	BodyUsed bool
+	Report   ServerReport
+}
+
+// RequestEnded reports that the caller has its answer, or is gone.
+type RequestEnded struct {
+	At      model.Instant
+	Request model.RequestID
+}
+
+// ServerProbed reports a health check.
+type ServerProbed struct {
+	At      model.Instant
+	Server  model.BackendName
+	Healthy bool
+	Report  ServerReport
+}
+
+func (*Tick) event()           {}
+func (*CatalogChanged) event() {}
+func (*StoreTried) event()     {}
+func (*FleetCounted) event()   {}
+func (*RequestArrived) event() {}
+func (*AttemptEnded) event()   {}
+func (*RequestEnded) event()   {}
+func (*ServerProbed) event()   {}
+
+// Effect is something that the runtime must do.
+type Effect interface{ effect() }
+
+// Send sends a request to a backend server.
+type Send struct {
+	Request model.RequestID
+	Server  *catalog.Server // not to be changed
+	Left    time.Duration   // until the request's deadline
+	// AnswerTimeout bounds the wait for the first byte of the answer; 0 is none
+	// but the deadline.
+	AnswerTimeout time.Duration
+	MaxIdle       time.Duration // of a pooled connection
+	Attempt       int           // 1 for the first
+}
+
+// Refuse ends a request that has no answer. NotRun promises that it never ran.
+type Refuse struct {
+	Request    model.RequestID
+	Outcome    model.Outcome
+	Cause      model.Cause
+	RetryAfter time.Duration
+}
+
+// Probe asks a backend server for its health.
+type Probe struct {
+	Server *catalog.Server
+	Path   string
+}
+
+// Forget closes the connections of a backend server that is gone.
+type Forget struct{ Server *catalog.Server }
+
+// Condemn closes the idle connections of a backend server, one of which was found
+// broken.
+type Condemn struct{ Server *catalog.Server }
+
+// Record is one decision for the log.
+type Record struct {
+	At      model.Instant
+	Subject string
+	What    string
+	Why     string
+}
+
+func (*Send) effect()    {}
+func (*Refuse) effect()  {}
+func (*Probe) effect()   {}
+func (*Forget) effect()  {}
+func (*Condemn) effect() {}
+func (*Record) effect()  {}
--- /dev/null
+++ b/internal/dispatch/health.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+const (
+	// ejectFirst is how long a server is left alone after its first failure to
+	// take a connection; it doubles up to ejectMost.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// ejectBroken is how many broken or silent answers in a row eject a server.
+	ejectBroken = 3
+)
+
+// noteHealth learns from the end of an attempt.
+func (d *Dispatcher) noteHealth(ev *AttemptEnded, s *server) {
+	switch {
+	case ev.Misdirected:
+		s.gone = true
+		d.record(ev.At, string(s.entry.ID), "not used", "another server answers at its address")
+		d.add(&Condemn{Server: &s.entry})
+	case ev.Result == event.AttemptNotSent:
+		d.eject(ev.At, s, "it takes no connection")
+	case ev.Result == event.AttemptShed:
+		s.shed.add(1)
+	case ev.Result == event.AttemptComplete, ev.Result == event.AttemptFailed:
+		s.failures = 0
+		s.ejectedUntil = 0
+		s.shed.add(0)
+	case ev.Result == event.AttemptCancelled:
+	default:
+		d.noteBroken(ev, s)
+	}
+	if ev.Draining {
+		s.entry.Draining = true
+	}
+}
+
+func (d *Dispatcher) noteBroken(ev *AttemptEnded, s *server) {
+	if ev.Result == event.AttemptTimeout || ev.Result == event.AttemptStaleBroken {
+		d.add(&Condemn{Server: &s.entry})
+	}
+	s.failures++
+	if s.failures >= ejectBroken {
+		d.eject(ev.At, s, "its answers break off")
+	}
+}
+
+func (d *Dispatcher) eject(now model.Instant, s *server, why string) {
+	if now < s.ejectedUntil {
+		return
+	}
+	s.failures++
+	wait := min(ejectMost, ejectFirst<<min(s.failures-1, 4))
+	s.ejectedUntil = now.Add(wait)
+	d.record(now, string(s.entry.ID), "ejected", why)
+	d.add(&Condemn{Server: &s.entry})
+}
+
+// probeEjected asks servers whose ejection ends whether they are back.
+func (d *Dispatcher) probeEjected(now model.Instant) {
+	if d.config == nil {
+		return
+	}
+	for _, svc := range d.config.Services {
+		for _, s := range d.byService[svc.Name] {
+			if s.ejectedUntil == 0 || now < s.ejectedUntil || s.probing || s.gone || s.goneAt != 0 {
+				continue
+			}
+			s.probing = true
+			d.add(&Probe{Server: &s.entry, Path: svc.HealthPath})
+		}
+	}
+}
+
+// serverProbed ends an ejection, or prolongs it. A server that was away comes back
+// without what it knew.
+func (d *Dispatcher) serverProbed(ev *ServerProbed) {
+	s := d.servers[ev.Server]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	s.reported(ev.At, &ev.Report, s.inFlight)
+	if !ev.Healthy {
+		s.ejectedUntil = 0
+		d.eject(ev.At, s, "its health check fails")
+		return
+	}
+	s.ejectedUntil = 0
+	s.failures = 0
+	s.warm = warmth{}
+	d.record(ev.At, string(s.entry.ID), "used again", "its health check passes")
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// request is one caller's request on its way.
+type request struct {
+	id         model.RequestID
+	route      *catalog.Route
+	service    model.ServiceName
+	object     uint64
+	deadline   model.Instant
+	replayable bool
+	server     *server // that has it now
+	tried      []*server
+	sends      int // that may have reached a server
+	dials      int // attempts without a connection
+	startedAt  model.Instant
+	knew       bool // the server was believed to know the object
+	uncertain  bool // it may have run
+}
+
+const (
+	// defaultPatience bounds a request for which neither caller nor route does.
+	defaultPatience = 30 * time.Second
+	// maxDials bounds the servers that are tried without getting a connection.
+	maxDials = 3
+	// reuseOnce is how long a connection may have been idle that carries a request
+	// which must not run twice: when it breaks, the request is lost.
+	reuseOnce = 1500 * time.Millisecond
+)
+
+func (d *Dispatcher) requestArrived(ev *RequestArrived) {
+	if d.config == nil {
+		d.refuse(ev.Request, model.NotRun, model.CauseNoConfiguration, noServerRetry)
+		return
+	}
+	route := d.config.Match(ev.Host, ev.Path)
+	if route == nil {
+		d.refuse(ev.Request, model.NotRun, model.CauseNoRoute, 0)
+		return
+	}
+	q := &request{
+		id:         ev.Request,
+		route:      route,
+		service:    d.splits[route.Name].next(),
+		object:     objectOf(route, ev.Affinity, ev.Path),
+		deadline:   ev.At.Add(patience(ev.Patience, route.Timeout)),
+		replayable: ev.Replayable,
+	}
+	d.requests[q.id] = q
+	d.send(ev.At, q)
+}
+
+// patience is the shorter of what caller and route allow.
+func patience(caller, route time.Duration) time.Duration {
+	p := defaultPatience
+	for _, bound := range [...]time.Duration{caller, route} {
+		if bound > 0 {
+			p = min(p, bound)
+		}
+	}
+	return p
+}
+
+// send sends a request to the best server, or refuses it.
+func (d *Dispatcher) send(now model.Instant, q *request) {
+	left := q.deadline.Sub(now)
+	if left <= 0 {
+		d.end(q, model.CauseDeadline, 0)
+		return
+	}
+	c := d.choose(now, q)
+	if c.server == nil {
+		d.end(q, c.cause, c.wait)
+		return
+	}
+	s := c.server
+	q.server = s
+	q.tried = append(q.tried, s)
+	q.startedAt = now
+	q.knew = s.warm.knows(now, q.object)
+	q.sends++
+	s.inFlight++
+	if s.cold(now) {
+		s.coldSends.Add(now)
+	}
+	if q.sends == 1 {
+		d.service(q.service).budget.Sent(now)
+	}
+	send := &Send{Request: q.id, Server: &s.entry, Left: left, Attempt: q.sends + q.dials}
+	if !q.route.Kind.Repeatable() {
+		send.MaxIdle = reuseOnce
+	} else if q.sends < q.route.Attempts {
+		send.AnswerTimeout = scale(left, silentShare)
+	}
+	d.add(send)
+}
+
+// silentShare is the part of the time left after which a server that has not
+// begun to answer is given up for another one.
+const silentShare = 0.6
+
+// end refuses a request: with the promise that it did not run where that is so.
+func (d *Dispatcher) end(q *request, cause model.Cause, retryAfter time.Duration) {
+	outcome := model.NotRun
+	if q.uncertain {
+		outcome, retryAfter = model.Unknown, 0
+	}
+	d.refuse(q.id, outcome, cause, retryAfter)
+	delete(d.requests, q.id)
+}
+
+func (d *Dispatcher) refuse(id model.RequestID, outcome model.Outcome, cause model.Cause, retryAfter time.Duration) {
+	d.add(&Refuse{Request: id, Outcome: outcome, Cause: cause, RetryAfter: retryAfter})
+}
+
+func (d *Dispatcher) attemptEnded(ev *AttemptEnded) {
+	q := d.requests[ev.Request]
+	if q == nil || q.server == nil {
+		return
+	}
+	s := q.server
+	q.server = nil
+	s.inFlight--
+	s.reported(ev.At, &ev.Report, s.inFlight)
+	d.noteHealth(ev, s)
+	switch ev.Result {
+	case event.AttemptComplete:
+		d.learn(ev.At, q, s)
+	case event.AttemptFailed:
+		// A whole answer that says so; it has been passed on.
+	case event.AttemptNotSent:
+		q.sends--
+		q.dials++
+		d.again(ev, q, model.CauseConnect, true)
+	case event.AttemptShed:
+		d.again(ev, q, model.CauseShed, false)
+	case event.AttemptCancelled:
+		q.uncertain = true
+		d.end(q, model.CauseCallerGone, 0)
+	default:
+		q.uncertain = true
+		if !q.route.Kind.Repeatable() {
+			d.end(q, causeOf(ev.Result), 0)
+			return
+		}
+		d.again(ev, q, causeOf(ev.Result), false)
+	}
+}
+
+// learn notes how long the server took and that it knows the object now.
+func (d *Dispatcher) learn(now model.Instant, q *request, s *server) {
+	run := now.Sub(q.startedAt)
+	if s.region != d.settings.Region {
+		run = max(0, run-regionRoundTrip)
+	}
+	svc := d.service(q.service)
+	if q.knew {
+		svc.warmRun.add(run.Seconds())
+	} else if !s.cold(now) {
+		svc.coldRun.add(run.Seconds())
+	}
+	s.warm.add(now, q.object)
+}
+
+// again sends a request to another server where that is allowed. free says that
+// the attempt did not reach its server, and costs no budget.
+func (d *Dispatcher) again(ev *AttemptEnded, q *request, cause model.Cause, free bool) {
+	switch {
+	case ev.BodyUsed && !q.replayable:
+		d.end(q, cause, noServerRetry)
+	case free && q.dials >= maxDials, !free && q.sends >= q.route.Attempts:
+		d.end(q, cause, noServerRetry)
+	case !free && !d.service(q.service).budget.Take(ev.At, d.instances):
+		d.end(q, model.CauseRetryBudget, noServerRetry)
+	default:
+		d.send(ev.At, q)
+	}
+}
+
+func causeOf(result event.AttemptResult) model.Cause {
+	switch result {
+	case event.AttemptTimeout:
+		return model.CauseTimeout
+	case event.AttemptCut:
+		return model.CauseAnswerIncomplete
+	default:
+		return model.CauseBroken
+	}
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
+)
+
+// server is what this instance knows of one backend server.
+type server struct {
+	entry  catalog.Server
+	region model.RegionName
+	hash   uint64
+
+	inFlight  int // requests that this instance has sent to it
+	others    float64
+	othersAt  model.Instant // when others was reported
+	coldUntil model.Instant
+	coldSends pacing.Window
+	warm      warmth
+
+	gone         bool // another server answers at its address
+	failures     int  // in a row
+	ejectedUntil model.Instant
+	probing      bool
+	goneAt       model.Instant // when its entry vanished, 0 while it is listed
+	shed         average
+	slowness     average // of its run times, as multiples of the service's
+}
+
+// othersFade is the time in which a reported load of other instances loses 63 % of
+// its weight: about two mean run times of the services that have been measured.
+const othersFade = time.Second
+
+// load returns the requests that the server is believed to hold.
+func (s *server) load(now model.Instant) float64 {
+	age := now.Sub(s.othersAt).Seconds() / othersFade.Seconds()
+	return float64(s.inFlight) + s.others*math.Exp(-age)
+}
+
+// reported takes over the server's own word. held is how many of the requests
+// that it counts are this instance's.
+func (s *server) reported(now model.Instant, r *ServerReport, held int) {
+	if r.HasLoad {
+		s.others = float64(max(0, r.Running+r.Waiting-held))
+		s.othersAt = now
+	}
+	if r.HasCold {
+		s.coldUntil = now.Add(r.ColdLeft)
+	}
+}
+
+func (s *server) cold(now model.Instant) bool { return now < s.coldUntil }
+
+// average is an exponentially weighted mean of observations.
+type average struct {
+	value float64
+	n     int
+}
+
+// averageWeight is the weight of the latest observation once there are several.
+const averageWeight = 0.15
+
+func (a *average) add(v float64) {
+	a.n++
+	weight := max(averageWeight, 1/float64(a.n))
+	a.value += weight * (v - a.value)
+}
+
+// warmth remembers which objects a server has handled lately.
+type warmth map[uint64]model.Instant
+
+// warmFor is how long a server is believed to know an object after it handled it.
+const warmFor = time.Minute
+
+// maxWarm bounds the objects that are remembered for one server.
+const maxWarm = 256
+
+func (w warmth) knows(now model.Instant, object uint64) bool {
+	at, ok := w[object]
+	return ok && now.Sub(at) < warmFor
+}
+
+func (w warmth) add(now model.Instant, object uint64) {
+	if _, ok := w[object]; !ok && len(w) >= maxWarm {
+		w.dropOldest()
+	}
+	w[object] = now
+}
+
+func (w warmth) dropOldest() {
+	var oldest uint64
+	at := model.Instant(math.MaxInt64)
+	for object, t := range w {
+		if t < at || (t == at && object < oldest) {
+			oldest, at = object, t
+		}
+	}
+	delete(w, oldest)
+}
--- /dev/null
+++ b/internal/dispatch/split.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// split spreads a route's requests over its services in the proportion of their
+// weights: the service that lags its share most is next.
+type split struct {
+	targets []catalog.Target
+	owed    []float64 // share of the requests so far less those it got
+	total   float64
+}
+
+func newSplit(targets []catalog.Target) *split {
+	s := &split{targets: slices.Clone(targets), owed: make([]float64, len(targets))}
+	for _, t := range targets {
+		s.total += t.Weight
+	}
+	return s
+}
+
+func (s *split) next() model.ServiceName {
+	if len(s.targets) == 1 {
+		return s.targets[0].Service
+	}
+	best := 0
+	for i := range s.targets {
+		s.owed[i] += s.targets[i].Weight / s.total
+		if s.owed[i] > s.owed[best] {
+			best = i
+		}
+	}
+	s.owed[best]--
+	return s.targets[best].Service
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,273 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/follow"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
+	"github.com/primrosenotch/primrosenotch/internal/upstream"
+)
+
+// Edge runs one entry instance.
+type Edge struct {
+	options  Options
+	log      *logrus.Entry
+	clock    clock
+	upstream *upstream.Client
+	links    *link.Links
+	callers  *ingress.Server
+
+	// mu serializes the dispatcher.
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	lastID     model.RequestID
+
+	// fleetMu serializes what is known of other instances and of the store.
+	fleetMu sync.Mutex
+	group   *membership.Group
+	listed  map[model.InstanceID]listedInstance
+	cache   *follow.Cache
+	reads   map[string]readState
+
+	stopping  atomic.Bool // no longer named to callers
+	refusing  atomic.Bool // takes no more requests
+	followed  atomic.Int32
+	fetching  atomic.Bool
+	listOwn   chan struct{} // asks for the own entry to be written again
+
+	ctx   context.Context // ends when the instance has left
+	leave context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// listedInstance is an instance's entry in the store.
+type listedInstance struct {
+	entry   catalog.Instance
+	version int64
+}
+
+// clock gives Instants that never go backwards.
+type clock struct{ start time.Time }
+
+func (c clock) now() model.Instant {
+	return model.InstantOf(c.start).Add(time.Since(c.start))
+}
+
+// upstreamSettings are the bounds towards backend servers.
+func upstreamSettings(o *Options) upstream.Settings {
+	return upstream.Settings{
+		DialTimeout:    dialTimeout,
+		IdleTimeout:    poolIdle,
+		Dialect:        o.Dialect,
+		AcceptUnframed: true,
+	}
+}
+
+const (
+	// dialTimeout is three round trips between regions, with a slow server's accept.
+	dialTimeout = 400 * time.Millisecond
+	// poolIdle is how long an idle connection is kept: servers that say nothing of
+	// it have been seen to close after 10 s.
+	poolIdle = 8 * time.Second
+	// callerIdle is how long a caller's connection may be idle: callers reuse those
+	// up to four fifths of 15 s old.
+	callerIdle = 20 * time.Second
+	// wholeBodyBytes is the largest body that is read whole before it is sent, so
+	// that a request that one server refused can go to another.
+	wholeBodyBytes = 512 << 10
+)
+
+// New returns an instance that has not started.
+func New(o Options) *Edge {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Edge{
+		options:  o,
+		log:      o.Log,
+		clock:    clock{start: time.Now()},
+		upstream: upstream.New(upstreamSettings(&o)),
+		dispatcher: dispatch.New(dispatch.Settings{
+			Region:  o.Region,
+			Regions: o.Regions,
+			Retry:   pacing.RetrySettings{Window: o.Bounds.RetryWindow, Ratio: o.Bounds.RetryRatio, Extra: o.Bounds.RetryExtra},
+			Cold:    dispatch.ColdSettings{Factor: o.Bounds.ColdFactor, Slack: o.Bounds.ColdSlack},
+			Naive:   o.Naive,
+		}),
+		listed:  map[model.InstanceID]listedInstance{},
+		cache:   follow.NewCache(),
+		reads:   map[string]readState{},
+		listOwn: make(chan struct{}, 1),
+		ctx:     ctx,
+		leave:   cancel,
+	}
+	e.options.Self.Started = int64(e.clock.now())
+	e.group = e.newGroup()
+	e.links = link.New(&linkpb.Hello{
+		Instance:    string(o.Self.ID),
+		Incarnation: uint64(e.options.Self.Started),
+		Zone:        string(o.Self.Zone),
+	}, link.DefaultSettings(), e, e)
+	e.callers = ingress.New(ingress.Settings{
+		IdleTimeout:          callerIdle,
+		BufferBytes:          wholeBodyBytes,
+		Dialect:              o.Dialect,
+		NoLookups:            true,
+		FractionalRetryAfter: true,
+	}, e)
+	return e
+}
+
+func (e *Edge) newGroup() *membership.Group {
+	self := e.options.Self
+	group := membership.New(membership.Record{
+		ID:          self.ID,
+		Zone:        self.Zone,
+		LinkAddr:    self.Links,
+		CallerAddr:  self.Callers,
+		State:       membership.Ready,
+		Incarnation: uint64(self.Started),
+		StartedAt:   e.clock.now(),
+	}, membership.DefaultSettings())
+	text := &config.Text{}
+	for _, zone := range lo.Keys(e.options.Regions) {
+		text.Zones = append(text.Zones, config.Zone{Name: zone, Region: e.options.Regions[zone]})
+	}
+	group.Configure(e.clock.now(), text, nil)
+	return group
+}
+
+// Listeners are opened before anything starts, so that a taken port is one clear
+// error.
+type Listeners struct{ Callers, Links net.Listener }
+
+// Run serves until the context ends, then leaves within the bound on stopping.
+func (e *Edge) Run(ctx context.Context, l Listeners) error {
+	served := make(chan error, 1)
+	go func() { served <- e.callers.Serve(l.Callers) }()
+	e.tasks.Go(func() {
+		if err := e.links.Serve(e.ctx, l.Links); err != nil {
+			e.log.WithError(err).Error("links ended")
+		}
+	})
+	for _, table := range e.options.follows() {
+		e.tasks.Go(func() { follow.Follow(e.ctx, e.options.Store, table, e) })
+	}
+	e.tasks.Go(e.tickUntilLeft)
+	e.tasks.Go(e.keepListed)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-served:
+		err = fmt.Errorf("serve callers: %w", err)
+	}
+	e.stop()
+	return err
+}
+
+func (e *Edge) tickUntilLeft() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+			now := e.clock.now()
+			e.tickFleet(now)
+			e.post(&dispatch.Tick{At: now})
+		}
+	}
+}
+
+const (
+	// announceShare of the time to stop is left to callers for finding another
+	// instance, while requests are still served.
+	announceShare = 0.45
+	// finishShare of the time to stop is when what is in flight is given up.
+	finishShare = 0.93
+)
+
+// stop leaves: first the look-ups, then callers' connections, then the process.
+func (e *Edge) stop() {
+	started := time.Now()
+	at := func(share float64) time.Time {
+		return started.Add(time.Duration(share * float64(e.options.Bounds.Stop)))
+	}
+	e.log.WithField("in_flight", e.callers.InFlight()).Info("stopping")
+	e.stopping.Store(true)
+	e.callers.StartDraining()
+	e.setState(membership.Leaving)
+	unlist, cancel := context.WithDeadline(context.Background(), at(announceShare))
+	if err := e.options.Registry.Unlist(unlist, e.options.Self.ID, 0); err != nil {
+		e.log.WithError(err).Warn("own entry not removed")
+	}
+	cancel()
+	time.Sleep(time.Until(at(announceShare)))
+	e.refusing.Store(true)
+	finish, cancel := context.WithDeadline(context.Background(), at(finishShare))
+	defer cancel()
+	if err := e.callers.Shutdown(finish); err != nil {
+		e.log.WithError(err).Warn("requests cut off")
+	}
+	e.setState(membership.Left)
+	e.leave()
+	if err := e.upstream.Shutdown(); err != nil {
+		e.log.WithError(err).Warn("close servers' connections")
+	}
+	e.links.CloseAll()
+	e.log.Info("stopped")
+}
+
+// post applies an event to the dispatcher and carries out its effects but those
+// about the request, which it returns.
+func (e *Edge) post(ev dispatch.Event) dispatch.Effect {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var own dispatch.Effect
+	for _, f := range e.dispatcher.Step(ev) {
+		switch f := f.(type) {
+		case *dispatch.Send, *dispatch.Refuse:
+			own = f
+		default:
+			e.execute(f)
+		}
+	}
+	return own
+}
+
+// execute carries out an effect that is not about one request. It must not block.
+func (e *Edge) execute(f dispatch.Effect) {
+	switch f := f.(type) {
+	case *dispatch.Probe:
+		e.probe(f)
+	case *dispatch.Forget:
+		e.upstream.Forget(f.Server.Address)
+	case *dispatch.Condemn:
+		e.upstream.Condemn(f.Server.Address)
+	case *dispatch.Record:
+		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Why}).Info(f.What)
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (e *Edge) Ready() bool {
+	return !e.stopping.Load() && e.followed.Load() >= neededTables
+}
+
+// neededTables are the operator's and the servers'.
+const neededTables = 2
--- /dev/null
+++ b/internal/edge/fleet.go
@@ -0,0 +1,192 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
+)
+
+// Lookup is a caller's question which instances to use.
+type Lookup struct {
+	Host   string
+	Region model.RegionName // the caller's
+	Zone   model.ZoneName   // the caller's
+}
+
+const (
+	// lookupTTL is how long callers keep an answer: short, so that they leave a dead
+	// instance soon.
+	lookupTTL = 2 * time.Second
+	// maxLookup bounds the addresses of one answer.
+	maxLookup = 64
+)
+
+// Lookup returns the addresses of the instances that a caller should use: those of
+// its region, or else those of a region that may serve the host, or else any.
+func (e *Edge) Lookup(l Lookup) ([]string, time.Duration) {
+	var near, any []string
+	e.fleetMu.Lock()
+	for _, record := range e.usableInstances() {
+		any = append(any, record.CallerAddr)
+		if e.options.Regions[record.Zone] == l.Region {
+			near = append(near, record.CallerAddr)
+		}
+	}
+	e.fleetMu.Unlock()
+	if len(near) == 0 {
+		near = any
+	}
+	return near[:min(len(near), maxLookup)], min(lookupTTL, e.options.Bounds.LookupTTL)
+}
+
+// usableInstances lists the records of the instances that take callers' requests.
+func (e *Edge) usableInstances() []membership.Record {
+	var list []membership.Record
+	for _, p := range e.group.Peers() {
+		if p.Health == membership.HealthAlive && p.Record.State == membership.Ready && p.Record.CallerAddr != "" {
+			list = append(list, p.Record)
+		}
+	}
+	if e.Ready() {
+		list = append(list, e.group.Self())
+	}
+	return list
+}
+
+func (e *Edge) setState(state membership.State) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.carryOut(e.group.SetState(e.clock.now(), state))
+}
+
+func (e *Edge) tickFleet(now model.Instant) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.carryOut(e.group.Tick(now))
+}
+
+// instancesChanged tells the group whom the store lists.
+func (e *Edge) instancesChanged(now model.Instant) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	list := make([]platform.ListedInstance, 0, len(e.listed))
+	for _, l := range e.listed {
+		list = append(list, platform.ListedInstance{
+			ID:      l.entry.ID,
+			Zone:    l.entry.Zone,
+			Link:    l.entry.Links,
+			Callers: l.entry.Callers,
+		})
+	}
+	slices.SortFunc(list, func(a, b platform.ListedInstance) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	if l, ok := e.listed[e.options.Self.ID]; !ok || l.entry.Started != e.options.Self.Started {
+		e.askToList()
+	}
+	e.carryOut(e.group.Listed(now, list))
+	e.post(&dispatch.FleetCounted{At: now, Instances: max(len(list), 1)})
+}
+
+// carryOut does what the group asks for. It must not block.
+func (e *Edge) carryOut(out membership.Output) {
+	for _, id := range out.Close {
+		e.links.Close(id)
+	}
+	for _, p := range out.Open {
+		e.links.Open(e.ctx, p.ID, p.Addr)
+	}
+	now := e.clock.now()
+	for _, m := range out.Messages {
+		e.links.Gossip(m.To, membership.ToProto(now, m.Message))
+	}
+	for _, n := range out.Notes {
+		e.log.WithFields(logrus.Fields{"subject": n.Subject, "why": n.Why}).Info(n.What)
+	}
+	if out.FetchFrom != "" {
+		peer := out.FetchFrom
+		e.tasks.Go(func() { e.fetchState(peer) })
+	}
+}
+
+// LinkUp implements link.Events.
+func (e *Edge) LinkUp(peer model.InstanceID) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.carryOut(e.group.LinkUp(e.clock.now(), peer))
+}
+
+// LinkDown implements link.Events.
+func (e *Edge) LinkDown(peer model.InstanceID) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.carryOut(e.group.LinkDown(e.clock.now(), peer))
+}
+
+// GossipReceived implements link.Events.
+func (e *Edge) GossipReceived(from model.InstanceID, g *linkpb.Gossip) {
+	now := e.clock.now()
+	message, err := membership.FromProto(now, g)
+	if err != nil {
+		e.log.WithField("peer", from).WithError(err).Warn("membership message refused")
+		return
+	}
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.carryOut(e.group.Receive(now, from, message))
+}
+
+// Revision implements link.Events; there is no operators' text here.
+func (e *Edge) Revision() *linkpb.Revision { return nil }
+
+// ServeOffer implements link.OfferHandler; instances send their requests themselves.
+func (e *Edge) ServeOffer(model.InstanceID, *linkpb.Offer, link.Conn) {}
+
+func (e *Edge) askToList() {
+	select {
+	case e.listOwn <- struct{}{}:
+	default:
+	}
+}
+
+// listRetry is the time between two tries to list this instance.
+const listRetry = 500 * time.Millisecond
+
+// keepListed writes the own entry at the start and whenever it is missing.
+func (e *Edge) keepListed() {
+	e.askToList()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-e.listOwn:
+		}
+		if e.stopping.Load() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, 2*time.Second)
+		err := e.options.Registry.List(ctx, e.options.Self)
+		cancel()
+		if err != nil {
+			e.log.WithError(err).Warn("own entry not written")
+			select {
+			case <-e.ctx.Done():
+				return
+			case <-time.After(listRetry):
+				e.askToList()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/serve.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/upstream"
+)
+
+// refusalRetry is when a caller should come back that a leaving instance refused:
+// by then another instance is found.
+const refusalRetry = 50 * time.Millisecond
+
+// Serve implements ingress.Handler.
+func (e *Edge) Serve(ctx context.Context, x *ingress.Exchange) {
+	if e.refusing.Load() {
+		e.refuse(x, &dispatch.Refuse{Outcome: model.NotRun, Cause: model.CauseStopping, RetryAfter: refusalRetry})
+		return
+	}
+	e.mu.Lock()
+	e.lastID++
+	id := e.lastID
+	e.mu.Unlock()
+	next := e.post(&dispatch.RequestArrived{
+		At:         e.clock.now(),
+		Request:    id,
+		Host:       x.Host,
+		Path:       x.Path,
+		Affinity:   x.Affinity,
+		Patience:   x.DeadlineHint,
+		Replayable: x.Replayable,
+	})
+	for next != nil {
+		switch f := next.(type) {
+		case *dispatch.Send:
+			next = e.attempt(ctx, x, f)
+		case *dispatch.Refuse:
+			e.refuse(x, f)
+			next = nil
+		}
+	}
+}
+
+func (e *Edge) refuse(x *ingress.Exchange, f *dispatch.Refuse) {
+	e.log.WithFields(logrus.Fields{
+		"request": x.Trace,
+		"outcome": f.Outcome,
+		"cause":   f.Cause,
+		"retry":   f.RetryAfter,
+	}).Warn("request refused")
+	if err := x.Refuse(f.Outcome, f.Cause, f.RetryAfter); err != nil {
+		e.log.WithField("request", x.Trace).WithError(err).Warn("refusal not passed on")
+	}
+}
+
+// attempt sends a request to a backend server and passes its answer on. It returns
+// what to do next, nil for nothing.
+func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
+	ctx, cancel := context.WithTimeout(ctx, f.Left)
+	answer, failed := e.upstream.Send(ctx, &upstream.Attempt{
+		Backend:       f.Server.ID,
+		Address:       f.Server.Address,
+		Method:        x.Method,
+		URI:           x.URI,
+		Header:        x.Header,
+		Body:          x.Body,
+		BodyStream:    x.BodyStream,
+		BodyBytes:     x.BodyBytes,
+		Trace:         x.Trace,
+		ExpectServer:  f.Server.ID,
+		DeadlineLeft:  f.Left,
+		AnswerTimeout: answerTimeout(f),
+		MaxIdle:       f.MaxIdle,
+	})
+	end := &dispatch.AttemptEnded{Request: f.Request, BodyUsed: !x.Replayable}
+	if failed != nil {
+		cancel()
+		e.logAttempt(x, f, failed)
+		end.Result = failed.Result
+		end.Misdirected = failed.Misdirected
+		end.Draining = failed.Draining
+		end.Report = reportOf(failed.Report)
+		end.At = e.clock.now()
+		return e.post(end)
+	}
+	end.Draining = answer.Draining
+	end.Report = reportOf(answer.Report)
+	return e.pass(x, answer, end, cancel)
+}
+
+// answerTimeout bounds the wait for an answer's first byte; without a bound of its
+// own that is the deadline's, which the context keeps.
+func answerTimeout(f *dispatch.Send) time.Duration {
+	if f.AnswerTimeout > 0 {
+		return f.AnswerTimeout
+	}
+	return f.Left + time.Second
+}
+
+// promises reports whether a status says that the request did not run. Only the
+// system may say so to a caller, and only when it knows.
+func promises(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	default:
+		return false
+	}
+}
+
+// pass hands an answer on. A small one whose body breaks counts as a failed
+// attempt; a large one is streamed and ends later.
+func (e *Edge) pass(x *ingress.Exchange, answer *upstream.Answer, end *dispatch.AttemptEnded, cancel func()) dispatch.Effect {
+	finish := func(result event.AttemptResult) dispatch.Effect {
+		cancel()
+		end.Result = result
+		end.At = e.clock.now()
+		return e.post(end)
+	}
+	if promises(answer.Status) {
+		_ = answer.Body.Close() // the status is all that matters of it
+		return finish(event.AttemptBroken)
+	}
+	result := event.AttemptComplete
+	if answer.Status >= 500 {
+		result = event.AttemptFailed
+	}
+	passed := make(chan event.AttemptResult, 1)
+	err := x.Respond(&ingress.Answer{
+		Status:    answer.Status,
+		Header:    answer.Header,
+		BodyBytes: answer.BodyBytes,
+		Body:      answer.Body,
+		Done: func(_ int64, err error) {
+			if err != nil {
+				result = event.AttemptCut
+			}
+			passed <- result
+		},
+	})
+	if err != nil {
+		e.log.WithFields(logrus.Fields{"request": x.Trace, "error": err}).Warn("answer broke off")
+		return finish(event.AttemptCut)
+	}
+	select {
+	case result := <-passed:
+		finish(result)
+		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
+	default:
+		go func() {
+			finish(<-passed)
+			e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
+		}()
+	}
+	return nil
+}
+
+func (e *Edge) logAttempt(x *ingress.Exchange, f *dispatch.Send, failed *upstream.SendError) {
+	e.log.WithFields(logrus.Fields{
+		"request": x.Trace,
+		"server":  f.Server.ID,
+		"attempt": f.Attempt,
+		"left":    f.Left,
+		"error":   failed.Error(),
+	}).Info("attempt failed")
+}
+
+func reportOf(r upstream.Report) dispatch.ServerReport {
+	return dispatch.ServerReport{
+		HasLoad:  r.HasLoad,
+		Running:  r.Load.Running,
+		Waiting:  r.Load.Waiting,
+		HasCold:  r.HasCold,
+		ColdLeft: r.ColdLeft,
+	}
+}
+
+// probeTimeout bounds a health check: it waits for a slot like a request.
+const probeTimeout = time.Second
+
+// probe checks a server's health in the background.
+func (e *Edge) probe(f *dispatch.Probe) {
+	server := *f.Server
+	e.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
+		defer cancel()
+		answer, err := e.upstream.Check(ctx, &upstream.Attempt{
+			Backend:         server.ID,
+			Address:         server.Address,
+			Method:          "GET",
+			URI:             []byte(f.Path),
+			FreshConnection: true,
+		})
+		probed := &dispatch.ServerProbed{Server: server.ID}
+		if err == nil {
+			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
+			probed.Report = reportOf(answer.Report)
+		}
+		probed.At = e.clock.now()
+		e.post(probed)
+	})
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,13 +32,15 @@
 type Exchange struct {
 	Method string
 	Path   string          // decoded and cleaned, for matching routes
+	Host   string          // as received
 	URI    []byte          // path and query as received
 	Header httpheader.List // without hop-by-hop fields
 	Remote netip.Addr
-	// Trace is the caller's X-Request-Id, or a new one.
+	// Trace is the caller's request identifier, or a new one.
 	Trace          string
 	IdempotencyKey string
-	// DeadlineHint is the caller's X-Deadline-Ms, 0 without one. It may only
+	Affinity       string // object that the request is about, empty where unknown
+	// DeadlineHint is how long the caller waits, 0 where it does not say. It may only
 	// shorten the route's deadline.
 	DeadlineHint time.Duration
 	BodyBytes    int64 // -1 when unknown
@@ -78,7 +81,7 @@
 // ErrAnswered is returned for a second answer to one exchange.
 var ErrAnswered = errors.New("the exchange already has an answer")
 
-// Respond hands the answer over. An answer of up to SmallBodyBytes is read here
+// Respond hands the answer over. An answer of up to Settings.BufferBytes is read here
 // and now: if that fails, nothing has been sent, Done is not called, and the
 // exchange may still be refused. A larger one is sent after Serve has returned.
 func (x *Exchange) Respond(a *Answer) error {
@@ -101,7 +104,7 @@
 
 // readSmall returns the whole body of a small answer, or nil for one to stream.
 func (x *Exchange) readSmall(a *Answer) ([]byte, error) {
-	if a.BodyBytes < 0 || a.BodyBytes > SmallBodyBytes || x.Method == fasthttp.MethodHead {
+	if a.BodyBytes < 0 || a.BodyBytes > x.bufferBytes() || x.Method == fasthttp.MethodHead {
 		return nil, nil
 	}
 	body, err := readDeclared(a.Body, a.BodyBytes)
@@ -128,27 +131,28 @@
 	resp := &x.ctx.Response
 	resp.SetStatusCode(a.Status)
 	for _, f := range a.Header {
-		if !setByIngress(f.Name) {
+		if !x.server.setsField(f.Name) {
 			resp.Header.Add(f.Name, f.Value)
 		}
 	}
-	resp.Header.Set(httpheader.RequestID, x.Trace)
-	resp.Header.Set(httpheader.Outcome, a.Outcome.String())
+	dialect := x.server.settings.Dialect
+	resp.Header.Set(dialect.RequestID, x.Trace)
+	setNamed(resp, dialect.Outcome, a.Outcome.String())
 	if a.Backend != "" {
-		resp.Header.Set(httpheader.Backend, string(a.Backend))
+		setNamed(resp, dialect.Backend, string(a.Backend))
 	}
 }
 
-// setByIngress reports whether a backend server's field of this name is not
-// passed on.
-func setByIngress(name string) bool {
-	switch name {
-	case httpheader.RequestID, httpheader.Outcome, httpheader.Cause, httpheader.Backend,
-		httpheader.NotRun, httpheader.Draining:
-		return true
-	default:
-		return httpheader.IsHopByHop(name)
+// setsField reports whether a backend server's field of this name is not passed
+// on.
+func (s *Server) setsField(name string) bool {
+	d := s.settings.Dialect
+	for _, own := range [...]string{d.RequestID, d.Outcome, d.Cause, d.Backend, d.NotRun, d.Draining} {
+		if own != "" && strings.EqualFold(own, name) {
+			return true
+		}
 	}
+	return httpheader.IsHopByHop(name)
 }
 
 // settle ends the exchange once, and then calls done if it is set.
--- a/internal/ingress/lookup.go
+++ b/internal/ingress/lookup.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -46,23 +45,23 @@
 // lookup handles EntriesPath.
 func (s *Server) lookup(c fiber.Ctx) error {
 	ctx := c.RequestCtx()
-	trace := traceOf(&ctx.Request.Header)
+	trace := s.traceOf(&ctx.Request.Header)
 	resp := &ctx.Response
 	if s.lookups.Add(1) > int64(s.settings.MaxLookups) {
 		s.lookups.Add(-1)
 		s.refusedLookups.Add(1)
-		writeRefusal(resp, trace, model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
+		s.writeRefusal(resp, trace, model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
 		return nil
 	}
 	defer s.lookups.Add(-1)
 	remote, err := lookupAddress(ctx.QueryArgs().Peek(addressParameter), ctx.RemoteAddr())
 	if err != nil {
-		writeRefusal(resp, trace, model.NotRun, model.CauseInvalidRequest, 0)
+		s.writeRefusal(resp, trace, model.NotRun, model.CauseInvalidRequest, 0)
 		return nil
 	}
 	directory := s.directory.Load()
 	if directory == nil {
-		writeRefusal(resp, trace, model.NotRun, model.CauseNoConfiguration, time.Second)
+		s.writeRefusal(resp, trace, model.NotRun, model.CauseNoConfiguration, time.Second)
 		return nil
 	}
 	b := lookupBuffers.Get().(*lookupBuffer)
@@ -70,7 +69,7 @@
 	var ttl time.Duration
 	b.entries, ttl = (*directory).Entries(remote, b.entries[:0])
 	b.body = appendEntries(b.body[:0], b.entries, ttl)
-	resp.Header.Set(httpheader.RequestID, trace)
+	resp.Header.Set(s.settings.Dialect.RequestID, trace)
 	resp.Header.SetContentType("application/json")
 	resp.Header.Set(fiber.HeaderCacheControl, "private, max-age="+strconv.FormatInt(int64(ttl/time.Second), 10))
 	resp.SetBody(b.body)
--- a/internal/ingress/refusal.go
+++ b/internal/ingress/refusal.go
@@ -27,18 +27,19 @@
 		return ErrAnswered
 	}
 	x.answered = true
-	writeRefusal(&x.ctx.Response, x.Trace, outcome, cause, retryAfter)
+	x.server.writeRefusal(&x.ctx.Response, x.Trace, outcome, cause, retryAfter)
 	return nil
 }
 
-func writeRefusal(resp *fasthttp.Response, trace string, outcome model.Outcome, cause model.Cause, retryAfter time.Duration) {
+func (s *Server) writeRefusal(resp *fasthttp.Response, trace string, outcome model.Outcome, cause model.Cause, retryAfter time.Duration) {
 	resp.SetStatusCode(statusOf(outcome, cause))
 	resp.Header.SetContentType("application/json")
-	resp.Header.Set(httpheader.RequestID, trace)
-	resp.Header.Set(httpheader.Outcome, outcome.String())
-	resp.Header.Set(httpheader.Cause, string(cause))
+	dialect := s.settings.Dialect
+	resp.Header.Set(dialect.RequestID, trace)
+	setNamed(resp, dialect.Outcome, outcome.String())
+	setNamed(resp, dialect.Cause, string(cause))
 	if retryAfter > 0 {
-		resp.Header.Set(httpheader.RetryAfter, strconv.FormatInt(wholeSeconds(retryAfter), 10))
+		resp.Header.Set(httpheader.RetryAfter, s.formatRetryAfter(retryAfter))
 	}
 	resp.SetBodyRaw(refusalBody(trace, outcome, cause))
 }
@@ -61,7 +62,21 @@
 	return fmt.Sprintf("the request may or may not have run: %s", cause)
 }
 
-// wholeSeconds rounds up, as Retry-After has no fractions.
+// setNamed sets a field unless the dialect has no name for it.
+func setNamed(resp *fasthttp.Response, name, value string) {
+	if name != "" {
+		resp.Header.Set(name, value)
+	}
+}
+
+func (s *Server) formatRetryAfter(d time.Duration) string {
+	if s.settings.FractionalRetryAfter {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(wholeSeconds(d), 10)
+}
+
+// wholeSeconds rounds up, as the standard's Retry-After has no fractions.
 func wholeSeconds(d time.Duration) int64 {
 	return int64((d + time.Second - 1) / time.Second)
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxTraceBytes bounds an X-Request-Id that is taken over from the caller.
+// maxTraceBytes bounds a request identifier that is taken over from the caller.
 const maxTraceBytes = 128
 
 // maxDeadline bounds the deadline that a caller may ask for.
@@ -22,6 +22,7 @@
 
 // newExchange reads all of a request but a large body.
 func newExchange(s *Server, ctx *fasthttp.RequestCtx) (*Exchange, error) {
+	dialect := s.settings.Dialect
 	header := readHeader(&ctx.Request.Header)
 	uri := ctx.URI()
 	x := &Exchange{
@@ -29,13 +30,18 @@
 		Path:           string(uri.Path()),
 		URI:            originalURI(uri),
 		Remote:         remoteAddr(ctx.RemoteAddr()),
-		Trace:          traceOf(&ctx.Request.Header),
-		IdempotencyKey: header.Get(httpheader.IdempotencyKey),
-		DeadlineHint:   deadlineHint(header.Get(httpheader.DeadlineMillis)),
+		Host:           string(ctx.Host()),
+		Trace:          s.traceOf(&ctx.Request.Header),
+		IdempotencyKey: header.Get(dialect.IdempotencyKey),
+		Affinity:       header.Get(dialect.Affinity),
+		DeadlineHint:   deadlineHint(header.Get(dialect.DeadlineMillis)),
 		server:         s,
 		ctx:            ctx,
 	}
-	x.Header = withForwardedFor(header.Forwardable(), x.Remote)
+	x.Header = header.Forwardable()
+	if dialect.ForwardedFor != "" {
+		x.Header = withForwardedFor(x.Header, x.Remote)
+	}
 	if err := x.readBody(); err != nil {
 		return x, err
 	}
@@ -80,9 +86,9 @@
 	return tcp.AddrPort().Addr().Unmap()
 }
 
-// traceOf takes over a sane X-Request-Id or makes a new one.
-func traceOf(h *fasthttp.RequestHeader) string {
-	id := h.Peek(httpheader.RequestID)
+// traceOf takes over a sane request identifier or makes a new one.
+func (s *Server) traceOf(h *fasthttp.RequestHeader) string {
+	id := h.Peek(s.settings.Dialect.RequestID)
 	if isSaneTrace(id) {
 		return string(id)
 	}
@@ -112,7 +118,7 @@
 	}
 }
 
-// deadlineHint reads X-Deadline-Ms; anything but a positive number is no hint.
+// deadlineHint reads the time left in milliseconds; anything but a positive number is no hint.
 func deadlineHint(text string) time.Duration {
 	if text == "" {
 		return 0
@@ -134,7 +140,7 @@
 	}
 	x.startBody()
 	source := &requestStream{r: stream, left: length}
-	if length > SmallBodyBytes {
+	if length > x.bufferBytes() {
 		x.BodyBytes, x.BodyStream = length, source
 		return nil
 	}
@@ -152,11 +158,11 @@
 
 // readChunked settles whether a body of unknown length is small.
 func (x *Exchange) readChunked(source io.Reader) error {
-	prefix, err := io.ReadAll(io.LimitReader(source, SmallBodyBytes+1))
+	prefix, err := io.ReadAll(io.LimitReader(source, x.bufferBytes()+1))
 	if err != nil {
 		return fmt.Errorf("read request body: %w", err)
 	}
-	if len(prefix) <= SmallBodyBytes {
+	if int64(len(prefix)) <= x.bufferBytes() {
 		x.Body, x.BodyBytes, x.Replayable = prefix, int64(len(prefix)), true
 		return nil
 	}
@@ -165,6 +171,8 @@
 	return nil
 }
 
+func (x *Exchange) bufferBytes() int64 { return int64(x.server.settings.BufferBytes) }
+
 func (x *Exchange) startBody() {
 	if c, ok := x.ctx.Conn().(*progressConn); ok {
 		c.startBody()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -10,7 +10,6 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
-	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/valyala/fasthttp"
 )
@@ -41,18 +40,20 @@
 	app := fiber.New(fiber.Config{
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
-		BodyLimit:                    SmallBodyBytes,
+		BodyLimit:                    s.settings.BufferBytes,
 		Concurrency:                  s.settings.MaxConnections,
 		ReadTimeout:                  s.settings.HeaderTimeout,
 		IdleTimeout:                  s.settings.IdleTimeout,
 		ReadBufferSize:               s.settings.MaxHeaderBytes,
 		DisableDefaultContentType:    true,
 	})
-	app.Get(EntriesPath, s.lookup)
+	if !s.settings.NoLookups {
+		app.Get(EntriesPath, s.lookup)
+	}
 	app.Use(s.serve)
 	s.http = app.Server()
 	s.http.CloseOnShutdown = true
-	s.http.ErrorHandler = refuseMalformed
+	s.http.ErrorHandler = s.refuseMalformed
 	s.http.Handler = s.finishHeader(app.Handler())
 	return s
 }
@@ -105,8 +106,8 @@
 func (s *Server) finishHeader(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		next(ctx)
-		if len(ctx.Response.Header.Peek(httpheader.RequestID)) == 0 {
-			writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+		if len(ctx.Response.Header.Peek(s.settings.Dialect.RequestID)) == 0 {
+			s.writeRefusal(&ctx.Response, s.traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
 		}
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
@@ -115,8 +116,8 @@
 }
 
 // refuseMalformed answers a request whose header could not be read.
-func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
-	writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	s.writeRefusal(&ctx.Response, s.traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
@@ -130,13 +131,13 @@
 // serve handles every request that is not a look-up.
 func (s *Server) serve(c fiber.Ctx) error {
 	ctx := c.RequestCtx()
-	if strings.HasPrefix(string(ctx.Path()), reservedPrefix) {
-		writeRefusal(&ctx.Response, traceOf(&ctx.Request.Header), model.NotRun, model.CauseNoRoute, 0)
+	if !s.settings.NoLookups && strings.HasPrefix(string(ctx.Path()), reservedPrefix) {
+		s.writeRefusal(&ctx.Response, s.traceOf(&ctx.Request.Header), model.NotRun, model.CauseNoRoute, 0)
 		return nil
 	}
 	x, err := newExchange(s, ctx)
 	if err != nil {
-		writeRefusal(&ctx.Response, x.Trace, model.NotRun, model.CauseInvalidRequest, 0)
+		s.writeRefusal(&ctx.Response, x.Trace, model.NotRun, model.CauseInvalidRequest, 0)
 		ctx.SetConnectionClose()
 		return nil
 	}
--- a/internal/ingress/settings.go
+++ b/internal/ingress/settings.go
@@ -3,10 +3,13 @@
 // nothing about where a request goes.
 package ingress
 
-import "time"
+import (
+	"time"
 
-// SmallBodyBytes is the largest request body that is held in memory whole, and
-// the largest answer that is read whole before any of it is sent.
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+)
+
+// SmallBodyBytes is the default of Settings.BufferBytes.
 const SmallBodyBytes = 64 << 10
 
 // Settings bounds the server. A zero field takes the default.
@@ -29,6 +32,15 @@
 	ProgressBytes int
 	// MaxHeaderBytes bounds a request's header.
 	MaxHeaderBytes int
+	// BufferBytes is the largest request body that is held in memory whole, and the
+	// largest answer that is read whole before any of it is sent.
+	BufferBytes int
+	// Dialect names the fields that callers and the server set; nil is httpheader.Own.
+	Dialect *httpheader.Dialect
+	// NoLookups leaves every path to the handler; look-ups are answered elsewhere.
+	NoLookups bool
+	// FractionalRetryAfter gives Retry-After with fractions of seconds.
+	FractionalRetryAfter bool
 	// OverloadRetryAfter is the hint given with a refusal for overload.
 	OverloadRetryAfter time.Duration
 }
@@ -55,6 +67,10 @@
 	setDefault(&s.ProgressTimeout, DefaultProgressTimeout)
 	setDefault(&s.ProgressBytes, DefaultProgressBytes)
 	setDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&s.BufferBytes, SmallBodyBytes)
+	if s.Dialect == nil {
+		s.Dialect = httpheader.Own()
+	}
 	setDefault(&s.OverloadRetryAfter, DefaultOverloadRetryAfter)
 	return s
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -25,6 +25,7 @@
 	gossip   chan *linkpb.Gossip
 	serve    func(from model.InstanceID, offer *linkpb.Offer, conn Conn)
 	revision *linkpb.Revision
+	state    *linkpb.State
 }
 
 func newRecorder() *recorder {
@@ -38,6 +39,7 @@
 func (r *recorder) LinkUp(p model.InstanceID)                              { r.up <- p }
 func (r *recorder) LinkDown(p model.InstanceID)                            { r.down <- p }
 func (r *recorder) GossipReceived(_ model.InstanceID, g *linkpb.Gossip)    { r.gossip <- g }
+func (r *recorder) State(*linkpb.StateRequest) *linkpb.State               { return r.state }
 func (r *recorder) Revision() *linkpb.Revision                             { return r.revision }
 func (r *recorder) ServeOffer(f model.InstanceID, o *linkpb.Offer, c Conn) { r.serve(f, o, c) }
 
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -60,6 +60,9 @@
 	GossipReceived(from model.InstanceID, g *linkpb.Gossip)
 	// Revision returns the configuration revision in force, nil without one.
 	Revision() *linkpb.Revision
+	// State returns what a peer lacks of the platform's store, nil where this
+	// instance keeps no copy of it.
+	State(known *linkpb.StateRequest) *linkpb.State
 }
 
 // OfferHandler serves a request that a peer offers. It returns when the answer
@@ -183,6 +186,31 @@
 
 // Revision asks a peer for its configuration revision.
 func (l *Links) Revision(to model.InstanceID, number int64, timeout time.Duration) (*linkpb.Revision, error) {
+	request := &linkpb.Frame_RevisionRequest{RevisionRequest: &linkpb.RevisionRequest{Number: number}}
+	f, err := l.ask(to, &linkpb.Frame{Body: request}, timeout)
+	if err != nil {
+		return nil, fmt.Errorf("revision from %s: %w", to, err)
+	}
+	if f.GetRevision() == nil {
+		return nil, fmt.Errorf("revision from %s: unexpected frame %T", to, f.GetBody())
+	}
+	return f.GetRevision(), nil
+}
+
+// State asks a peer for what it knows of the platform's store.
+func (l *Links) State(to model.InstanceID, known *linkpb.StateRequest, timeout time.Duration) (*linkpb.State, error) {
+	f, err := l.ask(to, &linkpb.Frame{Body: &linkpb.Frame_StateRequest{StateRequest: known}}, timeout)
+	if err != nil {
+		return nil, fmt.Errorf("state from %s: %w", to, err)
+	}
+	if f.GetState() == nil {
+		return nil, fmt.Errorf("state from %s: unexpected frame %T", to, f.GetBody())
+	}
+	return f.GetState(), nil
+}
+
+// ask sends one frame on a stream of its own and returns the answer.
+func (l *Links) ask(to model.InstanceID, question *linkpb.Frame, timeout time.Duration) (*linkpb.Frame, error) {
 	p := l.peer(to)
 	if p == nil {
 		return nil, &DownError{Peer: to}
@@ -193,18 +221,10 @@
 	}
 	defer func() { _ = conn.Close() }()
 	if err := conn.setReadDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, fmt.Errorf("revision from %s: %w", to, err)
-	}
-	request := &linkpb.Frame_RevisionRequest{RevisionRequest: &linkpb.RevisionRequest{Number: number}}
-	if err := conn.Send(&linkpb.Frame{Body: request}); err != nil {
-		return nil, fmt.Errorf("revision from %s: %w", to, err)
-	}
-	f, err := conn.Receive()
-	if err != nil {
-		return nil, fmt.Errorf("revision from %s: %w", to, err)
+		return nil, err
 	}
-	if f.GetRevision() == nil {
-		return nil, fmt.Errorf("revision from %s: unexpected frame %T", to, f.GetBody())
+	if err := conn.Send(question); err != nil {
+		return nil, err
 	}
-	return f.GetRevision(), nil
+	return conn.Receive()
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -94,6 +94,8 @@
 		in.links.handler.ServeOffer(in.peer(), body.Offer, conn)
 	case *linkpb.Frame_RevisionRequest:
 		in.serveRevision(conn)
+	case *linkpb.Frame_StateRequest:
+		in.serveState(conn, body.StateRequest)
 	}
 }
 
@@ -123,6 +125,14 @@
 	_ = conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Revision{Revision: r}})
 }
 
+func (in *inbound) serveState(conn *wire, known *linkpb.StateRequest) {
+	state := in.links.events.State(known)
+	if state == nil {
+		return
+	}
+	_ = conn.Send(&linkpb.Frame{Body: &linkpb.Frame_State{State: state}})
+}
+
 func (in *inbound) peer() model.InstanceID {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -41,7 +41,8 @@
 	switch f.GetBody().(type) {
 	case *linkpb.Frame_Hello, *linkpb.Frame_Gossip:
 		return TrafficMembership
-	case *linkpb.Frame_Revision, *linkpb.Frame_RevisionRequest:
+	case *linkpb.Frame_Revision, *linkpb.Frame_RevisionRequest,
+		*linkpb.Frame_State, *linkpb.Frame_StateRequest:
 		return TrafficConfiguration
 	default:
 		return TrafficRequests
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -43,8 +43,9 @@
 
 // transport sends single attempts and classifies how they fail.
 type transport struct {
-	peer string
-	http *fasthttp.HostClient
+	peer     string
+	classify func(httpAnswer *fasthttp.Response) (Verdict, bool)
+	http     *fasthttp.HostClient
 }
 
 // dialError marks a failure before any byte of a request was written.
@@ -55,7 +56,8 @@
 
 func newTransport(settings Settings) *transport {
 	return &transport{
-		peer: settings.Address,
+		peer:     settings.Address,
+		classify: ownVerdict,
 		http: &fasthttp.HostClient{
 			Addr:                      settings.Address,
 			DialTimeout:               dial,
@@ -134,20 +136,38 @@
 
 // classifyAnswer turns error statuses into errors.
 func (t *transport) classifyAnswer(req request, httpAnswer *fasthttp.Response) (*answer, error) {
+	status := httpAnswer.StatusCode()
+	verdict, notFound := t.classify(httpAnswer)
+	switch verdict {
+	case Answered:
+		return &answer{status: status, notFound: notFound, body: append([]byte(nil), httpAnswer.Body()...)}, nil
+	case Throttled:
+		return nil, t.unavailable(req, ErrThrottled)
+	case Rejected:
+		return nil, t.unavailable(req, fmt.Errorf("%w: %s", ErrRejected, httpAnswer.Body()))
+	case NotApplied:
+		return nil, t.unavailable(req, fmt.Errorf("status %d: %s", status, httpAnswer.Body()))
+	default:
+		return nil, t.unanswered(req, fmt.Errorf("status %d", status))
+	}
+}
+
+// ownVerdict reads an answer of the project's own protocol.
+func ownVerdict(httpAnswer *fasthttp.Response) (Verdict, bool) {
 	status := httpAnswer.StatusCode()
 	notApplied := string(httpAnswer.Header.Peek(wire.HeaderNotApplied)) == wire.MarkerTrue
 	notFound := string(httpAnswer.Header.Peek(wire.HeaderNotFound)) == wire.MarkerTrue
 	switch {
 	case status/100 == 2, status == fasthttp.StatusConflict, notFound:
-		return &answer{status: status, notFound: notFound, body: append([]byte(nil), httpAnswer.Body()...)}, nil
+		return Answered, notFound
 	case notApplied && status == fasthttp.StatusTooManyRequests:
-		return nil, t.unavailable(req, ErrThrottled)
+		return Throttled, false
 	case notApplied && status == fasthttp.StatusBadRequest:
-		return nil, t.unavailable(req, fmt.Errorf("%w: %s", ErrRejected, httpAnswer.Body()))
+		return Rejected, false
 	case notApplied:
-		return nil, t.unavailable(req, fmt.Errorf("status %d: %s", status, httpAnswer.Body()))
+		return NotApplied, false
 	default:
-		return nil, t.unanswered(req, fmt.Errorf("status %d", status))
+		return Uncertain, false
 	}
 }
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -167,6 +167,9 @@
 	r.post(&event.GossipReceived{At: now, From: from, Message: message})
 }
 
+// State implements link.Events; the operators' text is all that this instance knows.
+func (r *Runtime) State(*linkpb.StateRequest) *linkpb.State { return nil }
+
 // Revision implements link.Events.
 func (r *Runtime) Revision() *linkpb.Revision { return r.revision.Load() }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,16 @@
 	WritesPerSecond int `ini:"writes per second"` // transactions of this instance
 }
 
+// Direct is the [direct] section, of an instance that sends requests itself to the
+// backend servers that the platform's store lists (primrosenotch-edge). Addresses
+// are host:port with an IP address.
+type Direct struct {
+	Lookups string `ini:"lookups"` // callers' look-ups
+	Ready   string `ini:"ready"`   // the platform's question whether the instance is ready
+	Bounds  string `ini:"bounds"`  // that the platform requires, name=value separated by commas
+	Naive   bool   `ini:"naive"`   // pick random servers of the region, as a baseline for measurements
+}
+
 // Log is the [log] section.
 type Log struct {
 	Level  string `ini:"level"`  // logrus level
@@ -72,10 +82,14 @@
 	Platform  Platform  `ini:"platform"`
 	Serving   Serving   `ini:"serving"`
 	Ledger    Ledger    `ini:"ledger"`
+	Direct    Direct    `ini:"direct"`
 	Log       Log       `ini:"log"`
 	// Peers are host:port of other instances' links, by instance identifier, for
 	// the time before the platform's list is known. Section [peers].
 	Peers map[string]string `ini:"-"`
+	// Regions are the regions of the availability zones, where the platform and not
+	// the operators' text gives them. Section [regions].
+	Regions map[string]string `ini:"-"`
 }
 
 // Default returns the settings that a file may leave out.
@@ -102,6 +116,7 @@
 		return s, fmt.Errorf("read settings %s: %w", name, err)
 	}
 	s.Peers = file.Section(peersSection).KeysHash()
+	s.Regions = file.Section(regionsSection).KeysHash()
 	s.Advertise.fillFrom(s.Listen)
 	if err := errors.Join(checkDurations(name, file), s.check(name)); err != nil {
 		return s, err
@@ -137,9 +152,12 @@
 	return errors.Join(faults...)
 }
 
-const peersSection = "peers"
+const (
+	peersSection   = "peers"
+	regionsSection = "regions"
+)
 
-// known lists the keys of each section; [peers] takes any key.
+// known lists the keys of each section; [peers] and [regions] take any key.
 var known = map[string][]string{
 	"instance":  {"id", "zone"},
 	"listen":    {"callers", "links", "control"},
@@ -147,13 +165,14 @@
 	"platform":  {"address", "timeout", "poll every", "poll factor"},
 	"serving":   {"max requests", "lookup ttl", "drain"},
 	"ledger":    {"writes per second"},
+	"direct":    {"lookups", "ready", "bounds", "naive"},
 	"log":       {"level", "format"},
 }
 
 func checkNames(name string, file *ini.File) error {
 	var faults []error
 	for _, section := range file.Sections() {
-		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 || section.Name() == peersSection {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 || section.Name() == peersSection || section.Name() == regionsSection {
 			continue
 		}
 		keys, ok := known[section.Name()]
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -21,14 +21,18 @@
 var errUnverifiable = errors.New("the answer gives no length, so its completeness cannot be checked")
 
 // newAnswer copies what outlives the connection's response.
-func newAnswer(resp *fasthttp.Response, body *answerBody, reused bool) *Answer {
+func (c *Client) newAnswer(resp *fasthttp.Response, body *answerBody, reused bool) *Answer {
 	answer := &Answer{
 		Status:    resp.StatusCode(),
 		Header:    copyHeader(resp),
 		BodyBytes: body.length,
 		Body:      body,
-		Draining:  isTrue(resp, httpheader.Draining),
+		Draining:  isTrue(resp, c.settings.Dialect.Draining),
 		Reused:    reused,
+		Report:    readReport(c.settings.Dialect, resp),
+	}
+	if limit := keepAlive(resp); limit > 0 && body.cn != nil {
+		body.cn.maxIdle = limit
 	}
 	if body.left == 0 {
 		body.finish()
@@ -54,7 +58,7 @@
 	stop     func() bool // detaches the connection from the attempt's context
 	length   int64       // -1 when unknown
 	left     int64       // bytes still due, -1 when unknown
-	identity bool
+	identity bool        // ends with its connection
 	reusable bool
 	err      error // result of every further read
 }
@@ -104,6 +108,8 @@
 // ended settles a stream that ended by itself.
 func (b *answerBody) ended() error {
 	switch {
+	case b.identity && b.client.settings.AcceptUnframed:
+		b.finish()
 	case b.identity:
 		b.fail(fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, errUnverifiable))
 	case b.left > 0:
@@ -121,7 +127,7 @@
 	if cn == nil {
 		return
 	}
-	if !b.stop() || !b.reusable || cn.br.Buffered() > 0 {
+	if !b.stop() || !b.reusable || b.identity || cn.br.Buffered() > 0 {
 		cn.pool.discard(cn)
 		return
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,7 +26,9 @@
 	BodyBytes      int64
 	Trace          string
 	IdempotencyKey string
-	// DeadlineLeft is what the backend server is told in X-Deadline-Ms; 0 tells
+	// ExpectServer is the only server that may run the request, empty for any.
+	ExpectServer model.BackendName
+	// DeadlineLeft is what the backend server is told; 0 tells
 	// it nothing. The attempt itself is bounded by its context.
 	DeadlineLeft time.Duration
 	// AnswerTimeout bounds the wait for the first byte of the answer after the
@@ -34,6 +36,9 @@
 	AnswerTimeout time.Duration
 	// FreshConnection forbids a pooled connection.
 	FreshConnection bool
+	// MaxIdle bounds how long a pooled connection may have been idle; 0 means the
+	// client's idle time-out.
+	MaxIdle time.Duration
 }
 
 // Answer is a backend server's answer. Its body must be closed.
@@ -48,8 +53,21 @@
 	Body     io.ReadCloser
 	Draining bool // the backend server announced that it is leaving
 	Reused   bool // the connection had carried a request before
+	Report   Report
 }
 
+// Report is what a backend server says of itself on an answer.
+type Report struct {
+	Server   model.BackendName // empty where it does not say
+	Load     Load
+	HasLoad  bool
+	ColdLeft time.Duration // how long it stays cold
+	HasCold  bool
+}
+
+// Load is a backend server's own count of requests.
+type Load struct{ Running, Waiting, Slots int }
+
 // Step names the part of an attempt at which it failed.
 type Step string
 
@@ -71,10 +89,13 @@
 	Sent       bool
 	RetryAfter time.Duration // the server's hint with event.AttemptShed
 	Draining   bool
-	Step       Step
-	Backend    model.BackendName
-	Peer       netip.AddrPort
-	Err        error
+	// Misdirected reports that another server answers at the address.
+	Misdirected bool
+	Report      Report
+	Step        Step
+	Backend     model.BackendName
+	Peer        netip.AddrPort
+	Err         error
 }
 
 // Error implements error.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -112,7 +113,7 @@
 func (c *Client) connect(ctx context.Context, a *Attempt) (*conn, Step, error) {
 	p := c.poolOf(a.Address)
 	if !a.FreshConnection {
-		if cn := p.take(time.Now(), c.settings.IdleTimeout); cn != nil {
+		if cn := p.take(time.Now(), cmp.Or(a.MaxIdle, c.settings.IdleTimeout)); cn != nil {
 			return cn, "", nil
 		}
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"sync/atomic"
@@ -31,13 +32,15 @@
 	bw       *bufio.Writer
 	opened   time.Time
 	idleFrom time.Time
-	requests int // requests that this connection has carried
+	maxIdle  time.Duration // that the server keeps it open for
+	requests int           // requests that this connection has carried
 	progress time.Duration
 	// firstByte replaces progress until the first byte of an answer.
 	firstByte time.Duration
 	written   atomic.Int64 // bytes of the current request
 	received  atomic.Int64 // bytes of the current answer
 	uploading atomic.Bool  // a body is being sent while the answer is awaited
+	foreign   bool         // it gave an answer to another request
 	answered  atomic.Bool  // the answer arrived while uploading
 	// readErr is the last error of Read, since fasthttp reports what goes wrong
 	// before the first byte as io.EOF.
@@ -45,7 +48,7 @@
 }
 
 func newConn(c net.Conn, p *pool, now time.Time, progress time.Duration) *conn {
-	cn := &conn{Conn: c, pool: p, probe: tcpstate.NewProbe(c), opened: now, progress: progress}
+	cn := &conn{Conn: c, pool: p, probe: tcpstate.NewProbe(c), opened: now, progress: progress, maxIdle: math.MaxInt64}
 	cn.br = bufio.NewReaderSize(cn, bufferBytes)
 	cn.bw = bufio.NewWriterSize(cn, bufferBytes)
 	return cn
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,13 +23,13 @@
 
 // take returns the most recently used idle connection that is still usable, or
 // nil. Unusable ones are closed.
-func (p *pool) take(now time.Time, idleTimeout time.Duration) *conn {
+func (p *pool) take(now time.Time, maxIdle time.Duration) *conn {
 	for {
 		c := p.pop()
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleFrom) < idleTimeout && c.probe.Peek() == tcpstate.Quiet {
+		if now.Sub(c.idleFrom) < min(maxIdle, c.maxIdle) && c.probe.Peek() == tcpstate.Quiet {
 			return c
 		}
 		p.discard(c)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
@@ -9,34 +10,38 @@
 )
 
 // writeHeader fills the header of the request that goes to the backend server.
-func writeHeader(req *fasthttp.Request, a *Attempt) {
+func (c *Client) writeHeader(req *fasthttp.Request, a *Attempt) {
+	d := c.settings.Dialect
 	h := &req.Header
 	h.SetNoDefaultContentType(true)
 	h.SetMethod(a.Method)
 	h.SetRequestURIBytes(a.URI)
 	h.SetHost(hostOf(a))
 	for _, f := range a.Header {
-		if httpheader.IsHopByHop(f.Name) || setByClient(f.Name) {
+		if httpheader.IsHopByHop(f.Name) || setByClient(d, f.Name) {
 			continue
 		}
 		h.Add(f.Name, f.Value)
 	}
-	h.Add(httpheader.Via, httpheader.ViaValue)
-	setIfAny(h, httpheader.RequestID, a.Trace)
-	setIfAny(h, httpheader.IdempotencyKey, a.IdempotencyKey)
+	if d.Via != "" {
+		h.Add(d.Via, httpheader.ViaValue)
+	}
+	setIfAny(h, d.RequestID, a.Trace)
+	setIfAny(h, d.IdempotencyKey, a.IdempotencyKey)
+	setIfAny(h, d.ExpectServer, string(a.ExpectServer))
 	if a.DeadlineLeft > 0 {
-		h.Set(httpheader.DeadlineMillis, strconv.FormatInt(deadlineMillis(a.DeadlineLeft), 10))
+		h.Set(d.DeadlineMillis, strconv.FormatInt(deadlineMillis(a.DeadlineLeft), 10))
 	}
 }
 
 // setByClient reports whether the client sets a field from the attempt itself.
-func setByClient(name string) bool {
-	switch name {
-	case fasthttp.HeaderHost, httpheader.RequestID, httpheader.IdempotencyKey, httpheader.DeadlineMillis:
-		return true
-	default:
-		return false
+func setByClient(d *httpheader.Dialect, name string) bool {
+	for _, own := range [...]string{fasthttp.HeaderHost, d.RequestID, d.IdempotencyKey, d.DeadlineMillis, d.ExpectServer} {
+		if own != "" && strings.EqualFold(own, name) {
+			return true
+		}
 	}
+	return false
 }
 
 func hostOf(a *Attempt) string {
@@ -47,7 +52,7 @@
 }
 
 func setIfAny(h *fasthttp.RequestHeader, name, value string) {
-	if value != "" {
+	if name != "" && value != "" {
 		h.Set(name, value)
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -32,7 +32,10 @@
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	resp.SkipBody = a.Method == fasthttp.MethodHead
-	sent, step, err := roundTrip(a, cn, resp)
+	sent, step, err := c.roundTrip(a, cn, resp)
+	if err == nil {
+		step, err = c.skipForeign(a, cn, resp)
+	}
 	if err != nil {
 		stop()
 		cn.pool.discard(cn)
@@ -40,19 +43,19 @@
 		return nil, failure(ctx, a, cn, step, err)
 	}
 	body := newAnswerBody(c, cn, resp, stop)
-	body.reusable = sent && !resp.ConnectionClose() && !isTrue(resp, httpheader.Draining)
-	if isShed(resp) {
-		return nil, shed(a, resp, body)
+	body.reusable = sent && !cn.foreign && !resp.ConnectionClose() && !isTrue(resp, c.settings.Dialect.Draining)
+	if c.isNotRun(resp) {
+		return nil, c.shed(a, resp, body)
 	}
-	return newAnswer(resp, body, reused), nil
+	return c.newAnswer(resp, body, reused), nil
 }
 
 // roundTrip sends the request and reads the answer's header. It reports whether
 // the whole request was sent.
-func roundTrip(a *Attempt, cn *conn, resp *fasthttp.Response) (bool, Step, error) {
+func (c *Client) roundTrip(a *Attempt, cn *conn, resp *fasthttp.Response) (bool, Step, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	writeHeader(req, a)
+	c.writeHeader(req, a)
 	if a.BodyStream != nil {
 		return streamedRoundTrip(a, cn, req, resp)
 	}
@@ -145,25 +148,42 @@
 	return n, err
 }
 
+// isTrue reports whether a field says yes, as "true" or "1".
 func isTrue(resp *fasthttp.Response, name string) bool {
-	return strings.EqualFold(string(resp.Header.Peek(name)), "true")
+	if name == "" {
+		return false
+	}
+	value := string(resp.Header.Peek(name))
+	return value == "1" || strings.EqualFold(value, "true")
 }
 
-func isShed(resp *fasthttp.Response) bool {
-	return resp.StatusCode() == fasthttp.StatusServiceUnavailable && isTrue(resp, httpheader.NotRun)
+// isNotRun reports whether the server says that it did not run the request.
+func (c *Client) isNotRun(resp *fasthttp.Response) bool {
+	if isMisdirected(c.settings.Dialect, resp) {
+		return true
+	}
+	return resp.StatusCode() >= fasthttp.StatusBadRequest && isTrue(resp, c.settings.Dialect.NotRun)
+}
+
+// isMisdirected reports whether another server than the expected one answered.
+func isMisdirected(d *httpheader.Dialect, resp *fasthttp.Response) bool {
+	return d.ExpectServer != "" && resp.StatusCode() == fasthttp.StatusMisdirectedRequest
 }
 
 // shed ends an attempt that the server refused without running it.
-func shed(a *Attempt, resp *fasthttp.Response, body *answerBody) *SendError {
+func (c *Client) shed(a *Attempt, resp *fasthttp.Response, body *answerBody) *SendError {
+	d := c.settings.Dialect
 	e := &SendError{
-		Result:     event.AttemptShed,
-		Sent:       true,
-		RetryAfter: retryAfter(resp),
-		Draining:   isTrue(resp, httpheader.Draining),
-		Step:       StepShed,
-		Backend:    a.Backend,
-		Peer:       a.Address,
-		Err:        errShed,
+		Result:      event.AttemptShed,
+		Sent:        true,
+		RetryAfter:  retryAfter(resp),
+		Draining:    isTrue(resp, d.Draining),
+		Misdirected: isMisdirected(d, resp),
+		Report:      readReport(d, resp),
+		Step:        StepShed,
+		Backend:     a.Backend,
+		Peer:        a.Address,
+		Err:         errShed,
 	}
 	body.drain()
 	return e
@@ -172,9 +192,12 @@
 var errShed = errors.New("the server refused the request without running it")
 
 func retryAfter(resp *fasthttp.Response) time.Duration {
-	seconds, err := strconv.ParseUint(string(resp.Header.Peek(httpheader.RetryAfter)), 10, 31)
-	if err != nil {
+	seconds, err := strconv.ParseFloat(string(resp.Header.Peek(httpheader.RetryAfter)), 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
 }
+
+// maxRetryAfter is the longest Retry-After that is believed.
+const maxRetryAfter = time.Hour
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -3,7 +3,11 @@
 // repeats a request by itself.
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+)
 
 // Settings bounds the client. A zero field takes the default.
 type Settings struct {
@@ -21,6 +25,11 @@
 	MaxOpenPerAddress int
 	// StatusTimeout bounds one status request.
 	StatusTimeout time.Duration
+	// Dialect names the fields that backend servers understand; nil is httpheader.Own.
+	Dialect *httpheader.Dialect
+	// AcceptUnframed takes an answer without a length as complete when its
+	// connection is closed in an orderly way.
+	AcceptUnframed bool
 }
 
 // The defaults of Settings.
@@ -40,6 +49,9 @@
 	s.MaxIdlePerAddress = orDefault(s.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
 	s.MaxOpenPerAddress = orDefault(s.MaxOpenPerAddress, DefaultMaxOpenPerAddress)
 	s.StatusTimeout = orDefault(s.StatusTimeout, DefaultStatusTimeout)
+	if s.Dialect == nil {
+		s.Dialect = httpheader.Own()
+	}
 	return s
 }
 
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -73,3 +73,12 @@
 	}
 	return status, nil
 }
+
+// Check sends a request that is no caller's and closes its answer unread.
+func (c *Client) Check(ctx context.Context, a *Attempt) (*Answer, error) {
+	answer, failed := c.Send(ctx, a)
+	if failed != nil {
+		return nil, failed
+	}
+	return answer, answer.Body.Close()
+}
