--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/samber/do/v2"
@@ -43,12 +42,7 @@
 	return checked{Settings: s, bounds: bounds}, nil
 }
 
-// memoryTarget is the size in bytes at which the garbage collector runs more often;
-// it lies below the 32 MB that an instance may use for control.
-const memoryTarget = 24 << 20
-
 func serve(s checked) error {
-	debug.SetMemoryLimit(memoryTarget)
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	do.Provide(injector, newLog)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,6 +74,8 @@
 		d.catalogChanged(ev)
 	case *StoreTried:
 		d.store.tried(ev.At, ev.OK)
+	case *StoreVouched:
+		d.store.vouchedAt = ev.At
 	case *FleetCounted:
 		d.instances = ev.Instances
 	case *RequestArrived:
@@ -94,6 +96,10 @@
 	d.add(&Record{At: at, Subject: subject, What: what, Why: why})
 }
 
+// StoreSettled reports whether what is missing from the store has been removed, and
+// has not expired in an outage.
+func (d *Dispatcher) StoreSettled(now model.Instant) bool { return d.store.settled(now) }
+
 // Configured reports whether a configuration is in force.
 func (d *Dispatcher) Configured() bool { return d.config != nil }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -26,6 +26,9 @@
 	OK bool
 }
 
+// StoreVouched reports that a peer reads the store without failures.
+type StoreVouched struct{ At model.Instant }
+
 // FleetCounted reports how many instances may be sending.
 type FleetCounted struct {
 	At        model.Instant
@@ -85,6 +88,7 @@
 func (*Tick) event()           {}
 func (*CatalogChanged) event() {}
 func (*StoreTried) event()     {}
+func (*StoreVouched) event()   {}
 func (*FleetCounted) event()   {}
 func (*RequestArrived) event() {}
 func (*AttemptEnded) event()   {}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -96,16 +96,10 @@
 	send := &Send{Request: q.id, Server: &s.entry, Left: left, Attempt: q.sends + q.dials}
 	if !q.route.Kind.Repeatable() {
 		send.MaxIdle = reuseOnce
-	} else if q.sends < q.route.Attempts {
-		send.AnswerTimeout = scale(left, silentShare)
 	}
 	d.add(send)
 }
 
-// silentShare is the part of the time left after which a server that has not
-// begun to answer is given up for another one.
-const silentShare = 0.6
-
 // end refuses a request: with the promise that it did not run where that is so.
 func (d *Dispatcher) end(q *request, cause model.Cause, retryAfter time.Duration) {
 	outcome := model.NotRun
--- a/internal/dispatch/store.go
+++ b/internal/dispatch/store.go
@@ -19,6 +19,9 @@
 type storeHealth struct {
 	failedAt model.Instant // last failure, 0 for none
 	backAt   model.Instant // first success after it, 0 while it is away
+	// vouchedAt is when a peer last said that it reads the store, so that only this
+	// instance is kept from it.
+	vouchedAt model.Instant
 }
 
 func (h *storeHealth) tried(now model.Instant, ok bool) {
@@ -33,7 +36,7 @@
 // mayHaveLapsed reports whether an entry that vanished may have expired while the
 // store was away.
 func (h *storeHealth) mayHaveLapsed(now model.Instant) bool {
-	if h.failedAt == 0 {
+	if h.failedAt == 0 || h.vouched(now) {
 		return false
 	}
 	return h.backAt == 0 || now.Sub(h.backAt) < lapseReturn || now.Sub(h.failedAt) < lapseSuspicion
@@ -42,5 +45,13 @@
 // settled reports whether the store has been back long enough for every live
 // server to have listed itself again.
 func (h *storeHealth) settled(now model.Instant) bool {
-	return h.failedAt == 0 || (h.backAt != 0 && now.Sub(h.backAt) >= lapseReturn)
+	return h.failedAt == 0 || h.vouched(now) || (h.backAt != 0 && now.Sub(h.backAt) >= lapseReturn)
+}
+
+// vouchFor is how long a peer's word on the store holds: peers are asked as often
+// as that while the store cannot be read.
+const vouchFor = 2 * time.Second
+
+func (h *storeHealth) vouched(now model.Instant) bool {
+	return h.vouchedAt != 0 && now.Sub(h.vouchedAt) < vouchFor
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,11 +45,11 @@
 	cache   *follow.Cache
 	reads   map[string]readState
 
-	stopping  atomic.Bool // no longer named to callers
-	refusing  atomic.Bool // takes no more requests
-	followed  atomic.Int32
-	fetching  atomic.Bool
-	listOwn   chan struct{} // asks for the own entry to be written again
+	stopping atomic.Bool // no longer named to callers
+	refusing atomic.Bool // takes no more requests
+	followed atomic.Int32
+	fetching atomic.Bool
+	listOwn  chan struct{} // asks for the own entry to be written again
 
 	ctx   context.Context // ends when the instance has left
 	leave context.CancelFunc
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -127,6 +127,9 @@
 			e.log.WithField("peer", peer).WithError(err).Debug("no state from peer")
 			return
 		}
+		if state.GetSettled() {
+			e.post(&dispatch.StoreVouched{At: e.clock.now()})
+		}
 		for _, t := range state.GetTables() {
 			e.Apply(batchFromProto(t))
 		}
@@ -144,11 +147,17 @@
 	}
 }
 
+func (e *Edge) storeSettled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.StoreSettled(e.clock.now())
+}
+
 // State implements link.Events.
 func (e *Edge) State(request *linkpb.StateRequest) *linkpb.State {
+	state := &linkpb.State{Settled: e.storeSettled()}
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	state := &linkpb.State{}
 	for _, known := range request.GetKnown() {
 		b := e.cache.Since(known.GetTable(), known.GetVersion())
 		if b.Version <= known.GetVersion() {
