--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -79,8 +79,11 @@
 		cost += regionRoundTrip
 	}
 	learn := d.learnCost(q)
-	if !s.warm.knows(now, q.object) {
-		cost += scale(learn, 1+learnSpread*spread(q.object, s.hash))
+	graded := spread(q.object, s.hash)
+	if s.warm.knows(now, q.object) {
+		cost += scale(learn, knownSpread*graded)
+	} else {
+		cost += scale(learn, 1+learnSpread*graded)
 	}
 	if s.cold(now) {
 		cost += learn
@@ -93,6 +96,10 @@
 // believe of the load.
 const learnSpread = 1.0
 
+// knownSpread does the same among servers that know an object, so that requests for
+// it come together again after they were spread.
+const knownSpread = 0.5
+
 // queueCost is the time until a slot is free, and a little for each request that
 // is there already, so that equal servers share.
 func (d *Dispatcher) queueCost(now model.Instant, s *server, q *request) time.Duration {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -74,7 +74,7 @@
 type warmth map[uint64]model.Instant
 
 // warmFor is how long a server is believed to know an object after it handled it.
-const warmFor = time.Minute
+const warmFor = 20 * time.Second
 
 // maxWarm bounds the objects that are remembered for one server.
 const maxWarm = 256
