--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -49,19 +48,28 @@
 	return best
 }
 
-// places returns the usable servers among which a request's object is shared, the
-// nearest by hash and distance first. It is valid until the next call.
+// places returns the usable servers among which a request's object is shared: the
+// nearest by hash and distance, and the nearest others by hash alone, so that what a
+// region cannot carry spreads over all. The result is valid until the next call.
 func (d *Dispatcher) places(now model.Instant, q *request) []*server {
 	d.placed = d.placed[:0]
 	for _, s := range d.byService[q.service] {
 		if d.usable(now, s, q) {
-			d.placed = append(d.placed, place{server: s, distance: d.distance(s, q)})
+			d.placed = append(d.placed, place{server: s, distance: d.distance(s, q), spread: spread(q.object, s.hash)})
 		}
 	}
-	slices.SortFunc(d.placed, func(a, b place) int { return cmp.Compare(a.distance, b.distance) })
 	d.candidates = d.candidates[:0]
-	for _, p := range d.placed[:min(len(d.placed), placesPerObject)] {
-		d.candidates = append(d.candidates, p.server)
+	nearest := func(p place) float64 { return p.distance.Seconds() }
+	for range min(len(d.placed), placesPerObject) {
+		best := 0
+		for i := range d.placed {
+			if nearest(d.placed[i]) < nearest(d.placed[best]) {
+				best = i
+			}
+		}
+		d.candidates = append(d.candidates, d.placed[best].server)
+		d.placed = slices.Delete(d.placed, best, best+1)
+		nearest = func(p place) float64 { return p.spread }
 	}
 	return d.candidates
 }
@@ -70,10 +78,11 @@
 // need more of the servers' memory.
 const placesPerObject = 2
 
-// place is a server with its distance from an object.
+// place is a server as seen from an object.
 type place struct {
 	server   *server
 	distance time.Duration
+	spread   float64
 }
 
 // distance grades servers for an object by hash, and by the way to their region.
@@ -90,7 +99,7 @@
 
 // hashSpread is how many objectives the hash spreads the servers over: the more, the
 // less the distance between regions counts.
-const hashSpread = 6.0
+const hashSpread = 0.5
 
 // wait returns how long until a server may take a request, 0 for now.
 func (d *Dispatcher) wait(now model.Instant, s *server, q *request) time.Duration {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -28,7 +28,6 @@
 	probing      bool
 	goneAt       model.Instant // when its entry vanished, 0 while it is listed
 	shed         average
-	slowness     average // of its run times, as multiples of the service's
 }
 
 // othersFade is the time in which a reported load of other instances loses 63 % of
