--- /dev/null
+++ b/internal/catalog/configuration_test.go
@@ -0,0 +1,55 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+func indexed(routes ...Route) *Configuration {
+	c := &Configuration{Version: 1, Routes: routes, Services: []Service{{Name: "shop"}}}
+	c.Index()
+	return c
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	c := indexed(
+		Route{Name: "root", Host: "a.example", Prefix: "/"},
+		Route{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		Route{Name: "mid", Host: "a.example", Prefix: "/x/"},
+		Route{Name: "other", Host: "b.example", Prefix: "/x/"},
+	)
+	for _, tt := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example", "/x/y", "mid"}, // the prefix ends with a slash
+		{"A.Example", "/x/", "mid"},
+		{"a.example:8080", "/q", "root"},
+		{"b.example", "/q", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if r := c.Match(tt.host, tt.path); r != nil {
+			got = string(r.Name)
+		}
+		require.Equal(t, tt.want, got, "%s%s", tt.host, tt.path)
+	}
+}
+
+func TestHomesOfAHost(t *testing.T) {
+	bound := Route{Host: "a.example", Prefix: "/x/", Homes: []model.RegionName{"north", "south"}}
+	narrow := Route{Host: "a.example", Prefix: "/y/", Homes: []model.RegionName{"south"}}
+	free := Route{Host: "a.example", Prefix: "/z/"}
+	require.Equal(t, []model.RegionName{"south"}, indexed(bound, narrow).HomesOf("a.example"))
+	require.Empty(t, indexed(bound, free).HomesOf("a.example"))
+	require.Empty(t, indexed(bound).HomesOf("b.example"))
+}
+
+func TestServerIncarnations(t *testing.T) {
+	a := Server{ID: "s", Started: 1, Sequence: 4}
+	b := Server{ID: "s", Started: 1, Sequence: 9}
+	require.True(t, a.SameIncarnation(&b))
+	b.Started = 2
+	require.False(t, a.SameIncarnation(&b))
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+func TestWithoutConfigurationNothingIsDenied(t *testing.T) {
+	d := New(testSettings("north"))
+	r := requireRefuse(t, arrive(d, start, 1, "k"), model.NotRun, model.CauseNoConfiguration)
+	require.Positive(t, r.RetryAfter)
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := newDispatcher(testRoute())
+	d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(9)}})
+	requireRefuse(t, arrive(d, start, 1, "k"), model.NotRun, model.CauseNoRoute)
+	d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(8, testRoute())}})
+	requireRefuse(t, arrive(d, start, 2, "k"), model.NotRun, model.CauseNoRoute)
+}
+
+func TestDeadlineIsTheShorterOfCallersAndRoutes(t *testing.T) {
+	d := newDispatcher(testRoute())
+	require.Equal(t, 2*time.Second, requireSend(t, arrive(d, start, 1, "k")).Left)
+	short := d.Step(&RequestArrived{At: start, Request: 2, Host: "shop.example", Path: "/browse/x", Patience: 300 * time.Millisecond})
+	require.Equal(t, 300*time.Millisecond, requireSend(t, aboutRequest(short)).Left)
+}
+
+func TestOnceIsNeverSentAgainAfterItMayHaveRun(t *testing.T) {
+	route := testRoute()
+	route.Kind = model.Once
+	for _, result := range []event.AttemptResult{
+		event.AttemptBroken, event.AttemptStaleBroken, event.AttemptCut, event.AttemptTimeout,
+	} {
+		d := newDispatcher(route)
+		requireSend(t, arrive(d, start, 1, "k"))
+		f := ended(d, at(time.Second), 1, result)
+		require.IsType(t, &Refuse{}, f)
+		require.Equal(t, model.Unknown, f.(*Refuse).Outcome, "no promise after %v", result)
+		require.Zero(t, f.(*Refuse).RetryAfter)
+	}
+}
+
+func TestProvenNotRunGoesToAnotherServer(t *testing.T) {
+	route := testRoute()
+	route.Kind = model.Once
+	d := newDispatcher(route)
+	first := requireSend(t, arrive(d, start, 1, "k"))
+	second := requireSend(t, ended(d, at(time.Millisecond), 1, event.AttemptShed))
+	require.NotEqual(t, first.Server.ID, second.Server.ID)
+	requireRefuse(t, ended(d, at(2*time.Millisecond), 1, event.AttemptShed), model.NotRun, model.CauseShed)
+}
+
+func TestAttemptsBoundTheServersOfARequest(t *testing.T) {
+	route := testRoute()
+	route.Attempts = 1
+	d := newDispatcher(route)
+	requireSend(t, arrive(d, start, 1, "k"))
+	requireRefuse(t, ended(d, at(time.Millisecond), 1, event.AttemptBroken), model.Unknown, model.CauseBroken)
+}
+
+func TestUnreachedServerCostsNoAttempt(t *testing.T) {
+	route := testRoute()
+	route.Attempts = 1
+	d := newDispatcher(route)
+	first := requireSend(t, arrive(d, start, 1, "k"))
+	second := requireSend(t, ended(d, at(time.Millisecond), 1, event.AttemptNotSent))
+	require.NotEqual(t, first.Server.ID, second.Server.ID)
+	for id := model.RequestID(2); id < 20; id++ {
+		require.NotEqual(t, first.Server.ID, requireSend(t, arrive(d, at(2*time.Millisecond), id, fmt.Sprint(id))).Server.ID, "it is ejected")
+	}
+}
+
+func TestMisdirectedServerIsNotUsedUntilItListsItselfAnew(t *testing.T) {
+	d := newDispatcher(testRoute())
+	first := requireSend(t, arrive(d, start, 1, "k"))
+	entry := *first.Server
+	d.Step(&AttemptEnded{At: at(time.Millisecond), Request: 1, Result: event.AttemptShed, Misdirected: true})
+	entry.Sequence++
+	d.Step(&CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: entry}})
+	for id := model.RequestID(2); id < 20; id++ {
+		require.NotEqual(t, entry.ID, requireSend(t, arrive(d, at(time.Second), id, "k")).Server.ID)
+		ended(d, at(time.Second), id, event.AttemptComplete)
+	}
+	entry.Started++
+	d.Step(&CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: entry}})
+	require.Equal(t, entry.ID, requireSend(t, arrive(d, at(time.Second), 20, "k")).Server.ID)
+}
+
+func TestLeavingAndEvacuatedServersGetNothing(t *testing.T) {
+	d := newDispatcher(testRoute())
+	leaving := testServer("shop-north-a", "north-a", "shop")
+	leaving.Draining = true
+	d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: leaving}})
+	d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "north-b", Active: true}})
+	for id := range model.RequestID(20) {
+		s := requireSend(t, arrive(d, start, id, fmt.Sprint(id)))
+		require.Contains(t, []model.ZoneName{"south-a", "south-b"}, s.Server.Zone)
+		ended(d, start, id, event.AttemptComplete)
+	}
+}
+
+func TestHomesBindRequests(t *testing.T) {
+	route := testRoute()
+	route.Homes = []model.RegionName{"south"}
+	d := newDispatcher(route)
+	for id := range model.RequestID(20) {
+		s := requireSend(t, arrive(d, start, id, fmt.Sprint(id)))
+		require.Equal(t, model.RegionName("south"), regions[s.Server.Zone])
+		ended(d, start, id, event.AttemptComplete)
+	}
+	d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "south-a", Active: true}})
+	d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "south-b", Active: true}})
+	requireRefuse(t, arrive(d, start, 30, "k"), model.NotRun, model.CauseNoBackend)
+}
+
+func TestSplitKeepsItsWeights(t *testing.T) {
+	s := newSplit([]catalog.Target{{Service: "shop", Weight: 90}, {Service: "annex", Weight: 10}})
+	annex := 0
+	for i := 1; i <= 1000; i++ {
+		if s.next() == "annex" {
+			annex++
+		}
+		require.InDelta(t, float64(i)/10, float64(annex), 1, "after %d", i)
+	}
+}
+
+// TestColdServerOfAllInstances keeps a cold server within its bound in any second,
+// with instances that count one another differently.
+func TestColdServerOfAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 7
+		bound := 10*1.5 + 5.0
+		entry := testServer("cold", "north-a", "shop")
+		entry.ColdLeft = time.Minute
+		var fleet [instances]*Dispatcher
+		for i := range fleet {
+			fleet[i] = New(testSettings("north"))
+			believed := rapid.IntRange(instances-2, instances).Draw(t, "believed")
+			fleet[i].Step(&FleetCounted{At: start, Instances: believed})
+			fleet[i].Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(1, testRoute())}})
+			fleet[i].Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: entry}})
+		}
+		var sent []model.Instant
+		now := start
+		for id, step := range rapid.SliceOfN(rapid.IntRange(0, 20), 100, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(step) * time.Millisecond)
+			d := fleet[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if _, ok := arrive(d, now, model.RequestID(id), "k").(*Send); ok {
+				sent = append(sent, now)
+				ended(d, now, model.RequestID(id), event.AttemptComplete)
+			}
+		}
+		for i := range sent {
+			inSecond := 0
+			for j := i; j < len(sent) && sent[j].Sub(sent[i]) < time.Second; j++ {
+				inSecond++
+			}
+			require.LessOrEqual(t, float64(inSecond), bound)
+		}
+	})
+}
+
+func TestServersThatLapsedWithTheStoreAreKeptForAWhile(t *testing.T) {
+	gone := &catalog.ServerGone{ID: "shop-north-a"}
+	listed := func(d *Dispatcher) bool { return d.servers["shop-north-a"] != nil }
+
+	t.Run("a removal is taken at its word", func(t *testing.T) {
+		d := newDispatcher(testRoute())
+		d.Step(&StoreTried{At: start, OK: true})
+		d.Step(&CatalogChanged{At: start, Change: gone})
+		require.False(t, listed(d))
+	})
+	t.Run("after an outage it is kept until live servers are back", func(t *testing.T) {
+		d := newDispatcher(testRoute())
+		d.Step(&StoreTried{At: start, OK: false})
+		d.Step(&StoreTried{At: at(5 * time.Second), OK: true})
+		d.Step(&CatalogChanged{At: at(5 * time.Second), Change: gone})
+		d.Step(&Tick{At: at(6900 * time.Millisecond)})
+		require.True(t, listed(d))
+		d.Step(&Tick{At: at(7 * time.Second)})
+		require.False(t, listed(d))
+	})
+	t.Run("a peer that reads the store vouches for the removal", func(t *testing.T) {
+		d := newDispatcher(testRoute())
+		d.Step(&StoreTried{At: start, OK: false})
+		d.Step(&StoreVouched{At: at(time.Second)})
+		d.Step(&CatalogChanged{At: at(time.Second), Change: gone})
+		require.False(t, listed(d))
+	})
+	t.Run("one that lists itself again stays", func(t *testing.T) {
+		d := newDispatcher(testRoute())
+		d.Step(&StoreTried{At: start, OK: false})
+		d.Step(&StoreTried{At: at(time.Second), OK: true})
+		d.Step(&CatalogChanged{At: at(time.Second), Change: gone})
+		back := testServer("shop-north-a", "north-a", "shop")
+		d.Step(&CatalogChanged{At: at(2 * time.Second), Change: &catalog.ServerChange{Server: back}})
+		d.Step(&Tick{At: at(9 * time.Second)})
+		require.True(t, listed(d))
+	})
+}
+
+func TestEjectedServerComesBackByItsHealthCheck(t *testing.T) {
+	d := newDispatcher(testRoute())
+	s := requireSend(t, arrive(d, start, 1, "k")).Server
+	ended(d, start, 1, event.AttemptNotSent)
+	var probe *Probe
+	for _, f := range d.Step(&Tick{At: at(ejectFirst)}) {
+		if p, ok := f.(*Probe); ok {
+			probe = p
+		}
+	}
+	require.NotNil(t, probe)
+	require.Equal(t, s.ID, probe.Server.ID)
+	d.Step(&ServerProbed{At: at(ejectFirst), Server: s.ID, Healthy: false})
+	require.NotZero(t, d.servers[s.ID].ejectedUntil)
+	d.Step(&Tick{At: at(5 * time.Second)})
+	d.Step(&ServerProbed{At: at(5 * time.Second), Server: s.ID, Healthy: true})
+	require.Zero(t, d.servers[s.ID].ejectedUntil)
+}
--- /dev/null
+++ b/internal/dispatch/load_test.go
@@ -0,0 +1,270 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// simulation replays a load against servers that answer faster where they know the
+// object, with several instances that do not hear each other.
+type simulation struct {
+	random    *rand.Rand
+	instances []*Dispatcher
+	servers   map[model.BackendName]*simServer
+	queue     simQueue
+	now       model.Instant
+	lastID    model.RequestID
+	inTime    map[time.Duration]int // by two-second window of arrival
+	arrived   map[time.Duration]int
+	shed      int
+}
+
+// simServer has slots, a queue, and a memory of objects.
+type simServer struct {
+	entry   catalog.Server
+	running int
+	waiting []simJob
+	known   []string // longest unused first
+}
+
+type simJob struct {
+	id       model.RequestID
+	instance *Dispatcher
+	region   model.RegionName
+	key      string
+	arrived  model.Instant
+}
+
+type simEvent struct {
+	at  model.Instant
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(e any)   { *q = append(*q, e.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+const (
+	simSlots    = 3
+	simQueueCap = 9
+	simMemory   = 21 // objects that a server knows
+	simWork     = 880 * time.Millisecond
+	simKnown    = 0.3 // part of the work where the object is known
+	simKeys     = 36  // objects of each region
+	window      = 2 * time.Second
+)
+
+func newSimulation(naive bool) *simulation {
+	s := &simulation{
+		random:  rand.New(rand.NewPCG(1, 2)),
+		servers: map[model.BackendName]*simServer{},
+		now:     start,
+		inTime:  map[time.Duration]int{},
+		arrived: map[time.Duration]int{},
+	}
+	for _, region := range []model.RegionName{"north", "north", "south", "south"} {
+		settings := testSettings(region)
+		settings.Naive = naive
+		d := New(settings)
+		d.Step(&FleetCounted{At: start, Instances: 4})
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(1, testRoute())}})
+		s.instances = append(s.instances, d)
+	}
+	for i := range 12 {
+		zone := []model.ZoneName{"north-a", "north-b", "south-a", "south-b"}[i%4]
+		entry := testServer(fmt.Sprint("shop-", i), zone, "shop")
+		entry.Slots = simSlots
+		s.servers[entry.ID] = &simServer{entry: entry}
+		for _, d := range s.instances {
+			d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: entry}})
+		}
+	}
+	return s
+}
+
+func (s *simulation) after(d time.Duration, run func()) {
+	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.queue.Len(), run: run})
+}
+
+// play runs arrivals at a rate a second that changes over time.
+func (s *simulation) play(length time.Duration, rate func(since time.Duration) float64) {
+	end := s.now.Add(length)
+	var next func()
+	next = func() {
+		s.arrive()
+		gap := s.random.ExpFloat64() / rate(s.now.Sub(start))
+		if wait := time.Duration(gap * float64(time.Second)); s.now.Add(wait) < end {
+			s.after(wait, next)
+		}
+	}
+	s.after(0, next)
+	for s.queue.Len() > 0 {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+}
+
+func (s *simulation) arrive() {
+	s.lastID++
+	i := s.random.IntN(len(s.instances))
+	d := s.instances[i]
+	region := d.settings.Region
+	j := simJob{
+		id:       s.lastID,
+		instance: d,
+		region:   region,
+		key:      fmt.Sprint(region, s.random.IntN(simKeys)),
+		arrived:  s.now,
+	}
+	s.arrived[s.windowOf(j)]++
+	s.follow(j, arrive(d, s.now, j.id, j.key))
+}
+
+func (s *simulation) windowOf(j simJob) time.Duration { return j.arrived.Sub(start) / window }
+
+func (s *simulation) follow(j simJob, f Effect) {
+	if send, ok := f.(*Send); ok {
+		server := s.servers[send.Server.ID]
+		s.after(s.way(j, server), func() { s.reach(j, server) })
+	}
+}
+
+func (s *simulation) way(j simJob, server *simServer) time.Duration {
+	if regions[server.entry.Zone] != j.region {
+		return regionRoundTrip / 2
+	}
+	return time.Millisecond
+}
+
+func (s *simulation) reach(j simJob, server *simServer) {
+	if len(server.waiting) >= simQueueCap {
+		s.shed++
+		s.answer(j, server, event.AttemptShed)
+		return
+	}
+	server.waiting = append(server.waiting, j)
+	s.work(server)
+}
+
+func (s *simulation) work(server *simServer) {
+	for server.running < simSlots && len(server.waiting) > 0 {
+		j := server.waiting[0]
+		server.waiting = server.waiting[1:]
+		if s.now.Sub(j.arrived) > testRoute().Timeout {
+			continue // its instance has given it up
+		}
+		server.running++
+		run := time.Duration((0.85 + 0.3*s.random.Float64()) * float64(simWork))
+		if server.recall(j.key) {
+			run = scale(run, simKnown)
+		}
+		s.after(run, func() {
+			server.running--
+			s.answer(j, server, event.AttemptComplete)
+			s.work(server)
+		})
+	}
+}
+
+// recall reports whether an object is known, and makes it the latest one.
+func (v *simServer) recall(key string) bool {
+	for i, k := range v.known {
+		if k == key {
+			v.known = append(append(v.known[:i:i], v.known[i+1:]...), key)
+			return true
+		}
+	}
+	v.known = append(v.known, key)
+	if len(v.known) > simMemory {
+		v.known = v.known[1:]
+	}
+	return false
+}
+
+func (s *simulation) answer(j simJob, server *simServer, result event.AttemptResult) {
+	report := ServerReport{HasLoad: true, Running: server.running, Waiting: len(server.waiting)}
+	s.after(s.way(j, server), func() {
+		late := s.now.Sub(j.arrived)
+		if result == event.AttemptComplete && late <= testRoute().Goal {
+			s.inTime[s.windowOf(j)]++
+		}
+		effects := j.instance.Step(&AttemptEnded{At: s.now, Request: j.id, Result: result, Report: report})
+		s.follow(j, aboutRequest(effects))
+		j.instance.Step(&RequestEnded{At: s.now, Request: j.id})
+	})
+}
+
+// share is the part of the requests that were answered in time, from one window to
+// another.
+func (s *simulation) share(from, to time.Duration) float64 {
+	inTime, arrived := 0, 0
+	for w := from / window; w < to/window; w++ {
+		inTime += s.inTime[w]
+		arrived += s.arrived[w]
+	}
+	return float64(inTime) / float64(max(1, arrived))
+}
+
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// TestColdStartUnderLoad: nothing is known and the servers cannot carry the load
+// until it is. With random servers each learns every object and forgets it again.
+func TestColdStartUnderLoad(t *testing.T) {
+	policy, naive := newSimulation(false), newSimulation(true)
+	policy.play(20*time.Second, steady(75))
+	naive.play(20*time.Second, steady(75))
+	require.Greater(t, policy.share(8*time.Second, 20*time.Second), 0.9)
+	require.Greater(t, policy.share(8*time.Second, 20*time.Second), 2*naive.share(8*time.Second, 20*time.Second))
+}
+
+// TestOverloadEndsWithItsCause: a burst takes the servers to their last slot. What
+// they know must outlast it.
+func TestOverloadEndsWithItsCause(t *testing.T) {
+	rate := func(since time.Duration) float64 {
+		if since > 8*time.Second && since < 12*time.Second {
+			return 180
+		}
+		return 75
+	}
+	policy, naive := newSimulation(false), newSimulation(true)
+	policy.play(24*time.Second, rate)
+	naive.play(24*time.Second, rate)
+	require.Greater(t, policy.share(16*time.Second, 24*time.Second), 0.9)
+	require.Greater(t, policy.share(8*time.Second, 12*time.Second), naive.share(8*time.Second, 12*time.Second))
+	require.Less(t, policy.shed, naive.shed/10, "servers refuse little that the instances send")
+}
+
+// TestRequestsOfOneObjectStayTogether counts the pairs of object and server.
+func TestRequestsOfOneObjectStayTogether(t *testing.T) {
+	s := newSimulation(false)
+	s.play(16*time.Second, steady(60))
+	pairs := 0
+	for _, server := range s.servers {
+		pairs += len(server.known)
+	}
+	require.LessOrEqual(t, pairs, 2*simKeys*placesPerObject)
+}
