One reader of the store a region; the others learn over links

Change: follow.Replica; heartbeats of backend servers stay with the readers, peers are told rows that matter, the age of what they know and whether the store is settled. An instance whose copy is older than 1.6 s reads the store itself.

--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -25,6 +25,16 @@
 	return s.ID == other.ID && s.Started == other.Started && s.Address == other.Address
 }
 
+// SaysMore reports whether an entry says more than an earlier one of the server
+// beside that it lives.
+func (s *Server) SaysMore(earlier *Server) bool {
+	a, b := *s, *earlier
+	turnedCold := a.ColdLeft > 0 && b.ColdLeft == 0
+	a.Sequence, b.Sequence = 0, 0
+	a.ColdLeft, b.ColdLeft = 0, 0
+	return turnedCold || a != b
+}
+
 // Change is one thing that the platform's store says anew.
 type Change interface{ change() }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,8 +42,11 @@
 	fleetMu sync.Mutex
 	group   *membership.Group
 	listed  map[model.InstanceID]listedInstance
-	cache   *follow.Cache
-	reads   map[string]readState
+	replica *follow.Replica
+	entries map[model.BackendName]catalog.Server // latest that peers were told of
+	failed  map[string]bool                      // tables whose last read failed
+	known   map[string]bool                      // tables that were read or learnt
+	applyMu sync.Mutex                           // rows of two sources are applied one batch after the other
 
 	stopping atomic.Bool // no longer named to callers
 	refusing atomic.Bool // takes no more requests
@@ -109,13 +112,15 @@
 			Naive:   o.Naive,
 		}),
 		listed:  map[model.InstanceID]listedInstance{},
-		cache:   follow.NewCache(),
-		reads:   map[string]readState{},
+		entries: map[model.BackendName]catalog.Server{},
+		failed:  map[string]bool{},
+		known:   map[string]bool{},
 		listOwn: make(chan struct{}, 1),
 		ctx:     ctx,
 		leave:   cancel,
 	}
 	e.options.Self.Started = int64(e.clock.now())
+	e.replica = follow.NewReplica(o.tableNames(), e.matters)
 	e.group = e.newGroup()
 	e.links = link.New(&linkpb.Hello{
 		Instance:    string(o.Self.ID),
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -110,7 +110,10 @@
 	}
 	now := e.clock.now()
 	for _, m := range out.Messages {
-		e.links.Gossip(m.To, membership.ToProto(now, m.Message))
+		gossip := membership.ToProto(now, m.Message)
+		gossip.StateAgeNs = int64(e.replica.OldestAge(now))
+		gossip.StateSettled = e.storeSettled()
+		e.links.Gossip(m.To, gossip)
 	}
 	for _, n := range out.Notes {
 		e.log.WithFields(logrus.Fields{"subject": n.Subject, "why": n.Why}).Info(n.What)
@@ -145,6 +148,11 @@
 	}
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	if age := g.GetStateAgeNs(); age > 0 {
+		if e.replica.Confirm(now.Add(-time.Duration(age)), g.GetRevision()) && g.GetStateSettled() {
+			e.post(&dispatch.StoreVouched{At: now})
+		}
+	}
 	e.carryOut(e.group.Receive(now, from, message))
 }
 
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -70,6 +70,10 @@
 	tickEvery = 100 * time.Millisecond
 )
 
+func (o *Options) tableNames() []string {
+	return []string{o.Tables.Operator, o.Tables.Servers, o.Tables.Instances}
+}
+
 func (o *Options) follows() []follow.Table {
 	return []follow.Table{
 		{Name: o.Tables.Operator, Wait: operatorWait},
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -12,34 +12,48 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// readState is how the reads of one table go.
-type readState struct {
-	known   bool
-	freshAt model.Instant // last success, from the store or a peer
-	failed  bool
-}
-
 // Version implements follow.Sink.
 func (e *Edge) Version(table string) int64 {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.cache.Version(table)
+	return e.replica.ReadVersion(table)
+}
+
+// staleAfter is the age of a table beyond which the store is read by instances that
+// otherwise leave that to peers: with a call and a retry it stays within 2.5 s.
+const staleAfter = 1600 * time.Millisecond
+
+// Due implements follow.Sink: few instances of a region read the store, the others
+// only where those do not keep them up to date.
+func (e *Edge) Due(table string) bool {
+	now := e.clock.now()
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	return e.readsStore() || e.replica.Age(now, table) > staleAfter
 }
 
-// Due implements follow.Sink.
-func (e *Edge) Due(string) bool { return true }
+// readersPerRegion is how many instances of a region read the store.
+const readersPerRegion = 1
+
+// readsStore reports whether this instance is one of its region's readers: the first
+// by identifier of those that are ready.
+func (e *Edge) readsStore() bool {
+	before := 0
+	for _, record := range e.usableInstances() {
+		near := e.options.Regions[record.Zone] == e.options.Region
+		if near && record.ID < e.options.Self.ID {
+			before++
+		}
+	}
+	return before < readersPerRegion
+}
 
 // Tried implements follow.Sink.
 func (e *Edge) Tried(table string, err error) {
 	now := e.clock.now()
 	e.fleetMu.Lock()
-	state := e.reads[table]
-	changed := state.failed != (err != nil)
-	state.failed = err != nil
-	if err == nil {
-		state.freshAt = now
-	}
-	e.reads[table] = state
+	changed := e.failed[table] != (err != nil)
+	e.failed[table] = err != nil
 	e.fleetMu.Unlock()
 	if changed && err != nil {
 		e.log.WithField("table", table).WithError(err).Warn("store lost")
@@ -51,31 +65,52 @@
 	}
 }
 
-// Apply implements follow.Sink: it takes over what the store or a peer says.
+// Apply implements follow.Sink: it takes over what the store says.
 func (e *Edge) Apply(b follow.Batch) {
 	now := e.clock.now()
+	e.absorb(now, b.Table, func() []follow.Row { return e.replica.Read(now, b) })
+}
+
+// absorb takes over the rows by which a batch changes the replica.
+func (e *Edge) absorb(now model.Instant, table string, change func() []follow.Row) {
+	e.applyMu.Lock()
+	defer e.applyMu.Unlock()
 	e.fleetMu.Lock()
-	changed := e.cache.Apply(b)
-	state := e.reads[b.Table]
-	first := !state.known
-	state.known = true
-	e.reads[b.Table] = state
-	e.group.SetRevision(e.stateVersion())
+	changed := change()
+	first := !e.known[table]
+	e.known[table] = true
+	e.group.SetRevision(e.replica.Revision())
 	e.fleetMu.Unlock()
 	for _, row := range changed {
-		e.applyRow(now, b.Table, row)
+		e.applyRow(now, table, row)
 	}
-	if first && b.Table != e.options.Tables.Instances {
+	if first && table != e.options.Tables.Instances {
 		e.followed.Add(1)
 	}
-	if b.Table == e.options.Tables.Instances && len(changed) > 0 {
+	if table == e.options.Tables.Instances && len(changed) > 0 {
 		e.instancesChanged(now)
 	}
 }
 
-// stateVersion is a number that grows with what is known of the store.
-func (e *Edge) stateVersion() int64 {
-	return e.cache.Version(e.options.Tables.Operator) + e.cache.Version(e.options.Tables.Servers)
+// matters reports whether peers are told of a row: every one but the heartbeats of
+// backend servers.
+func (e *Edge) matters(table string, row follow.Row) bool {
+	if table != e.options.Tables.Servers {
+		return true
+	}
+	id := model.BackendName(row.Key)
+	change, err := e.options.Decode(table, row)
+	listed, ok := change.(*catalog.ServerChange)
+	if err != nil || !ok {
+		delete(e.entries, id)
+		return true
+	}
+	old, known := e.entries[id]
+	if known && !listed.Server.SaysMore(&old) {
+		return false
+	}
+	e.entries[id] = listed.Server
+	return true
 }
 
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
@@ -99,41 +134,44 @@
 	}
 }
 
-// staleAfter is the age of a table beyond which peers are asked for it.
-const staleAfter = 1500 * time.Millisecond
-
 // stateTimeout bounds one question to a peer.
 const stateTimeout = time.Second
 
-// fetchState asks a peer that knows more of the store, where this instance has not
-// been able to read it lately.
+// fetchState asks a peer for what it knows more of the store.
 func (e *Edge) fetchState(peer model.InstanceID) {
-	now := e.clock.now()
-	stale := false
-	known := &linkpb.StateRequest{}
+	if !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.fetching.Store(false)
+	asked := e.clock.now()
+	request := &linkpb.StateRequest{}
 	e.fleetMu.Lock()
-	for _, table := range []string{e.options.Tables.Operator, e.options.Tables.Servers} {
-		stale = stale || now.Sub(e.reads[table].freshAt) > staleAfter
-		known.Known = append(known.Known, &linkpb.TableVersion{Table: table, Version: e.cache.Version(table)})
+	for table, version := range e.replica.Known() {
+		request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
 	}
 	e.fleetMu.Unlock()
-	if !stale || !e.fetching.CompareAndSwap(false, true) {
+	state, err := e.links.State(peer, request, stateTimeout)
+	if err != nil {
+		e.log.WithField("peer", peer).WithError(err).Debug("no state from peer")
 		return
 	}
-	e.tasks.Go(func() {
-		defer e.fetching.Store(false)
-		state, err := e.links.State(peer, known, stateTimeout)
-		if err != nil {
-			e.log.WithField("peer", peer).WithError(err).Debug("no state from peer")
-			return
-		}
-		if state.GetSettled() {
-			e.post(&dispatch.StoreVouched{At: e.clock.now()})
-		}
-		for _, t := range state.GetTables() {
-			e.Apply(batchFromProto(t))
-		}
-	})
+	e.hearOfStore(state.GetSettled())
+	fresh := asked.Add(-time.Duration(state.GetAgeNs()))
+	for _, t := range state.GetTables() {
+		b := batchFromProto(t)
+		e.absorb(e.clock.now(), b.Table, func() []follow.Row { return e.replica.Learn(fresh, b) })
+	}
+}
+
+// hearOfStore takes a peer's word on the store: whether what is missing from it has
+// been removed, or may have expired in an outage.
+func (e *Edge) hearOfStore(settled bool) {
+	now := e.clock.now()
+	if settled {
+		e.post(&dispatch.StoreVouched{At: now})
+	} else {
+		e.post(&dispatch.StoreTried{At: now, OK: false})
+	}
 }
 
 func batchFromProto(t *linkpb.TableState) follow.Batch {
@@ -158,8 +196,9 @@
 	state := &linkpb.State{Settled: e.storeSettled()}
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	state.AgeNs = int64(e.replica.OldestAge(e.clock.now()))
 	for _, known := range request.GetKnown() {
-		b := e.cache.Since(known.GetTable(), known.GetVersion())
+		b := e.replica.Since(known.GetTable(), known.GetVersion())
 		if b.Version <= known.GetVersion() {
 			continue
 		}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -48,25 +48,31 @@
 	Due(table string) bool
 }
 
+// dueEvery is how often a table that peers keep up to date is looked at: it bounds
+// how much later than due the store is read.
+const dueEvery = 100 * time.Millisecond
+
 // Follow keeps a table up to date until the context ends.
 func Follow(ctx context.Context, store Store, t Table, sink Sink) {
 	snapshot := sink.Version(t.Name) == 0
 	for ctx.Err() == nil {
+		if !snapshot && !sink.Due(t.Name) {
+			sleep(ctx, dueEvery)
+			continue
+		}
 		started := time.Now()
 		pause := t.Every
-		if snapshot || sink.Due(t.Name) {
-			b, err := read(ctx, store, t, sink.Version(t.Name), snapshot)
-			sink.Tried(t.Name, err)
-			switch {
-			case errors.Is(err, ErrHistoryGone):
-				snapshot = true
-				continue
-			case err != nil:
-				pause = retryEvery
-			default:
-				sink.Apply(b)
-				snapshot = false
-			}
+		b, err := read(ctx, store, t, sink.Version(t.Name), snapshot)
+		sink.Tried(t.Name, err)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			snapshot = true
+			continue
+		case err != nil:
+			pause = retryEvery
+		default:
+			sink.Apply(b)
+			snapshot = false
 		}
 		sleep(ctx, pause-time.Since(started))
 	}
