--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -16,6 +16,7 @@
 // choice is the outcome of choosing a server.
 type choice struct {
 	server *server
+	moved  bool // to another region than that of the object's first place
 	// wait is, without a server, how long until one may be free.
 	wait  time.Duration
 	cause model.Cause
@@ -33,7 +34,8 @@
 func (d *Dispatcher) choose(now model.Instant, q *request) choice {
 	best := choice{cause: model.CauseNoBackend, wait: noServerRetry}
 	var bestCost time.Duration
-	for _, s := range d.places(now, q) {
+	places := d.places(now, q)
+	for _, s := range places {
 		if wait := d.wait(now, s, q); wait > 0 {
 			if best.server == nil {
 				best.wait, best.cause = min(best.wait, wait), model.CauseQueueFull
@@ -42,41 +44,53 @@
 		}
 		cost := d.cost(now, s, q)
 		if best.server == nil || cost < bestCost {
-			best.server, bestCost = s, cost
+			best.server, best.moved, bestCost = s, s.region != places[0].region, cost
 		}
 	}
 	return best
 }
 
 // places returns the usable servers among which a request's object is shared: the
-// nearest by hash and distance, and the nearest others by hash alone, so that what a
-// region cannot carry spreads over all. The result is valid until the next call.
+// first by hash and distance, and the nearest other by hash alone, so that what a
+// region cannot carry spreads over all. Where no more may move between regions, the
+// other counts only if it is in the first's region. The result is valid until the
+// next call.
 func (d *Dispatcher) places(now model.Instant, q *request) []*server {
 	d.placed = d.placed[:0]
+	first := -1
 	for _, s := range d.byService[q.service] {
-		if d.usable(now, s, q) {
-			d.placed = append(d.placed, place{server: s, distance: d.distance(s, q), spread: spread(q.object, s.hash)})
+		if !d.usable(now, s, q) {
+			continue
+		}
+		graded := spread(q.object, s.hash)
+		d.placed = append(d.placed, place{server: s, distance: d.distance(s, q, graded), spread: graded})
+		if last := len(d.placed) - 1; first < 0 || d.placed[last].distance < d.placed[first].distance {
+			first = last
 		}
 	}
 	d.candidates = d.candidates[:0]
-	nearest := func(p place) float64 { return p.distance.Seconds() }
-	for range min(len(d.placed), placesPerObject) {
-		best := 0
-		for i := range d.placed {
-			if nearest(d.placed[i]) < nearest(d.placed[best]) {
-				best = i
-			}
-		}
-		d.candidates = append(d.candidates, d.placed[best].server)
-		d.placed = slices.Delete(d.placed, best, best+1)
-		nearest = func(p place) float64 { return p.spread }
+	if first < 0 {
+		return nil
+	}
+	d.candidates = append(d.candidates, d.placed[first].server)
+	if second := d.secondPlace(now, first); second >= 0 {
+		d.candidates = append(d.candidates, d.placed[second].server)
 	}
 	return d.candidates
 }
 
-// placesPerObject is how many servers share an object. More even the load out, and
-// need more of the servers' memory.
-const placesPerObject = 2
+func (d *Dispatcher) secondPlace(now model.Instant, first int) int {
+	second := -1
+	for i, p := range d.placed {
+		if i != first && (second < 0 || p.spread < d.placed[second].spread) {
+			second = i
+		}
+	}
+	if second < 0 || d.placed[second].server.region == d.placed[first].server.region || d.mayMove(now) {
+		return second
+	}
+	return -1
+}
 
 // place is a server as seen from an object.
 type place struct {
@@ -86,11 +100,11 @@
 }
 
 // distance grades servers for an object by hash, and by the way to their region.
-func (d *Dispatcher) distance(s *server, q *request) time.Duration {
+func (d *Dispatcher) distance(s *server, q *request, graded float64) time.Duration {
 	if d.settings.Naive {
 		return time.Duration(d.nextRandom() >> 32)
 	}
-	distance := scale(q.route.Goal, hashSpread*spread(q.object, s.hash))
+	distance := scale(q.route.Goal, hashSpread*graded)
 	if s.region != d.settings.Region {
 		distance += regionRoundTrip
 	}
@@ -143,7 +157,7 @@
 // cost is the expected time that a request takes at a server, compared with the
 // best possible.
 func (d *Dispatcher) cost(now model.Instant, s *server, q *request) time.Duration {
-	cost := d.distance(s, q) + d.queueCost(now, s, q)
+	cost := d.distance(s, q, spread(q.object, s.hash)) + d.queueCost(now, s, q)
 	if !s.warm.knows(now, q.object) {
 		cost += scale(d.learnCost(q), unknownShare)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,6 +22,9 @@
 	Regions map[model.ZoneName]model.RegionName
 	Retry   pacing.RetrySettings
 	Cold    ColdSettings
+	// ShiftCap is the share of a region's requests that may change the region in
+	// which they run within shiftWindow.
+	ShiftCap float64
 	// Naive picks a random server of the region and never queues, as a baseline for
 	// measurements.
 	Naive bool
@@ -39,6 +42,7 @@
 	requests  map[model.RequestID]*request
 	instances int
 	store     storeHealth
+	overflow  overflow
 	random    uint64
 	// placed and candidates are memory of choose.
 	placed     []place
@@ -64,6 +68,7 @@
 		splits:    map[model.RouteName]*split{},
 		requests:  map[model.RequestID]*request{},
 		random:    1,
+		overflow:  newOverflow(),
 	}
 }
 
@@ -181,6 +186,7 @@
 	}
 	s.goneAt = 0
 	if entry.Draining && !s.entry.Draining {
+		d.overflow.disturbed(at)
 		d.record(at, string(entry.ID), "leaves", "its entry")
 	}
 	s.entry = *entry
@@ -201,6 +207,7 @@
 }
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, why string) {
+	d.overflow.disturbed(at)
 	d.dropServer(s)
 	delete(d.servers, s.entry.ID)
 	d.record(at, string(s.entry.ID), "removed", why)
@@ -216,6 +223,7 @@
 	if d.evacuated[c.Zone] == c.Active {
 		return
 	}
+	d.overflow.disturbed(at)
 	what := "evacuation ended"
 	if c.Active {
 		d.evacuated[c.Zone] = true
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -76,6 +76,7 @@
 	require.NotEqual(t, first.Server.ID, second.Server.ID)
 	for id := model.RequestID(2); id < 20; id++ {
 		require.NotEqual(t, first.Server.ID, requireSend(t, arrive(d, at(2*time.Millisecond), id, fmt.Sprint(id))).Server.ID, "it is ejected")
+		ended(d, at(2*time.Millisecond), id, event.AttemptComplete)
 	}
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,7 +12,7 @@
 	// take a connection; it doubles up to ejectMost.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 4 * time.Second
-	// ejectBroken is how many broken or silent answers in a row eject a server.
+	// ejectBroken is how many broken answers in a row eject a server.
 	ejectBroken = 3
 )
 
@@ -42,8 +42,12 @@
 
 func (d *Dispatcher) noteBroken(ev *AttemptEnded, s *server) {
 	if ev.Result == event.AttemptTimeout || ev.Result == event.AttemptStaleBroken {
+		// Says more of the load or of the connection than of the server; one that is
+		// silent fails to take the next connection.
 		d.add(&Condemn{Server: &s.entry})
+		return
 	}
+	d.overflow.disturbed(ev.At)
 	s.failures++
 	if s.failures >= ejectBroken {
 		d.eject(ev.At, s, "its answers break off")
@@ -54,6 +58,7 @@
 	if now < s.ejectedUntil {
 		return
 	}
+	d.overflow.disturbed(now)
 	s.failures++
 	wait := min(ejectMost, ejectFirst<<min(s.failures-1, 4))
 	s.ejectedUntil = now.Add(wait)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -87,6 +87,7 @@
 	q.knew = s.warm.knows(now, q.object)
 	q.sends++
 	s.inFlight++
+	d.overflow.sent(now, c.moved)
 	if s.cold(now) {
 		s.coldSends.Add(now)
 	}
--- a/internal/dispatch/testing_test.go
+++ b/internal/dispatch/testing_test.go
@@ -25,10 +25,11 @@
 
 func testSettings(region model.RegionName) Settings {
 	return Settings{
-		Region:  region,
-		Regions: regions,
-		Retry:   pacing.RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 60},
-		Cold:    ColdSettings{Factor: 1.5, Slack: 5},
+		Region:   region,
+		Regions:  regions,
+		Retry:    pacing.RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 60},
+		Cold:     ColdSettings{Factor: 1.5, Slack: 5},
+		ShiftCap: 0.15,
 	}
 }
 
