--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -113,7 +113,7 @@
 
 // hashSpread is how many objectives the hash spreads the servers over: the more, the
 // less the distance between regions counts.
-const hashSpread = 0.5
+const hashSpread = 1.0
 
 // wait returns how long until a server may take a request, 0 for now.
 func (d *Dispatcher) wait(now model.Instant, s *server, q *request) time.Duration {
