A log line for each decision about a request, metrics, entries of gone instances removed

Cause: on-call engineers have only logs and metrics; and entries of killed instances stayed in the store for good, so that every bound was shared among too many.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -8,14 +8,18 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/edge"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
 	"github.com/primrosenotch/primrosenotch/platform"
@@ -45,6 +49,9 @@
 func serve(s checked) error {
 	injector := do.New()
 	do.ProvideValue(injector, s)
+	sink := logsink.New(os.Stdout)
+	defer sink.Close(logFlush)
+	do.ProvideValue(injector, sink)
 	do.Provide(injector, newLog)
 	do.Provide(injector, newStore)
 	do.Provide(injector, newEdge)
@@ -62,10 +69,14 @@
 	signal.Ignore(syscall.SIGHUP) // settings are fixed for the life of the process
 	serveDoor(log, l.ready, platform.ReadyHandler(e))
 	serveDoor(log, l.lookups, platform.LookupHandler(e))
+	serveDoor(log, l.control, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{})))
 	log.WithField("callers", s.Listen.Callers).Info("started")
 	return e.Run(ctx, edge.Listeners{Callers: l.callers, Links: l.links})
 }
 
+// logFlush bounds writing the last log lines at the end of the process.
+const logFlush = 200 * time.Millisecond
+
 func newLog(i do.Injector) (*logrus.Entry, error) {
 	s := do.MustInvoke[checked](i)
 	level, err := logrus.ParseLevel(s.Log.Level)
@@ -73,7 +84,7 @@
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(os.Stdout)
+	log.SetOutput(do.MustInvoke[*logsink.Sink](i))
 	log.SetLevel(level)
 	if s.Log.Format == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{})
@@ -117,7 +128,7 @@
 
 // listeners are opened before anything starts, so that a taken port is one clear
 // error.
-type listeners struct{ callers, links, lookups, ready net.Listener }
+type listeners struct{ callers, links, control, lookups, ready net.Listener }
 
 func listen(s checked) (listeners, error) {
 	var l listeners
@@ -129,6 +140,7 @@
 	}{
 		{"callers", s.Listen.Callers, &l.callers},
 		{"links", s.Listen.Links, &l.links},
+		{"control", s.Listen.Control, &l.control},
 		{"lookups", s.Direct.Lookups, &l.lookups},
 		{"ready", s.Direct.Ready, &l.ready},
 	} {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -163,6 +163,7 @@
 		region:    d.settings.Regions[entry.Zone],
 		hash:      xxh3.HashString(string(entry.ID)),
 		coldSends: pacing.Window{Span: time.Second},
+		listedAt:  at,
 		warm:      warmth{},
 	}
 	s.coldUntil = at.Add(entry.ColdLeft)
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -108,6 +108,18 @@
 	AnswerTimeout time.Duration
 	MaxIdle       time.Duration // of a pooled connection
 	Attempt       int           // 1 for the first
+	Kind          model.Kind
+	Why           Why
+}
+
+// Why holds the inputs that decided where a request was sent.
+type Why struct {
+	Route         model.RouteName
+	Configuration int64         // version
+	Knew          bool          // the server was believed to know the object
+	Moved         bool          // to another region than that of the object's first place
+	Load          float64       // requests that the server was believed to hold
+	LoadAge       time.Duration // since the server reported its load
 }
 
 // Refuse ends a request that has no answer. NotRun promises that it never ran.
@@ -116,6 +128,9 @@
 	Outcome    model.Outcome
 	Cause      model.Cause
 	RetryAfter time.Duration
+	Route      model.RouteName // empty where none matched
+	// Configuration is the version in force, 0 for none.
+	Configuration int64
 }
 
 // Probe asks a backend server for its health.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -37,12 +37,12 @@
 
 func (d *Dispatcher) requestArrived(ev *RequestArrived) {
 	if d.config == nil {
-		d.refuse(ev.Request, model.NotRun, model.CauseNoConfiguration, noServerRetry)
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoConfiguration, RetryAfter: noServerRetry})
 		return
 	}
 	route := d.config.Match(ev.Host, ev.Path)
 	if route == nil {
-		d.refuse(ev.Request, model.NotRun, model.CauseNoRoute, 0)
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version})
 		return
 	}
 	q := &request{
@@ -94,7 +94,21 @@
 	if q.sends == 1 {
 		d.service(q.service).budget.Sent(now)
 	}
-	send := &Send{Request: q.id, Server: &s.entry, Left: left, Attempt: q.sends + q.dials}
+	send := &Send{
+		Request: q.id,
+		Server:  &s.entry,
+		Left:    left,
+		Attempt: q.sends + q.dials,
+		Kind:    q.route.Kind,
+		Why: Why{
+			Route:         q.route.Name,
+			Configuration: d.config.Version,
+			Knew:          q.knew,
+			Moved:         c.moved,
+			Load:          s.load(now),
+			LoadAge:       now.Sub(max(s.othersAt, s.listedAt)),
+		},
+	}
 	if !q.route.Kind.Repeatable() {
 		send.MaxIdle = reuseOnce
 	}
@@ -107,14 +121,17 @@
 	if q.uncertain {
 		outcome, retryAfter = model.Unknown, 0
 	}
-	d.refuse(q.id, outcome, cause, retryAfter)
+	d.add(&Refuse{
+		Request:       q.id,
+		Outcome:       outcome,
+		Cause:         cause,
+		RetryAfter:    retryAfter,
+		Route:         q.route.Name,
+		Configuration: d.config.Version,
+	})
 	delete(d.requests, q.id)
 }
 
-func (d *Dispatcher) refuse(id model.RequestID, outcome model.Outcome, cause model.Cause, retryAfter time.Duration) {
-	d.add(&Refuse{Request: id, Outcome: outcome, Cause: cause, RetryAfter: retryAfter})
-}
-
 func (d *Dispatcher) attemptEnded(ev *AttemptEnded) {
 	q := d.requests[ev.Request]
 	if q == nil || q.server == nil {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,7 @@
 	failures     int  // in a row
 	ejectedUntil model.Instant
 	probing      bool
+	listedAt     model.Instant // when this instance learnt of it
 	goneAt       model.Instant // when its entry vanished, 0 while it is listed
 	shed         average
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,8 @@
 type Edge struct {
 	options  Options
 	log      *logrus.Entry
+	requests *requestLog
+	metrics  *metrics
 	clock    clock
 	upstream *upstream.Client
 	links    *link.Links
@@ -42,6 +44,7 @@
 	fleetMu sync.Mutex
 	group   *membership.Group
 	listed  map[model.InstanceID]listedInstance
+	missing map[model.InstanceID]model.Instant // since when listed instances are not usable
 	replica *follow.Replica
 	entries map[model.BackendName]catalog.Server // latest that peers were told of
 	failed  map[string]bool                      // tables whose last read failed
@@ -113,6 +116,7 @@
 			Naive:    o.Naive,
 		}),
 		listed:  map[model.InstanceID]listedInstance{},
+		missing: map[model.InstanceID]model.Instant{},
 		entries: map[model.BackendName]catalog.Server{},
 		failed:  map[string]bool{},
 		known:   map[string]bool{},
@@ -128,6 +132,8 @@
 		Incarnation: uint64(e.options.Self.Started),
 		Zone:        string(o.Self.Zone),
 	}, link.DefaultSettings(), e, e)
+	e.metrics = newMetrics(e)
+	e.requests = newRequestLog(o.Log, e.metrics)
 	e.callers = ingress.New(ingress.Settings{
 		IdleTimeout:          callerIdle,
 		BufferBytes:          wholeBodyBytes,
@@ -175,6 +181,7 @@
 	}
 	e.tasks.Go(e.tickUntilLeft)
 	e.tasks.Go(e.keepListed)
+	e.tasks.Go(e.sweepUntilLeft)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -200,6 +207,19 @@
 	}
 }
 
+func (e *Edge) sweepUntilLeft() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+			e.sweep(e.clock.now())
+		}
+	}
+}
+
 const (
 	// announceShare of the time to stop is left to callers for finding another
 	// instance, while requests are still served.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -33,6 +33,7 @@
 // Lookup returns the addresses of the instances that a caller should use: those of
 // its region, or else those of a region that may serve the host, or else any.
 func (e *Edge) Lookup(l Lookup) ([]string, time.Duration) {
+	e.metrics.lookups.Inc()
 	var near, any []string
 	e.fleetMu.Lock()
 	for _, record := range e.usableInstances() {
@@ -162,6 +163,63 @@
 // ServeOffer implements link.OfferHandler; instances send their requests themselves.
 func (e *Edge) ServeOffer(model.InstanceID, *linkpb.Offer, link.Conn) {}
 
+const (
+	// sweepEvery is how often entries of instances that are gone are looked for.
+	sweepEvery = 2 * time.Second
+	// goneAfter is how long an instance must have been gone before a peer removes its
+	// entry: longer than a restart.
+	goneAfter = 10 * time.Second
+	// sweepTimeout bounds removing one entry.
+	sweepTimeout = time.Second
+)
+
+// sweep removes the entries of instances that have been gone for long; one instance
+// of the fleet does it. An entry that was written again meanwhile stays.
+func (e *Edge) sweep(now model.Instant) {
+	for id, version := range e.goneInstances(now) {
+		ctx, cancel := context.WithTimeout(e.ctx, sweepTimeout)
+		err := e.options.Registry.Unlist(ctx, id, version)
+		cancel()
+		if err != nil {
+			e.log.WithField("subject", id).WithError(err).Warn("entry of an instance that is gone not removed")
+			return
+		}
+		e.log.WithField("subject", id).Info("entry of an instance that is gone removed")
+	}
+}
+
+// goneInstances returns the listed instances that have been gone for long, with the
+// versions of their entries, where it is for this instance to remove them.
+func (e *Edge) goneInstances(now model.Instant) map[model.InstanceID]int64 {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	usable := map[model.InstanceID]bool{}
+	first := e.Ready()
+	for _, record := range e.usableInstances() {
+		usable[record.ID] = true
+		first = first && e.options.Self.ID <= record.ID
+	}
+	gone := map[model.InstanceID]int64{}
+	for id, l := range e.listed {
+		if usable[id] || id == e.options.Self.ID {
+			delete(e.missing, id)
+			continue
+		}
+		since, known := e.missing[id]
+		if !known {
+			e.missing[id] = now
+		} else if first && now.Sub(since) >= goneAfter {
+			gone[id] = l.version
+		}
+	}
+	for id := range e.missing {
+		if _, ok := e.listed[id]; !ok {
+			delete(e.missing, id)
+		}
+	}
+	return gone
+}
+
 func (e *Edge) askToList() {
 	select {
 	case e.listOwn <- struct{}{}:
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// metrics are the counters and histograms of one instance. Labels take values of
+// fixed lists only.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec   // by outcome and cause
+	latency  *prometheus.HistogramVec // by kind
+	attempts *prometheus.CounterVec   // by result
+	reads    *prometheus.CounterVec   // by table and result
+	lookups  prometheus.Counter
+	unlogged prometheus.Counter
+}
+
+// latencyBuckets are the bounds in seconds: from an answer inside a region to the
+// longest deadline.
+var latencyBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8}
+
+func newMetrics(e *Edge) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_requests_total", Help: "Callers' requests by outcome and cause.",
+		}, []string{"outcome", "cause"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "primrosenotch_edge_request_seconds", Help: "Time from a request's arrival to its answer.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_attempts_total", Help: "Sends to backend servers by result.",
+		}, []string{"result"}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_reads_total", Help: "Reads of the platform's store by table and result.",
+		}, []string{"table", "result"}),
+		lookups: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_lookups_total", Help: "Look-ups answered.",
+		}),
+		unlogged: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_unlogged_requests_total", Help: "Requests without a log line, beyond the log's rate.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged)
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("primrosenotch_edge_in_flight", "Callers' requests in flight.", func() float64 { return float64(e.callers.InFlight()) })
+	gauge("primrosenotch_edge_state_age_seconds", "Age of what is known of the platform's store.", func() float64 {
+		e.fleetMu.Lock()
+		defer e.fleetMu.Unlock()
+		return e.replica.OldestAge(e.clock.now()).Seconds()
+	})
+	gauge("primrosenotch_edge_servers", "Backend servers listed.", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(e.dispatcher.Servers())
+	})
+	gauge("primrosenotch_edge_configuration_version", "Version of the configuration in force.", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if c := e.dispatcher.Configuration(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	gauge("primrosenotch_edge_instances", "Instances that take callers' requests.", func() float64 {
+		e.fleetMu.Lock()
+		defer e.fleetMu.Unlock()
+		return float64(len(e.usableInstances()))
+	})
+	return m
+}
+
+func (m *metrics) ended(outcome model.Outcome, cause model.Cause) {
+	m.requests.WithLabelValues(outcome.String(), string(cause)).Inc()
+}
+
+func (m *metrics) answered(kind model.Kind, took time.Duration) {
+	m.latency.WithLabelValues(kind.String()).Observe(took.Seconds())
+}
+
+// Metrics returns what the metrics address serves.
+func (e *Edge) Metrics() *prometheus.Registry { return e.metrics.registry }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -48,12 +46,8 @@
 }
 
 func (e *Edge) refuse(x *ingress.Exchange, f *dispatch.Refuse) {
-	e.log.WithFields(logrus.Fields{
-		"request": x.Trace,
-		"outcome": f.Outcome,
-		"cause":   f.Cause,
-		"retry":   f.RetryAfter,
-	}).Warn("request refused")
+	e.requests.refused(x, f)
+	e.metrics.ended(f.Outcome, f.Cause)
 	if err := x.Refuse(f.Outcome, f.Cause, f.RetryAfter); err != nil {
 		e.log.WithField("request", x.Trace).WithError(err).Warn("refusal not passed on")
 	}
@@ -62,6 +56,7 @@
 // attempt sends a request to a backend server and passes its answer on. It returns
 // what to do next, nil for nothing.
 func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
+	started := e.clock.now()
 	ctx, cancel := context.WithTimeout(ctx, f.Left)
 	answer, failed := e.upstream.Send(ctx, &upstream.Attempt{
 		Backend:       f.Server.ID,
@@ -81,7 +76,8 @@
 	end := &dispatch.AttemptEnded{Request: f.Request, BodyUsed: !x.Replayable}
 	if failed != nil {
 		cancel()
-		e.logAttempt(x, f, failed)
+		e.requests.attemptFailed(x, f, failed, e.clock.now().Sub(started))
+		e.metrics.attempts.WithLabelValues(string(failed.Step)).Inc()
 		end.Result = failed.Result
 		end.Misdirected = failed.Misdirected
 		end.Draining = failed.Draining
@@ -91,7 +87,8 @@
 	}
 	end.Draining = answer.Draining
 	end.Report = reportOf(answer.Report)
-	return e.pass(x, answer, end, cancel)
+	e.metrics.attempts.WithLabelValues("answered").Inc()
+	return e.pass(x, f, answer, end, started, cancel)
 }
 
 // answerTimeout bounds the wait for an answer's first byte; without a bound of its
@@ -116,7 +113,7 @@
 
 // pass hands an answer on. A small one whose body breaks counts as a failed
 // attempt; a large one is streamed and ends later.
-func (e *Edge) pass(x *ingress.Exchange, answer *upstream.Answer, end *dispatch.AttemptEnded, cancel func()) dispatch.Effect {
+func (e *Edge) pass(x *ingress.Exchange, f *dispatch.Send, answer *upstream.Answer, end *dispatch.AttemptEnded, started model.Instant, cancel func()) dispatch.Effect {
 	finish := func(result event.AttemptResult) dispatch.Effect {
 		cancel()
 		end.Result = result
@@ -145,30 +142,42 @@
 		},
 	})
 	if err != nil {
-		e.log.WithFields(logrus.Fields{"request": x.Trace, "error": err}).Warn("answer broke off")
+		e.requests.cut(x, f, err)
 		return finish(event.AttemptCut)
 	}
-	select {
-	case result := <-passed:
+	done := func(result event.AttemptResult) {
 		finish(result)
+		took := e.clock.now().Sub(started)
+		e.requests.answered(x, f, answer.Status, took)
+		e.metrics.ended(outcomeOf(result), causeOfResult(result))
+		e.metrics.answered(f.Kind, took)
 		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
+	}
+	select {
+	case result := <-passed:
+		done(result)
 	default:
-		go func() {
-			finish(<-passed)
-			e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
-		}()
+		go func() { done(<-passed) }()
 	}
 	return nil
 }
 
-func (e *Edge) logAttempt(x *ingress.Exchange, f *dispatch.Send, failed *upstream.SendError) {
-	e.log.WithFields(logrus.Fields{
-		"request": x.Trace,
-		"server":  f.Server.ID,
-		"attempt": f.Attempt,
-		"left":    f.Left,
-		"error":   failed.Error(),
-	}).Info("attempt failed")
+func outcomeOf(result event.AttemptResult) model.Outcome {
+	if result == event.AttemptComplete {
+		return model.Served
+	}
+	return model.Unknown
+}
+
+func causeOfResult(result event.AttemptResult) model.Cause {
+	switch result {
+	case event.AttemptComplete:
+		return model.CauseNone
+	case event.AttemptCut:
+		return model.CauseAnswerIncomplete
+	default:
+		return model.CauseServerFailed
+	}
 }
 
 func reportOf(r upstream.Report) dispatch.ServerReport {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -55,6 +55,11 @@
 	changed := e.failed[table] != (err != nil)
 	e.failed[table] = err != nil
 	e.fleetMu.Unlock()
+	result := "read"
+	if err != nil {
+		result = "failed"
+	}
+	e.metrics.reads.WithLabelValues(table, result).Inc()
 	if changed && err != nil {
 		e.log.WithField("table", table).WithError(err).Warn("store lost")
 	} else if changed {
--- a/internal/model/describe.go
+++ b/internal/model/describe.go
@@ -24,6 +24,7 @@
 	CauseOwnerLost:        "the link to the owner broke",
 	CauseCallerGone:       "the caller closed its connection",
 	CauseNotOwner:         "the instance owns no server of the service",
+	CauseServerFailed:     "the backend server answered that it failed",
 	CauseStopping:         "the instance takes no more work",
 	CauseRetryBudget:      "the service's retry budget is exhausted",
 	CauseInvalidRequest:   "the request is malformed",
--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -78,5 +78,6 @@
 	CauseStopping         Cause = "stopping"           // the instance takes no more work
 	CauseRetryBudget      Cause = "retry-budget"       // the service's retry budget is exhausted
 	CauseInvalidRequest   Cause = "invalid-request"    // malformed request
+	CauseServerFailed     Cause = "server-failed"      // the backend server answered that it failed
 	CauseAnswerIncomplete Cause = "answer-incomplete"  // the answer was cut short
 )
