Silent servers are checked, and requests that may be repeated leave them

Change: a busy server that answers nothing for two cold runs is checked on a new connection; while it does not answer, nothing is sent there and repeatable requests go elsewhere within the retry budget.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -251,6 +251,7 @@
 
 func (d *Dispatcher) tick(now model.Instant) {
 	d.expireLapsed(now)
+	d.ejectSilent(now)
 	d.probeEjected(now)
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -82,6 +82,8 @@
 	At      model.Instant
 	Server  model.BackendName
 	Healthy bool
+	// Reached reports that it answered at all.
+	Reached bool
 	Report  ServerReport
 }
 
@@ -146,6 +148,10 @@
 // broken.
 type Condemn struct{ Server *catalog.Server }
 
+// Cancel ends a running attempt, which then ends as event.AttemptCancelled unless it
+// has ended already.
+type Cancel struct{ Request model.RequestID }
+
 // Record is one decision for the log.
 type Record struct {
 	At      model.Instant
@@ -157,6 +163,7 @@
 func (*Send) effect()    {}
 func (*Refuse) effect()  {}
 func (*Probe) effect()   {}
+func (*Cancel) effect()  {}
 func (*Forget) effect()  {}
 func (*Condemn) effect() {}
 func (*Record) effect()  {}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -91,6 +91,9 @@
 	}
 	s.probing = false
 	s.reported(ev.At, &ev.Report, s.inFlight)
+	if !ev.Reached {
+		d.replaceAttempts(s)
+	}
 	if !ev.Healthy {
 		s.ejectedUntil = 0
 		d.eject(ev.At, s, "its health check fails")
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -23,6 +23,7 @@
 	startedAt  model.Instant
 	knew       bool // the server was believed to know the object
 	uncertain  bool // it may have run
+	replaced   bool // its attempt is cancelled for another one
 }
 
 const (
@@ -86,6 +87,9 @@
 	q.startedAt = now
 	q.knew = s.warm.knows(now, q.object)
 	q.sends++
+	if s.inFlight == 0 {
+		s.busySince = now
+	}
 	s.inFlight++
 	d.overflow.sent(now, c.moved)
 	if s.cold(now) {
@@ -140,6 +144,9 @@
 	s := q.server
 	q.server = nil
 	s.inFlight--
+	if ev.Report.HasLoad || ev.Result == event.AttemptComplete || ev.Result == event.AttemptFailed {
+		s.answeredAt = ev.At
+	}
 	s.reported(ev.At, &ev.Report, s.inFlight)
 	d.noteHealth(ev, s)
 	switch ev.Result {
@@ -155,7 +162,12 @@
 		d.again(ev, q, model.CauseShed, false)
 	case event.AttemptCancelled:
 		q.uncertain = true
-		d.end(q, model.CauseCallerGone, 0)
+		if !q.replaced {
+			d.end(q, model.CauseCallerGone, 0)
+			return
+		}
+		q.replaced = false
+		d.again(ev, q, model.CauseTimeout, false)
 	default:
 		q.uncertain = true
 		if !q.route.Kind.Repeatable() {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,8 @@
 	failures     int  // in a row
 	ejectedUntil model.Instant
 	probing      bool
+	busySince    model.Instant // when inFlight last left 0
+	answeredAt   model.Instant // last answer, of any kind
 	listedAt     model.Instant // when this instance learnt of it
 	goneAt       model.Instant // when its entry vanished, 0 while it is listed
 	shed         average
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,6 +39,7 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	lastID     model.RequestID
+	running    map[model.RequestID]context.CancelFunc // attempts
 
 	// fleetMu serializes what is known of other instances and of the store.
 	fleetMu sync.Mutex
@@ -115,6 +116,7 @@
 			ShiftCap: o.Bounds.ShiftCap,
 			Naive:    o.Naive,
 		}),
+		running: map[model.RequestID]context.CancelFunc{},
 		listed:  map[model.InstanceID]listedInstance{},
 		missing: map[model.InstanceID]model.Instant{},
 		entries: map[model.BackendName]catalog.Server{},
@@ -281,6 +283,10 @@
 	switch f := f.(type) {
 	case *dispatch.Probe:
 		e.probe(f)
+	case *dispatch.Cancel:
+		if cancel := e.running[f.Request]; cancel != nil {
+			cancel()
+		}
 	case *dispatch.Forget:
 		e.upstream.Forget(f.Server.Address)
 	case *dispatch.Condemn:
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -58,6 +58,7 @@
 func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
 	started := e.clock.now()
 	ctx, cancel := context.WithTimeout(ctx, f.Left)
+	e.setRunning(f.Request, cancel)
 	answer, failed := e.upstream.Send(ctx, &upstream.Attempt{
 		Backend:       f.Server.ID,
 		Address:       f.Server.Address,
@@ -73,6 +74,7 @@
 		AnswerTimeout: answerTimeout(f),
 		MaxIdle:       f.MaxIdle,
 	})
+	e.setRunning(f.Request, nil)
 	end := &dispatch.AttemptEnded{Request: f.Request, BodyUsed: !x.Replayable}
 	if failed != nil {
 		cancel()
@@ -91,6 +93,17 @@
 	return e.pass(x, f, answer, end, started, cancel)
 }
 
+// setRunning notes how an attempt that waits for its answer is ended, nil for none.
+func (e *Edge) setRunning(id model.RequestID, cancel context.CancelFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel == nil {
+		delete(e.running, id)
+		return
+	}
+	e.running[id] = cancel
+}
+
 // answerTimeout bounds the wait for an answer's first byte; without a bound of its
 // own that is the deadline's, which the context keeps.
 func answerTimeout(f *dispatch.Send) time.Duration {
@@ -208,6 +221,7 @@
 		})
 		probed := &dispatch.ServerProbed{Server: server.ID}
 		if err == nil {
+			probed.Reached = true
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Report = reportOf(answer.Report)
 		}
