Ages of copies allow for the way between peers

Ruled out: a lost feed answer, clashing revisions. Change: 150 ms a hop are added to what a peer tells. TestPeersDoNotKeepOneAnotherFresh fails without it.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
@@ -150,7 +151,8 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	if age := g.GetStateAgeNs(); age > 0 {
-		if e.replica.Confirm(now.Add(-time.Duration(age)), g.GetRevision()) && g.GetStateSettled() {
+		fresh := now.Add(-time.Duration(age) - follow.TransitAllowance)
+		if e.replica.Confirm(fresh, g.GetRevision()) && g.GetStateSettled() {
 			e.post(&dispatch.StoreVouched{At: now})
 		}
 	}
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -60,6 +60,11 @@
 	return changed
 }
 
+// TransitAllowance is what a message from a peer is reckoned to have been on its way,
+// beside the age that it tells: more than the way between regions. With less, peers
+// that confirm one another would seem up to date for ever.
+const TransitAllowance = 150 * time.Millisecond
+
 // Confirm notes that a peer was up to date at a time. With the same revision, this
 // instance was, too; it reports whether that is so.
 func (r *Replica) Confirm(fresh model.Instant, revision int64) bool {
--- a/internal/follow/replica_test.go
+++ b/internal/follow/replica_test.go
@@ -52,3 +52,25 @@
 	peer.Confirm(3*second, reader.Revision())
 	require.Equal(t, time.Second, peer.OldestAge(3*second), "the peer knows more")
 }
+
+// TestPeersDoNotKeepOneAnotherFresh: after the last reader has lost the store, peers go
+// on telling one another how old their copies are, with a delay on each way.
+func TestPeersDoNotKeepOneAnotherFresh(t *testing.T) {
+	const peers, delay, every = 8, 60 * time.Millisecond, 50 * time.Millisecond
+	var fleet [peers]*Replica
+	now := model.Instant(time.Minute)
+	for i := range fleet {
+		fleet[i] = NewReplica([]string{"t"}, everything)
+		fleet[i].Read(now, Batch{Table: "t", Version: 4, Full: true, Rows: []Row{row("a", 4)}})
+	}
+	lost := now
+	for i := range 400 { // one message every so often, each to the next peer
+		from, to := fleet[i%peers], fleet[(i+1)%peers]
+		age := from.OldestAge(now)
+		to.Confirm(now.Add(delay-age-TransitAllowance), from.Revision()) // as received
+		now = now.Add(max(delay, every))
+	}
+	for _, r := range fleet {
+		require.GreaterOrEqual(t, r.OldestAge(now), now.Sub(lost))
+	}
+}
