--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -72,6 +72,9 @@
 	if first < 0 {
 		return nil
 	}
+	if !q.sticky {
+		return d.anywhere(now, first)
+	}
 	d.candidates = append(d.candidates, d.placed[first].server)
 	if second := d.secondPlace(now, first); second >= 0 {
 		d.candidates = append(d.candidates, d.placed[second].server)
@@ -79,6 +82,20 @@
 	return d.candidates
 }
 
+// anywhere returns every usable server for a request that is as fast at one as at
+// another: those of the first's region, or all while requests may move.
+func (d *Dispatcher) anywhere(now model.Instant, first int) []*server {
+	home := d.placed[first].server
+	mayMove := d.mayMove(now)
+	d.candidates = append(d.candidates, home)
+	for i, p := range d.placed {
+		if i != first && (mayMove || p.server.region == home.region) {
+			d.candidates = append(d.candidates, p.server)
+		}
+	}
+	return d.candidates
+}
+
 func (d *Dispatcher) secondPlace(now model.Instant, first int) int {
 	second := -1
 	for i, p := range d.placed {
@@ -104,7 +121,10 @@
 	if d.settings.Naive {
 		return time.Duration(d.nextRandom() >> 32)
 	}
-	distance := scale(q.route.Goal, hashSpread*graded)
+	var distance time.Duration
+	if q.sticky {
+		distance = scale(q.objective, hashSpread*graded)
+	}
 	if s.region != d.settings.Region {
 		distance += regionRoundTrip
 	}
@@ -130,7 +150,7 @@
 func (d *Dispatcher) fullFor(now model.Instant, s *server, q *request) time.Duration {
 	slots := float64(max(1, s.entry.Slots))
 	run := d.runTime(q)
-	limit := max(q.route.Goal-run, q.route.Goal/2)
+	limit := max(q.objective-run, q.objective/2)
 	return max(0, scale(run, (s.load(now)+1-slots)/slots)-limit)
 }
 
@@ -158,7 +178,7 @@
 // best possible.
 func (d *Dispatcher) cost(now model.Instant, s *server, q *request) time.Duration {
 	cost := d.distance(s, q, spread(q.object, s.hash)) + d.queueCost(now, s, q)
-	if !s.warm.knows(now, q.object) {
+	if q.sticky && !s.warm.knows(now, q.object) {
 		cost += scale(d.learnCost(q), unknownShare)
 	}
 	if s.cold(now) {
@@ -200,7 +220,7 @@
 	if svc.warmRun.n >= minObserved && svc.coldRun.n >= minObserved {
 		return seconds(max(0, svc.coldRun.value-svc.warmRun.value))
 	}
-	return q.route.Goal
+	return q.objective
 }
 
 // runTime is how long a request holds a slot: as observed, or else half of its
@@ -210,7 +230,7 @@
 	if svc.warmRun.n >= minObserved {
 		return seconds(svc.warmRun.value)
 	}
-	return q.route.Goal / 2
+	return q.objective / 2
 }
 
 // minObserved is how many observations a mean needs before it is used.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -262,3 +262,19 @@
 		require.NotEqual(t, s.ID, requireSend(t, ended(d, at(1200*time.Millisecond), 1, event.AttemptCancelled)).Server.ID)
 	}
 }
+
+// TestRequestsWithoutAnObjectUseAnyServer: a request that is about no object is as
+// fast at one server as at another, so that two full servers are no reason to refuse it.
+func TestRequestsWithoutAnObjectUseAnyServer(t *testing.T) {
+	route := testRoute()
+	route.Goal = 0 // the operator gives no objective
+	d := newDispatcher(route)
+	used := map[model.BackendName]int{}
+	for id := range model.RequestID(12) {
+		used[requireSend(t, arrive(d, start, id, "")).Server.ID]++
+	}
+	for id := range used {
+		require.Equal(t, model.RegionName("north"), regions[d.servers[id].entry.Zone])
+	}
+	require.Len(t, used, 2, "the servers of the region share them: %v", used)
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -14,6 +14,8 @@
 	route      *catalog.Route
 	service    model.ServiceName
 	object     uint64
+	sticky     bool          // servers answer faster where they know the object
+	objective  time.Duration // within which an answer is of full use
 	deadline   model.Instant
 	replayable bool
 	server     *server // that has it now
@@ -51,6 +53,8 @@
 		route:      route,
 		service:    d.splits[route.Name].next(),
 		object:     objectOf(route, ev.Affinity, ev.Path),
+		sticky:     route.Sticky && ev.Affinity != "",
+		objective:  objective(route),
 		deadline:   ev.At.Add(patience(ev.Patience, route.Timeout)),
 		replayable: ev.Replayable,
 	}
@@ -58,6 +62,14 @@
 	d.send(ev.At, q)
 }
 
+// objective is the route's, or else half of the time that its requests may take.
+func objective(r *catalog.Route) time.Duration {
+	if r.Goal > 0 {
+		return r.Goal
+	}
+	return patience(0, r.Timeout) / 2
+}
+
 // patience is the shorter of what caller and route allow.
 func patience(caller, route time.Duration) time.Duration {
 	p := defaultPatience
