--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -73,10 +73,10 @@
 		return nil
 	}
 	if !q.sticky {
-		return d.anywhere(now, first)
+		return d.anywhere(now, q, first)
 	}
 	d.candidates = append(d.candidates, d.placed[first].server)
-	if second := d.secondPlace(now, first); second >= 0 {
+	if second := d.secondPlace(now, q, first); second >= 0 {
 		d.candidates = append(d.candidates, d.placed[second].server)
 	}
 	return d.candidates
@@ -84,9 +84,9 @@
 
 // anywhere returns every usable server for a request that is as fast at one as at
 // another: those of the first's region, or all while requests may move.
-func (d *Dispatcher) anywhere(now model.Instant, first int) []*server {
+func (d *Dispatcher) anywhere(now model.Instant, q *request, first int) []*server {
 	home := d.placed[first].server
-	mayMove := d.mayMove(now)
+	mayMove := d.mayMove(now, q.service)
 	d.candidates = append(d.candidates, home)
 	for i, p := range d.placed {
 		if i != first && (mayMove || p.server.region == home.region) {
@@ -96,14 +96,14 @@
 	return d.candidates
 }
 
-func (d *Dispatcher) secondPlace(now model.Instant, first int) int {
+func (d *Dispatcher) secondPlace(now model.Instant, q *request, first int) int {
 	second := -1
 	for i, p := range d.placed {
 		if i != first && (second < 0 || p.spread < d.placed[second].spread) {
 			second = i
 		}
 	}
-	if second < 0 || d.placed[second].server.region == d.placed[first].server.region || d.mayMove(now) {
+	if second < 0 || d.placed[second].server.region == d.placed[first].server.region || d.mayMove(now, q.service) {
 		return second
 	}
 	return -1
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,8 +53,9 @@
 // service is what is learnt of one service.
 type service struct {
 	budget  *pacing.RetryBudget
-	warmRun average // seconds, of requests for objects that the server knew
-	coldRun average // seconds, of others
+	warmRun average         // seconds, of requests for objects that the server knew
+	coldRun average         // seconds, of others
+	lost    *pacing.Counter // servers that failed or left lately
 }
 
 // New returns a Dispatcher that knows no configuration.
@@ -187,7 +188,7 @@
 	}
 	s.goneAt = 0
 	if entry.Draining && !s.entry.Draining {
-		d.overflow.disturbed(at)
+		d.lost(at, s)
 		d.record(at, string(entry.ID), "leaves", "its entry")
 	}
 	s.entry = *entry
@@ -208,7 +209,7 @@
 }
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, why string) {
-	d.overflow.disturbed(at)
+	d.lost(at, s)
 	d.dropServer(s)
 	delete(d.servers, s.entry.ID)
 	d.record(at, string(s.entry.ID), "removed", why)
@@ -224,7 +225,11 @@
 	if d.evacuated[c.Zone] == c.Active {
 		return
 	}
-	d.overflow.disturbed(at)
+	for _, s := range d.servers {
+		if s.entry.Zone == c.Zone {
+			d.lost(at, s)
+		}
+	}
 	what := "evacuation ended"
 	if c.Active {
 		d.evacuated[c.Zone] = true
@@ -276,7 +281,7 @@
 func (d *Dispatcher) service(name model.ServiceName) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{budget: pacing.NewRetryBudget(d.settings.Retry)}
+		s = &service{budget: pacing.NewRetryBudget(d.settings.Retry), lost: pacing.NewCounter(lostFor)}
 		d.services[name] = s
 	}
 	return s
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -47,7 +47,7 @@
 		d.add(&Condemn{Server: &s.entry})
 		return
 	}
-	d.overflow.disturbed(ev.At)
+	d.lost(ev.At, s)
 	s.failures++
 	if s.failures >= ejectBroken {
 		d.eject(ev.At, s, "its answers break off")
@@ -58,7 +58,7 @@
 	if now < s.ejectedUntil {
 		return
 	}
-	d.overflow.disturbed(now)
+	d.lost(now, s)
 	s.failures++
 	wait := min(ejectMost, ejectFirst<<min(s.failures-1, 4))
 	s.ejectedUntil = now.Add(wait)
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -26,6 +26,8 @@
 	inTime    map[time.Duration]int // by two-second window of arrival
 	arrived   map[time.Duration]int
 	shed      int
+	moved     map[int64][2]int // sends and moved ones by window of the cap
+	mostMoved float64          // largest share of moved sends in a window
 }
 
 // simServer has slots, a queue, and a memory of objects.
@@ -82,6 +84,7 @@
 		now:     start,
 		inTime:  map[time.Duration]int{},
 		arrived: map[time.Duration]int{},
+		moved:   map[int64][2]int{},
 	}
 	for _, region := range []model.RegionName{"north", "north", "south", "south"} {
 		settings := testSettings(region)
@@ -147,10 +150,24 @@
 func (s *simulation) follow(j simJob, f Effect) {
 	if send, ok := f.(*Send); ok {
 		server := s.servers[send.Server.ID]
+		s.countMoved(send.Why.Moved)
 		s.after(s.way(j, server), func() { s.reach(j, server) })
 	}
 }
 
+func (s *simulation) countMoved(moved bool) {
+	w := int64(s.now) / int64(shiftWindow)
+	n := s.moved[w]
+	n[0]++
+	if moved {
+		n[1]++
+	}
+	s.moved[w] = n
+	if n[0] >= 50 {
+		s.mostMoved = max(s.mostMoved, float64(n[1])/float64(n[0]))
+	}
+}
+
 func (s *simulation) way(j simJob, server *simServer) time.Duration {
 	if regions[server.entry.Zone] != j.region {
 		return regionRoundTrip / 2
@@ -268,3 +285,12 @@
 	}
 	require.LessOrEqual(t, pairs, 2*simKeys*3)
 }
+
+// TestOverflowStaysBelowTheShiftCap plays a cold start at a load that the servers
+// cannot carry at first: what leaves its region must not come back all at once.
+func TestOverflowStaysBelowTheShiftCap(t *testing.T) {
+	s := newSimulation(false)
+	s.play(10*time.Second, steady(90))
+	require.Positive(t, s.mostMoved, "there was something to move")
+	require.LessOrEqual(t, s.mostMoved, 0.15)
+}
--- a/internal/dispatch/shift.go
+++ b/internal/dispatch/shift.go
@@ -20,8 +20,6 @@
 type overflow struct {
 	all   *pacing.Counter
 	moved *pacing.Counter
-	// disturbedAt is when a server last failed or was taken away, 0 for never.
-	disturbedAt model.Instant
 }
 
 func newOverflow() overflow {
@@ -33,20 +31,26 @@
 	return float64(o.moved.Count(now)+1) <= shiftMargin*limit*float64(o.all.Count(now)+1)
 }
 
-// disturbedFor is how long after a failure requests may move between regions beyond
-// the cap: the room that failed servers leave has to be found elsewhere at once.
-const disturbedFor = 8 * time.Second
+// lostFor is how long after servers failed or left requests may move between regions
+// beyond the cap: their room has to be found elsewhere at once.
+const lostFor = 8 * time.Second
 
-// disturbed notes that servers failed or leave.
-func (o *overflow) disturbed(now model.Instant) { o.disturbedAt = now }
+// lostShare is the part of a service's servers whose loss lifts the cap. Less fits into
+// the room of the others.
+const lostShare = 0.05
 
-// mayMove reports whether a request may overflow into another region.
-func (d *Dispatcher) mayMove(now model.Instant) bool {
-	o := &d.overflow
-	if d.settings.Naive || (o.disturbedAt != 0 && now.Sub(o.disturbedAt) < disturbedFor) {
+// lost notes that a server failed, leaves or is evacuated.
+func (d *Dispatcher) lost(now model.Instant, s *server) {
+	d.service(s.entry.Service).lost.Add(now, 1)
+}
+
+// mayMove reports whether a request for a service may overflow into another region.
+func (d *Dispatcher) mayMove(now model.Instant, name model.ServiceName) bool {
+	lost := float64(d.service(name).lost.Count(now))
+	if d.settings.Naive || lost > lostShare*float64(len(d.byService[name])) {
 		return true
 	}
-	return o.allows(now, d.settings.ShiftCap)
+	return d.overflow.allows(now, d.settings.ShiftCap)
 }
 
 func (o *overflow) sent(now model.Instant, moved bool) {
--- /dev/null
+++ b/internal/edge/metrics_test.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+)
+
+// TestPageNamesEveryMetric compares docs/METRICS-EDGE.md with what an instance exports.
+func TestPageNamesEveryMetric(t *testing.T) {
+	e := New(Options{Dialect: httpheader.Own(), Log: logrus.NewEntry(logrus.New())})
+	t.Cleanup(func() { require.NoError(t, e.upstream.Shutdown()) })
+	e.metrics.ended(0, "")
+	e.metrics.answered(0, 0)
+	e.metrics.attempts.WithLabelValues("answered").Inc()
+	e.metrics.reads.WithLabelValues("table", "read").Inc()
+	families, err := e.Metrics().Gather()
+	require.NoError(t, err)
+	exported := map[string]bool{}
+	for _, f := range families {
+		exported[f.GetName()] = true
+	}
+	page, err := os.ReadFile("../../docs/METRICS-EDGE.md")
+	require.NoError(t, err)
+	var named []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `(primrosenotch_edge_[a-z_]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		named = append(named, m[1])
+	}
+	slices.Sort(named)
+	want := lo.Keys(exported)
+	slices.Sort(want)
+	require.Equal(t, want, named)
+}
