make demo stops at once when a process of its fleet ends, and says which and why

Cause: with a port in use each instance ended and the demo went on for 6 s to report unreachable instances.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -117,6 +117,23 @@
 	for ((i = 0; i < count; i++)); do wait_port $((base + 100 + i)); done
 }
 
+# require_running fails, and says which and why, if a process of the fleet has ended.
+require_running() {
+	local i pid
+	for i in "${!ENTRY_PIDS[@]}"; do
+		kill -0 "${ENTRY_PIDS[i]}" 2>/dev/null && continue
+		echo "entry instance $((i + 1)) of the fleet ended:" >&2
+		tail -n 2 "$FLEET_DIR"/entry-$((i + 1))*.log >&2
+		return 1
+	done
+	for pid in "${FLEET_PIDS[@]}"; do
+		kill -0 "$pid" 2>/dev/null && continue
+		echo "a stand-in of the fleet ended; its log is in $FLEET_DIR:" >&2
+		tail -qn 1 "$FLEET_DIR"/platform.log "$FLEET_DIR"/backend*.log >&2 || true
+		return 1
+	done
+}
+
 # fleet_stop ends the entry instances gracefully, then the stand-ins. It returns
 # the number of entry instances that did not exit with 0.
 fleet_stop() {
@@ -138,6 +155,7 @@
 	slots=$(text_servers "$FLEET_TEXT" | sed 's/.*slots=//' | sum_lines)
 	for c in "${CONTROLS[@]}"; do
 		for _ in $(seq 400); do
+			require_running || return 1
 			status=$(curl -sf -m 1 "http://$c/v1/status" 2>/dev/null) || status=
 			[[ $status == *'"state":"ready"'* && $(known_slots "$status") == "$slots" ]] && continue 2
 			sleep 0.05
