Sends carry a copy of their server's entry; unused code out

Cause: a Send pointed at the dispatcher's own entry, which the next event may change while the request is being sent: a data race. Also: HomesOf, Configured and a factor of 1 removed.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -95,23 +95,6 @@
 	return nil
 }
 
-// HomesOf returns the regions to which every route of a host is bound, or none
-// where some route is free.
-func (c *Configuration) HomesOf(host string) []model.RegionName {
-	var homes []model.RegionName
-	for i, r := range c.routesOf(host) {
-		if len(r.Homes) == 0 {
-			return nil
-		}
-		if i == 0 {
-			homes = slices.Clone(r.Homes)
-			continue
-		}
-		homes = slices.DeleteFunc(homes, func(h model.RegionName) bool { return !slices.Contains(r.Homes, h) })
-	}
-	return homes
-}
-
 func (c *Configuration) routesOf(host string) []*Route {
 	host = strings.ToLower(host)
 	if routes, ok := c.byHost[host]; ok {
--- a/internal/catalog/configuration_test.go
+++ b/internal/catalog/configuration_test.go
@@ -4,8 +4,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 func indexed(routes ...Route) *Configuration {
@@ -37,15 +35,6 @@
 	}
 }
 
-func TestHomesOfAHost(t *testing.T) {
-	bound := Route{Host: "a.example", Prefix: "/x/", Homes: []model.RegionName{"north", "south"}}
-	narrow := Route{Host: "a.example", Prefix: "/y/", Homes: []model.RegionName{"south"}}
-	free := Route{Host: "a.example", Prefix: "/z/"}
-	require.Equal(t, []model.RegionName{"south"}, indexed(bound, narrow).HomesOf("a.example"))
-	require.Empty(t, indexed(bound, free).HomesOf("a.example"))
-	require.Empty(t, indexed(bound).HomesOf("b.example"))
-}
-
 func TestServerIncarnations(t *testing.T) {
 	a := Server{ID: "s", Started: 1, Sequence: 4}
 	b := Server{ID: "s", Started: 1, Sequence: 9}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -10,7 +10,8 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// regionRoundTrip is the round trip between two regions that is reckoned with.
+// regionRoundTrip is the round trip between two regions that is reckoned with: the
+// users' regions lie 55 ms apart.
 const regionRoundTrip = 110 * time.Millisecond
 
 // choice is the outcome of choosing a server.
@@ -96,6 +97,8 @@
 	return d.candidates
 }
 
+// secondPlace returns the index of the nearest other by hash alone, or -1 where there
+// is none or it may not be used now.
 func (d *Dispatcher) secondPlace(now model.Instant, q *request, first int) int {
 	second := -1
 	for i, p := range d.placed {
@@ -150,8 +153,8 @@
 func (d *Dispatcher) fullFor(now model.Instant, s *server, q *request) time.Duration {
 	slots := float64(max(1, s.entry.Slots))
 	run := d.runTime(q)
-	limit := max(q.objective-run, q.objective/2)
-	return max(0, scale(run, (s.load(now)+1-slots)/slots)-limit)
+	patience := max(q.objective-run, q.objective/2)
+	return max(0, scale(run, (s.load(now)+1-slots)/slots)-patience)
 }
 
 // noServerRetry is when a caller should ask again where no server is in sight:
@@ -179,7 +182,7 @@
 func (d *Dispatcher) cost(now model.Instant, s *server, q *request) time.Duration {
 	cost := d.distance(s, q, spread(q.object, s.hash)) + d.queueCost(now, s, q)
 	if q.sticky && !s.warm.knows(now, q.object) {
-		cost += scale(d.learnCost(q), unknownShare)
+		cost += d.learnCost(q)
 	}
 	if s.cold(now) {
 		cost += d.learnCost(q)
@@ -187,10 +190,6 @@
 	return cost
 }
 
-// unknownShare is the part of what learning costs that counts against a server that
-// does not know an object.
-const unknownShare = 1.0
-
 // queueCost is the time until a slot is free, and a little for each request that
 // is there already, so that equal servers share.
 func (d *Dispatcher) queueCost(now model.Instant, s *server, q *request) time.Duration {
@@ -259,7 +258,7 @@
 	return xxh3.HashString(string(r.Name) + "\x00" + affinity)
 }
 
-// nextRandom is a small generator, so that Step depends on nothing outside.
+// nextRandom is the naive policy's source, so that Step depends on nothing outside.
 func (d *Dispatcher) nextRandom() uint64 {
 	d.random ^= d.random << 13
 	d.random ^= d.random >> 7
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -109,9 +109,6 @@
 // has not expired in an outage.
 func (d *Dispatcher) StoreSettled(now model.Instant) bool { return d.store.settled(now) }
 
-// Configured reports whether a configuration is in force.
-func (d *Dispatcher) Configured() bool { return d.config != nil }
-
 // Configuration returns the configuration in force, or nil.
 func (d *Dispatcher) Configuration() *catalog.Configuration { return d.config }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -103,7 +103,7 @@
 // Send sends a request to a backend server.
 type Send struct {
 	Request model.RequestID
-	Server  *catalog.Server // not to be changed
+	Server  *catalog.Server // a copy that stays as it is
 	Left    time.Duration   // until the request's deadline
 	// AnswerTimeout bounds the wait for the first byte of the answer; 0 is none
 	// but the deadline.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -110,9 +110,10 @@
 	if q.sends == 1 {
 		d.service(q.service).budget.Sent(now)
 	}
+	entry := s.entry // read after the next Step may have changed the server's
 	send := &Send{
 		Request: q.id,
-		Server:  &s.entry,
+		Server:  &entry,
 		Left:    left,
 		Attempt: q.sends + q.dials,
 		Kind:    q.route.Kind,
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -18,7 +18,7 @@
 
 // Lookup is a caller's question which instances to use.
 type Lookup struct {
-	Host   string
+	Host   string           // that the caller wants to reach; every instance serves all hosts
 	Region model.RegionName // the caller's
 	Zone   model.ZoneName   // the caller's
 }
@@ -32,20 +32,20 @@
 )
 
 // Lookup returns the addresses of the instances that a caller should use: those of
-// its region, or else those of a region that may serve the host, or else any.
+// its region, or any where that has none.
 func (e *Edge) Lookup(l Lookup) ([]string, time.Duration) {
 	e.metrics.lookups.Inc()
-	var near, any []string
+	var near, all []string
 	e.fleetMu.Lock()
 	for _, record := range e.usableInstances() {
-		any = append(any, record.CallerAddr)
+		all = append(all, record.CallerAddr)
 		if e.options.Regions[record.Zone] == l.Region {
 			near = append(near, record.CallerAddr)
 		}
 	}
 	e.fleetMu.Unlock()
 	if len(near) == 0 {
-		near = any
+		near = all
 	}
 	return near[:min(len(near), maxLookup)], min(lookupTTL, e.options.Bounds.LookupTTL)
 }
