--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -181,9 +181,9 @@
 	for _, table := range e.options.follows() {
 		e.tasks.Go(func() { follow.Follow(e.ctx, e.options.Store, table, e) })
 	}
-	e.tasks.Go(e.tickUntilLeft)
+	e.tasks.Go(func() { e.every(tickEvery, e.tick) })
 	e.tasks.Go(e.keepListed)
-	e.tasks.Go(e.sweepUntilLeft)
+	e.tasks.Go(func() { e.every(sweepEvery, e.sweep) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -194,32 +194,23 @@
 	return err
 }
 
-func (e *Edge) tickUntilLeft() {
-	ticker := time.NewTicker(tickEvery)
+// every calls a function at a period until the instance has left.
+func (e *Edge) every(period time.Duration, do func(now model.Instant)) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
-			now := e.clock.now()
-			e.tickFleet(now)
-			e.post(&dispatch.Tick{At: now})
+			do(e.clock.now())
 		}
 	}
 }
 
-func (e *Edge) sweepUntilLeft() {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case <-ticker.C:
-			e.sweep(e.clock.now())
-		}
-	}
+func (e *Edge) tick(now model.Instant) {
+	e.tickFleet(now)
+	e.post(&dispatch.Tick{At: now})
 }
 
 const (
