A busy server that does not answer its health check in time keeps its requests

A health check waits for a slot like a request; behind a long queue it ran into its time-out, the server was taken for one without power and a request that it had just begun was cancelled. Change: only a check that gets no connection moves requests. TestBusyServerIsReached and TestSilentServer.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -248,6 +248,10 @@
 			require.NotEqual(t, s.ID, requireSend(t, arrive(d, at(time.Second), id, "k")).Server.ID)
 			ended(d, at(time.Second), id, event.AttemptComplete)
 		}
+		for _, f := range d.Step(&ServerProbed{At: at(1100 * time.Millisecond), Server: s.ID, Reached: true}) {
+			_, cancels := f.(*Cancel)
+			require.False(t, cancels, "it is only busy")
+		}
 		var cancelled []model.RequestID
 		for _, f := range d.Step(&ServerProbed{At: at(1200 * time.Millisecond), Server: s.ID}) {
 			if c, ok := f.(*Cancel); ok {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -82,7 +82,7 @@
 	At      model.Instant
 	Server  model.BackendName
 	Healthy bool
-	// Reached reports that it answered at all.
+	// Reached reports that it took a connection.
 	Reached bool
 	Report  ServerReport
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -91,7 +91,7 @@
 	}
 	s.probing = false
 	s.reported(ev.At, &ev.Report, s.inFlight)
-	if !ev.Reached {
+	if !ev.Healthy && !ev.Reached {
 		d.replaceAttempts(s)
 	}
 	if !ev.Healthy {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -203,6 +204,13 @@
 	}
 }
 
+// reached reports whether a health check got a connection. It waits for a slot like a
+// request, so that a server that is only busy may not answer it in time.
+func reached(err error) bool {
+	var failed *upstream.SendError
+	return !errors.As(err, &failed) || failed.Step != upstream.StepDial
+}
+
 // probeTimeout bounds a health check: it waits for a slot like a request.
 const probeTimeout = time.Second
 
@@ -219,9 +227,8 @@
 			URI:             []byte(f.Path),
 			FreshConnection: true,
 		})
-		probed := &dispatch.ServerProbed{Server: server.ID}
+		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err)}
 		if err == nil {
-			probed.Reached = true
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Report = reportOf(answer.Report)
 		}
