TransitAllowance 400 ms: a busy instance reads its messages late

Not shown by a log of the ages: the cause is inferred from that delay and from the same fault on the grown site.

--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -61,9 +61,10 @@
 }
 
 // TransitAllowance is what a message from a peer is reckoned to have been on its way,
-// beside the age that it tells: more than the way between regions. With less, peers
+// beside the age that it tells: the way between regions, and a busy instance that reads
+// its messages late. With less, peers
 // that confirm one another would seem up to date for ever.
-const TransitAllowance = 150 * time.Millisecond
+const TransitAllowance = 400 * time.Millisecond
 
 // Confirm notes that a peer was up to date at a time. With the same revision, this
 // instance was, too; it reports whether that is so.
