--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -20,8 +20,9 @@
 }
 
 // staleAfter is the age of a table beyond which the store is read by instances that
-// otherwise leave that to peers: with a call and a retry it stays within 2.5 s.
-const staleAfter = 1700 * time.Millisecond
+// otherwise leave that to peers: with a call, a retry and a busy instance it stays
+// within 2.5 s.
+const staleAfter = 900 * time.Millisecond
 
 // Due implements follow.Sink: few instances of a region read the store, the others
 // only where those do not keep them up to date.
