A row that changed twice in one batch ends as it is now

Cause: the store's feed returns every version of a row since the last read. The cache kept them all, sorted them by key alone with an unstable sort, and put them in that order, so that an entry could come back after its removal. Ruled out: late news (all instances knew version 649 within 0.6 s) and entries kept in an outage (no 'kept' line in the log). Test: TestRowsThatChangedTwiceEndAsTheyAreNow, failed before.

--- a/internal/follow/cache.go
+++ b/internal/follow/cache.go
@@ -62,13 +62,7 @@
 	if b.Full && b.Version < t.version {
 		return nil
 	}
-	var changed []Row
-	for _, row := range b.Rows {
-		if old, ok := t.rows[row.Key]; ok && old.Version >= row.Version {
-			continue
-		}
-		changed = append(changed, row)
-	}
+	changed := t.newer(b.Rows)
 	if b.Full {
 		changed = append(changed, t.missing(b)...)
 	}
@@ -81,6 +75,27 @@
 	return changed
 }
 
+// newer returns the last version of each row that is newer than what is known. A batch
+// of changes may hold several versions of a row.
+func (t *table) newer(rows []Row) []Row {
+	var list []Row
+	at := map[string]int{}
+	for _, row := range rows {
+		if old, ok := t.rows[row.Key]; ok && old.Version >= row.Version {
+			continue
+		}
+		i, seen := at[row.Key]
+		switch {
+		case !seen:
+			at[row.Key] = len(list)
+			list = append(list, row)
+		case row.Version > list[i].Version:
+			list[i] = row
+		}
+	}
+	return list
+}
+
 // missing returns the deletions that a whole table implies.
 func (t *table) missing(b Batch) []Row {
 	present := make(map[string]bool, len(b.Rows))
--- a/internal/follow/cache_test.go
+++ b/internal/follow/cache_test.go
@@ -22,6 +22,21 @@
 	require.Equal(t, []Row{{Key: "b", Version: 9, Deleted: true}}, changed)
 }
 
+// TestRowsThatChangedTwiceEndAsTheyAreNow: a feed may hold every version of a row.
+func TestRowsThatChangedTwiceEndAsTheyAreNow(t *testing.T) {
+	c := NewCache()
+	var b Batch
+	for i := range int64(40) { // enough rows that sorting by key alone mixes them
+		b.Rows = append(b.Rows, row(fmt.Sprint("k", i%5), 10+i))
+	}
+	b.Rows = append(b.Rows, Row{Key: "k3", Version: 60, Deleted: true})
+	b.Table, b.Version = "t", 60
+	changed := c.Apply(b)
+	require.Len(t, changed, 5)
+	require.Equal(t, Row{Key: "k3", Version: 60, Deleted: true}, changed[3])
+	require.Equal(t, []Row{row("k0", 45), row("k1", 46), row("k2", 47), row("k4", 49)}, live(c))
+}
+
 // TestPeersAgree copies changes from a store to one cache, and from that to another
 // at any points between.
 func TestPeersAgree(t *testing.T) {
