Copies of the store are compared by versions, their age from echoes

Cause: instances compared copies by a sum of versions. Two copies with the same content, read at different times, had different sums, so that neither confirmed the other; and each hop added an allowance of 400 ms to the age. Now a digest says of each table up to which version every change is known, which was the last, and when; a peer that is complete beyond the last change is as complete and as recent. Times come from the echo of the receiver's own message, so that a slow link or a frozen instance never makes a copy seem younger. The limits follow the platform's bounds (drainMs, configMs). Rows matter by what was last read or learnt, not by what peers were last told: a server that turned cold again was not told before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -82,9 +82,11 @@
 	case *CatalogChanged:
 		d.catalogChanged(ev)
 	case *StoreTried:
-		d.store.tried(ev.At, ev.OK)
+		d.store.tried(ev)
 	case *StoreVouched:
-		d.store.vouchedAt = ev.At
+		d.store.vouched(ev.At)
+	case *StoreDoubted:
+		d.store.doubt(ev.At)
 	case *FleetCounted:
 		d.instances = ev.Instances
 	case *RequestArrived:
@@ -105,9 +107,10 @@
 	d.add(&Record{At: at, Subject: subject, What: what, Why: why})
 }
 
-// StoreSettled reports whether what is missing from the store has been removed, and
-// has not expired in an outage.
-func (d *Dispatcher) StoreSettled(now model.Instant) bool { return d.store.settled(now) }
+// StoreSettledAt is when the store was last read by an instance for which it had not
+// failed lately, 0 for never: what was missing then had been removed, and had not
+// expired in an outage.
+func (d *Dispatcher) StoreSettledAt() model.Instant { return d.store.settledAt }
 
 // Configuration returns the configuration in force, or nil.
 func (d *Dispatcher) Configuration() *catalog.Configuration { return d.config }
@@ -202,7 +205,9 @@
 	s.goneAt = at
 	if !d.store.mayHaveLapsed(at) || s.entry.Draining {
 		d.removeServer(at, s, "its entry is gone")
+		return
 	}
+	d.record(at, string(id), "kept", "its entry may have expired with the store away")
 }
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, why string) {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -20,15 +20,21 @@
 	Change catalog.Change
 }
 
-// StoreTried reports whether the store could be read.
+// StoreTried reports whether the store could be read by a call that began at Started.
 type StoreTried struct {
-	At model.Instant
-	OK bool
+	At      model.Instant
+	Started model.Instant
+	OK      bool
 }
 
-// StoreVouched reports that a peer reads the store without failures.
+// StoreVouched reports that at a time a peer read the store, which had not failed for
+// it lately.
 type StoreVouched struct{ At model.Instant }
 
+// StoreDoubted reports that what a peer tells was read at a time when the store had
+// failed lately for its reader.
+type StoreDoubted struct{ At model.Instant }
+
 // FleetCounted reports how many instances may be sending.
 type FleetCounted struct {
 	At        model.Instant
@@ -91,6 +97,7 @@
 func (*CatalogChanged) event() {}
 func (*StoreTried) event()     {}
 func (*StoreVouched) event()   {}
+func (*StoreDoubted) event()   {}
 func (*FleetCounted) event()   {}
 func (*RequestArrived) event() {}
 func (*AttemptEnded) event()   {}
@@ -118,6 +125,7 @@
 type Why struct {
 	Route         model.RouteName
 	Configuration int64         // version
+	Object        uint64        // hash of what the request is about
 	Knew          bool          // the server was believed to know the object
 	Moved         bool          // to another region than that of the object's first place
 	Load          float64       // requests that the server was believed to hold
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -120,6 +120,7 @@
 		Why: Why{
 			Route:         q.route.Name,
 			Configuration: d.config.Version,
+			Object:        q.object,
 			Knew:          q.knew,
 			Moved:         c.moved,
 			Load:          s.load(now),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,7 +47,8 @@
 	listed  map[model.InstanceID]listedInstance
 	missing map[model.InstanceID]model.Instant // since when listed instances are not usable
 	replica *follow.Replica
-	entries map[model.BackendName]catalog.Server // latest that peers were told of
+	echoes  *follow.Echoes
+	entries map[model.BackendName]catalog.Server // latest that was read or learnt
 	failed  map[string]bool                      // tables whose last read failed
 	known   map[string]bool                      // tables that were read or learnt
 	applyMu sync.Mutex                           // rows of two sources are applied one batch after the other
@@ -73,7 +74,12 @@
 type clock struct{ start time.Time }
 
 func (c clock) now() model.Instant {
-	return model.InstantOf(c.start).Add(time.Since(c.start))
+	return c.at(time.Now())
+}
+
+// at converts a time that has a reading of the steady clock.
+func (c clock) at(t time.Time) model.Instant {
+	return model.InstantOf(c.start).Add(t.Sub(c.start))
 }
 
 // upstreamSettings are the bounds towards backend servers.
@@ -120,6 +126,7 @@
 		listed:  map[model.InstanceID]listedInstance{},
 		missing: map[model.InstanceID]model.Instant{},
 		entries: map[model.BackendName]catalog.Server{},
+		echoes:  follow.NewEchoes(),
 		failed:  map[string]bool{},
 		known:   map[string]bool{},
 		listOwn: make(chan struct{}, 1),
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
-	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
@@ -113,17 +112,12 @@
 	now := e.clock.now()
 	for _, m := range out.Messages {
 		gossip := membership.ToProto(now, m.Message)
-		gossip.StateAgeNs = int64(e.replica.OldestAge(now))
-		gossip.StateSettled = e.storeSettled()
+		gossip.State = e.digestFor(now, m.To)
 		e.links.Gossip(m.To, gossip)
 	}
 	for _, n := range out.Notes {
 		e.log.WithFields(logrus.Fields{"subject": n.Subject, "why": n.Why}).Info(n.What)
 	}
-	if out.FetchFrom != "" {
-		peer := out.FetchFrom
-		e.tasks.Go(func() { e.fetchState(peer) })
-	}
 }
 
 // LinkUp implements link.Events.
@@ -137,6 +131,7 @@
 func (e *Edge) LinkDown(peer model.InstanceID) {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	e.echoes.Forget(peer)
 	e.carryOut(e.group.LinkDown(e.clock.now(), peer))
 }
 
@@ -150,12 +145,7 @@
 	}
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	if age := g.GetStateAgeNs(); age > 0 {
-		fresh := now.Add(-time.Duration(age) - follow.TransitAllowance)
-		if e.replica.Confirm(fresh, g.GetRevision()) && g.GetStateSettled() {
-			e.post(&dispatch.StoreVouched{At: now})
-		}
-	}
+	e.digestReceived(now, from, g.GetState())
 	e.carryOut(e.group.Receive(now, from, message))
 }
 
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -97,6 +98,7 @@
 		"attempt":       f.Attempt,
 		"left_ms":       f.Left.Milliseconds(),
 		"configuration": f.Why.Configuration,
+		"object":        strconv.FormatUint(f.Why.Object, 16),
 		"knows_object":  f.Why.Knew,
 		"moved":         f.Why.Moved,
 		"load":          int(f.Why.Load),
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -25,6 +25,8 @@
 	ColdFactor  float64 // times a service's cold rate that a cold server may get in a second
 	ColdSlack   float64 // requests beside it
 	ShiftCap    float64 // share of a region's requests that may change region in 2 s
+	// InForce is the time within which a change in the store has to be in force here.
+	InForce time.Duration
 }
 
 // Registry lists entry instances in the platform's store.
@@ -57,27 +59,45 @@
 }
 
 const (
-	// operatorWait is how long the store holds a call for the operator's rows: it
-	// bounds how long a connection that went silent hides a change.
-	operatorWait = 1500 * time.Millisecond
-	// serversEvery is the time between two reads of the servers' rows, which change
-	// with every heartbeat of every server.
-	serversEvery = 800 * time.Millisecond
+	// operatorShare of InForce is how long the store holds a call for the operator's
+	// rows: it bounds how long a connection that went silent hides a change.
+	operatorShare = 0.44
+	// serversShare of InForce is the time between two reads of the servers' rows,
+	// which change with every heartbeat of every server.
+	serversShare = 0.32
 	// instancesEvery is the time between two reads of the instances' rows; links
 	// tell sooner who is alive.
-	instancesEvery = 1500 * time.Millisecond
+	instancesEvery = 3 * time.Second
+	// instancesStale is the age beyond which an instance reads those rows itself.
+	instancesStale = 6 * time.Second
+	// readTime of InForce is left for an instance that finds its copy too old: a look
+	// at the age, a call from another region, and one more when that fails.
+	readTime = 700 * time.Millisecond
 	// tickEvery is the period of everything that depends on time alone.
 	tickEvery = 100 * time.Millisecond
 )
 
+// staleAfter is the age of a table beyond which the store is read by instances that
+// otherwise leave that to peers.
+func (o *Options) staleAfter(table string) time.Duration {
+	if table == o.Tables.Instances {
+		return instancesStale
+	}
+	return max(o.Bounds.InForce-readTime, tickEvery)
+}
+
+func (o *Options) shareOfInForce(share float64) time.Duration {
+	return time.Duration(share * float64(o.Bounds.InForce))
+}
+
 func (o *Options) tableNames() []string {
 	return []string{o.Tables.Operator, o.Tables.Servers, o.Tables.Instances}
 }
 
 func (o *Options) follows() []follow.Table {
 	return []follow.Table{
-		{Name: o.Tables.Operator, Wait: operatorWait},
-		{Name: o.Tables.Servers, Every: serversEvery},
+		{Name: o.Tables.Operator, Wait: o.shareOfInForce(operatorShare)},
+		{Name: o.Tables.Servers, Every: o.shareOfInForce(serversShare)},
 		{Name: o.Tables.Instances, Every: instancesEvery},
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -16,21 +16,16 @@
 func (e *Edge) Version(table string) int64 {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.replica.ReadVersion(table)
+	return e.replica.Version(table)
 }
 
-// staleAfter is the age of a table beyond which the store is read by instances that
-// otherwise leave that to peers: with a call, a retry and a busy instance it stays
-// within 2.5 s.
-const staleAfter = 900 * time.Millisecond
-
 // Due implements follow.Sink: few instances of a region read the store, the others
 // only where those do not keep them up to date.
 func (e *Edge) Due(table string) bool {
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.readsStore() || e.replica.Age(now, table) > staleAfter
+	return e.readsStore() || e.replica.Age(now, table) > e.options.staleAfter(table)
 }
 
 // readersPerRegion is how many instances of a region read the store.
@@ -50,7 +45,7 @@
 }
 
 // Tried implements follow.Sink.
-func (e *Edge) Tried(table string, err error) {
+func (e *Edge) Tried(table string, started time.Time, err error) {
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	changed := e.failed[table] != (err != nil)
@@ -67,14 +62,17 @@
 		e.log.WithField("table", table).Info("store regained")
 	}
 	if table == e.options.Tables.Servers {
-		e.post(&dispatch.StoreTried{At: now, OK: err == nil})
+		e.post(&dispatch.StoreTried{At: now, Started: e.clock.at(started), OK: err == nil})
 	}
 }
 
 // Apply implements follow.Sink: it takes over what the store says.
-func (e *Edge) Apply(b follow.Batch) {
-	now := e.clock.now()
-	e.absorb(now, b.Table, func() []follow.Row { return e.replica.Read(now, b) })
+func (e *Edge) Apply(fresh time.Time, b follow.Batch) {
+	at := e.clock.at(fresh)
+	e.absorb(e.clock.now(), b.Table, func() []follow.Row {
+		e.group.Hurry() // peers learn how recent this copy is
+		return e.replica.Read(at, b)
+	})
 }
 
 // absorb takes over the rows by which a batch changes the replica.
@@ -85,7 +83,9 @@
 	changed := change()
 	first := !e.known[table]
 	e.known[table] = true
-	e.group.SetRevision(e.replica.Revision())
+	if len(changed) > 0 {
+		e.group.Hurry()
+	}
 	e.fleetMu.Unlock()
 	for _, row := range changed {
 		e.applyRow(now, table, row)
@@ -112,11 +112,7 @@
 		return true
 	}
 	old, known := e.entries[id]
-	if known && !listed.Server.SaysMore(&old) {
-		return false
-	}
-	e.entries[id] = listed.Server
-	return true
+	return !known || listed.Server.SaysMore(&old)
 }
 
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
@@ -136,6 +132,11 @@
 		delete(e.listed, c.ID)
 		e.fleetMu.Unlock()
 	default:
+		if listed, ok := change.(*catalog.ServerChange); ok {
+			e.fleetMu.Lock()
+			e.entries[listed.Server.ID] = listed.Server
+			e.fleetMu.Unlock()
+		}
 		e.post(&dispatch.CatalogChanged{At: now, Change: change})
 	}
 }
@@ -161,22 +162,27 @@
 		e.log.WithField("peer", peer).WithError(err).Debug("no state from peer")
 		return
 	}
-	e.hearOfStore(state.GetSettled())
-	fresh := asked.Add(-time.Duration(state.GetAgeNs()))
+	e.hearOfStore(asked, state)
 	for _, t := range state.GetTables() {
 		b := batchFromProto(t)
+		fresh := asked.Add(-time.Duration(t.GetAgeNs()))
 		e.absorb(e.clock.now(), b.Table, func() []follow.Row { return e.replica.Learn(fresh, b) })
 	}
 }
 
 // hearOfStore takes a peer's word on the store: whether what is missing from it has
 // been removed, or may have expired in an outage.
-func (e *Edge) hearOfStore(settled bool) {
-	now := e.clock.now()
-	if settled {
-		e.post(&dispatch.StoreVouched{At: now})
-	} else {
-		e.post(&dispatch.StoreTried{At: now, OK: false})
+func (e *Edge) hearOfStore(asked model.Instant, state *linkpb.State) {
+	for _, t := range state.GetTables() {
+		if t.GetTable() != e.options.Tables.Servers {
+			continue
+		}
+		settled := state.GetSettledAgeNs()
+		if settled > 0 && settled <= t.GetAgeNs() {
+			e.post(&dispatch.StoreVouched{At: asked.Add(-time.Duration(settled))})
+		} else {
+			e.post(&dispatch.StoreDoubted{At: asked.Add(-time.Duration(t.GetAgeNs()))})
+		}
 	}
 }
 
@@ -191,27 +197,31 @@
 	}
 }
 
-func (e *Edge) storeSettled() bool {
+// settledAge is how long ago the store was read by an instance for which it had not
+// failed lately, 0 for unknown.
+func (e *Edge) settledAge(now model.Instant) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.dispatcher.StoreSettled(e.clock.now())
+	at := e.dispatcher.StoreSettledAt()
+	if at == 0 {
+		return 0
+	}
+	return max(now.Sub(at), 1)
 }
 
 // State implements link.Events.
 func (e *Edge) State(request *linkpb.StateRequest) *linkpb.State {
-	state := &linkpb.State{Settled: e.storeSettled()}
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	state.AgeNs = int64(e.replica.OldestAge(e.clock.now()))
+	now := e.clock.now()
+	state := &linkpb.State{SettledAgeNs: int64(e.settledAge(now))}
 	for _, known := range request.GetKnown() {
 		b := e.replica.Since(known.GetTable(), known.GetVersion())
-		if b.Version <= known.GetVersion() {
-			continue
-		}
 		state.Tables = append(state.Tables, &linkpb.TableState{
 			Table:   b.Table,
 			Version: b.Version,
 			Full:    b.Full,
+			AgeNs:   int64(e.replica.Age(now, b.Table)),
 			Rows: lo.Map(b.Rows, func(r follow.Row, _ int) *linkpb.TableRow {
 				return &linkpb.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
 			}),
@@ -219,3 +229,54 @@
 	}
 	return state
 }
+
+// digestFor describes what is known of the store for a peer.
+func (e *Edge) digestFor(now model.Instant, peer model.InstanceID) *linkpb.StateDigest {
+	echo, held := e.echoes.Return(now, peer)
+	return &linkpb.StateDigest{
+		SentNs:       int64(now),
+		EchoNs:       echo,
+		HeldNs:       int64(held),
+		SettledAgeNs: int64(e.settledAge(now)),
+		Tables: lo.Map(e.replica.Digests(), func(d follow.Digest, _ int) *linkpb.TableDigest {
+			return &linkpb.TableDigest{Table: d.Table, Complete: d.Complete, Changed: d.Changed, AgeNs: int64(now.Sub(d.Fresh))}
+		}),
+	}
+}
+
+// forwardFrom is how much fresher a confirmed copy must have become for peers to be
+// told at once rather than with the next heartbeat.
+const forwardFrom = 300 * time.Millisecond
+
+// digestReceived compares a peer's digest with the own copy, and asks the peer for what
+// changed where it knows more. The caller holds fleetMu.
+func (e *Edge) digestReceived(now model.Instant, from model.InstanceID, digest *linkpb.StateDigest) {
+	if digest == nil {
+		return
+	}
+	e.echoes.Heard(now, from, digest.GetSentNs())
+	sent, known := follow.SentNoEarlierThan(digest.GetEchoNs(), time.Duration(digest.GetHeldNs()))
+	if !known {
+		return
+	}
+	if settled := digest.GetSettledAgeNs(); settled > 0 {
+		e.post(&dispatch.StoreVouched{At: sent.Add(-time.Duration(settled))})
+	}
+	lacks := false
+	for _, t := range digest.GetTables() {
+		before := e.replica.FreshAt(t.GetTable())
+		confirmed := e.replica.Confirm(follow.Digest{
+			Table:    t.GetTable(),
+			Complete: t.GetComplete(),
+			Changed:  t.GetChanged(),
+			Fresh:    sent.Add(-time.Duration(t.GetAgeNs())),
+		})
+		lacks = lacks || !confirmed
+		if e.replica.FreshAt(t.GetTable()).Sub(before) >= forwardFrom {
+			e.group.Hurry()
+		}
+	}
+	if lacks {
+		e.tasks.Go(func() { e.fetchState(from) })
+	}
+}
--- a/internal/follow/cache.go
+++ b/internal/follow/cache.go
@@ -34,7 +34,8 @@
 type Cache struct{ tables map[string]*table }
 
 type table struct {
-	version int64
+	version int64 // up to which the rows are complete
+	changed int64 // of the latest row
 	rows    map[string]Row
 	// floor is the version up to which deletions may have been forgotten.
 	floor      int64
@@ -52,6 +53,30 @@
 	return 0
 }
 
+// Changed returns the version from which on a copy lacks no change of a table that is
+// known here, deletions that were forgotten among them.
+func (c *Cache) Changed(name string) int64 {
+	if t := c.tables[name]; t != nil {
+		return max(t.changed, t.floor)
+	}
+	return 0
+}
+
+// Skipped notes that a table was read whole at a version, so that deletions before it
+// may be unknown.
+func (c *Cache) Skipped(name string, version int64) {
+	if t := c.tables[name]; t != nil {
+		t.floor = max(t.floor, version)
+	}
+}
+
+// Advance notes that nothing changed in a known table up to a version.
+func (c *Cache) Advance(name string, version int64) {
+	if t := c.tables[name]; t != nil {
+		t.version = max(t.version, version)
+	}
+}
+
 // Apply takes a batch over and returns the rows that it changed, in key order.
 func (c *Cache) Apply(b Batch) []Row {
 	t := c.tables[b.Table]
@@ -71,6 +96,9 @@
 		t.put(row)
 	}
 	t.version = max(t.version, b.Version)
+	if b.Full {
+		t.floor = max(t.floor, b.Version)
+	}
 	t.trim()
 	return changed
 }
@@ -119,6 +147,7 @@
 		t.tombstones++
 	}
 	t.rows[row.Key] = row
+	t.changed = max(t.changed, row.Version)
 }
 
 // trim forgets the older half of the deletions once there are too many.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -41,9 +41,10 @@
 type Sink interface {
 	// Version returns the version up to which a table is known.
 	Version(table string) int64
-	Apply(b Batch)
-	// Tried reports how a call ended; nil is success.
-	Tried(table string, err error)
+	// Apply takes what a call returned; the store cannot have been read before fresh.
+	Apply(fresh time.Time, b Batch)
+	// Tried reports how a call ended that began at started; nil is success.
+	Tried(table string, started time.Time, err error)
 	// Due reports whether a table should be read now rather than left to peers.
 	Due(table string) bool
 }
@@ -63,7 +64,7 @@
 		started := time.Now()
 		pause := t.Every
 		b, err := read(ctx, store, t, sink.Version(t.Name), snapshot)
-		sink.Tried(t.Name, err)
+		sink.Tried(t.Name, started, err)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			snapshot = true
@@ -71,13 +72,22 @@
 		case err != nil:
 			pause = retryEvery
 		default:
-			sink.Apply(b)
+			sink.Apply(freshness(t, started, b), b)
 			snapshot = false
 		}
 		sleep(ctx, pause-time.Since(started))
 	}
 }
 
+// freshness is the earliest time at which the store may have been read by a call. A
+// held call without changes has been waiting in the store all the while.
+func freshness(t Table, started time.Time, b Batch) time.Time {
+	if t.Wait > 0 && !b.Full && len(b.Rows) == 0 && time.Since(started) >= t.Wait {
+		return started.Add(t.Wait)
+	}
+	return started
+}
+
 func read(ctx context.Context, store Store, t Table, after int64, snapshot bool) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.Wait+answerSlack)
 	defer cancel()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -45,9 +45,11 @@
 }
 
 func (s *sink) Version(table string) int64 { return s.cache.Version(table) }
-func (s *sink) Apply(b Batch)              { s.cache.Apply(b) }
-func (s *sink) Tried(_ string, err error)  { s.tried = append(s.tried, err == nil) }
-func (s *sink) Due(string) bool            { return true }
+func (s *sink) Apply(_ time.Time, b Batch) { s.cache.Apply(b) }
+func (s *sink) Tried(_ string, _ time.Time, err error) {
+	s.tried = append(s.tried, err == nil)
+}
+func (s *sink) Due(string) bool { return true }
 
 func TestFollowReadsAnewWhenHistoryIsGone(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -30,53 +30,69 @@
 	}
 }
 
-// ReadVersion is the version up to which this instance has read a table itself.
-func (r *Replica) ReadVersion(table string) int64 { return r.read.Version(table) }
+// Version is the version up to which every change of a table that matters is known.
+func (r *Replica) Version(table string) int64 { return r.shared.Version(table) }
 
-// Read takes a batch from the store over and returns the rows that changed.
-func (r *Replica) Read(now model.Instant, b Batch) []Row {
+// Read takes a batch from the store over and returns the rows that changed. The batch
+// was up to date at the given time or later.
+func (r *Replica) Read(fresh model.Instant, b Batch) []Row {
 	changed := r.read.Apply(b)
-	r.freshAt[b.Table] = now
-	share := Batch{Table: b.Table, Version: r.shared.Version(b.Table)}
+	r.refresh(b.Table, fresh)
+	share := Batch{Table: b.Table, Version: b.Version}
 	for _, row := range changed {
 		if r.matters(b.Table, row) {
 			share.Rows = append(share.Rows, row)
-			share.Version = max(share.Version, row.Version)
 		}
 	}
-	if share.Version == 0 {
-		share.Version = b.Version // an empty table is known, too
-	}
 	r.shared.Apply(share)
+	if b.Full {
+		r.shared.Skipped(b.Table, b.Version)
+	}
 	return changed
 }
 
 // Learn takes a peer's batch over and returns the rows that changed. The peer was
 // up to date at the given time.
 func (r *Replica) Learn(fresh model.Instant, b Batch) []Row {
+	if b.Version == 0 {
+		return nil // the peer does not know the table
+	}
 	changed := r.shared.Apply(b)
-	r.read.Apply(Batch{Table: b.Table, Version: r.read.Version(b.Table), Rows: changed})
-	r.refresh(b.Table, fresh)
+	r.read.Apply(Batch{Table: b.Table, Version: b.Version, Rows: changed})
+	if r.shared.Version(b.Table) >= b.Version {
+		r.refresh(b.Table, fresh)
+	}
 	return changed
 }
 
-// TransitAllowance is what a message from a peer is reckoned to have been on its way,
-// beside the age that it tells: the way between regions, and a busy instance that reads
-// its messages late. With less, peers
-// that confirm one another would seem up to date for ever.
-const TransitAllowance = 400 * time.Millisecond
+// Digest says how much an instance knows of one table.
+type Digest struct {
+	Table    string
+	Complete int64         // version up to which every change that matters is known
+	Changed  int64         // version of the last change that matters
+	Fresh    model.Instant // when Complete was the newest version
+}
 
-// Confirm notes that a peer was up to date at a time. With the same revision, this
-// instance was, too; it reports whether that is so.
-func (r *Replica) Confirm(fresh model.Instant, revision int64) bool {
-	if revision != r.Revision() {
-		return false
-	}
+// Digests describes all tables that are known.
+func (r *Replica) Digests() []Digest {
+	var list []Digest
 	for _, table := range r.tables {
-		if r.shared.Version(table) > 0 {
-			r.refresh(table, fresh)
+		if complete := r.shared.Version(table); complete > 0 {
+			list = append(list, Digest{Table: table, Complete: complete, Changed: r.shared.Changed(table), Fresh: r.freshAt[table]})
 		}
 	}
+	return list
+}
+
+// Confirm compares a peer's digest with what is known here. Where the peer knows no
+// later change, this copy is as complete as the peer's, and Confirm returns true;
+// otherwise the peer has to be asked for what changed.
+func (r *Replica) Confirm(d Digest) bool {
+	if d.Changed > r.shared.Version(d.Table) || r.shared.Version(d.Table) == 0 {
+		return false
+	}
+	r.shared.Advance(d.Table, d.Complete)
+	r.refresh(d.Table, d.Fresh)
 	return true
 }
 
@@ -84,14 +100,8 @@
 	r.freshAt[table] = max(r.freshAt[table], fresh)
 }
 
-// Revision grows with every row that matters; equal ones mean equal copies.
-func (r *Replica) Revision() int64 {
-	var sum int64
-	for _, table := range r.tables {
-		sum += r.shared.Version(table)
-	}
-	return sum
-}
+// FreshAt is when a table was last known to be up to date, 0 for never.
+func (r *Replica) FreshAt(table string) model.Instant { return r.freshAt[table] }
 
 // Age is how long ago a table was last known to be up to date; a table that never
 // was is infinitely old.
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// Hurry sends every peer a message with the next tick.
+func (g *Group) Hurry() { g.hurry() }
+
 // hurry sends every peer a message with the next tick.
 func (g *Group) hurry() {
 	for _, l := range g.linkOrder {
