Run times are learnt a route; busy servers are not taken for silent ones

And the run times of a service were means over all of its routes, among them requests that take 2 ms. Now a suspicion waits for as many turns as the server's queue has, a server that answers meanwhile is used on, and one that was only slow keeps what it knows. Ruled out: that the silence alone makes the overload. Tests: TestBusyServerIsNoSilentServer, TestRoutesOfAServiceAreTimedApart.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -152,7 +152,7 @@
 // miss their objective serves nobody.
 func (d *Dispatcher) fullFor(now model.Instant, s *server, q *request) time.Duration {
 	slots := float64(max(1, s.entry.Slots))
-	run := d.runTime(q)
+	run := q.runs.time()
 	patience := max(q.objective-run, q.objective/2)
 	return max(0, scale(run, (s.load(now)+1-slots)/slots)-patience)
 }
@@ -182,10 +182,10 @@
 func (d *Dispatcher) cost(now model.Instant, s *server, q *request) time.Duration {
 	cost := d.distance(s, q, spread(q.object, s.hash)) + d.queueCost(now, s, q)
 	if q.sticky && !s.warm.knows(now, q.object) {
-		cost += d.learnCost(q)
+		cost += q.runs.learnCost()
 	}
 	if s.cold(now) {
-		cost += d.learnCost(q)
+		cost += q.runs.learnCost()
 	}
 	return cost
 }
@@ -195,7 +195,7 @@
 func (d *Dispatcher) queueCost(now model.Instant, s *server, q *request) time.Duration {
 	slots := float64(max(1, s.entry.Slots))
 	load := s.load(now)
-	run := d.runTime(q)
+	run := q.runs.time()
 	waiting := max(0, load+1-slots)
 	cost := scale(run, waitShare*waiting/slots) + scale(run, loadShare*load/slots)
 	return cost + scale(run, shedShare*s.shed.value)
@@ -212,29 +212,6 @@
 	shedShare = 3
 )
 
-// learnCost is how much longer a request takes where its object is not known: as
-// observed, or else its objective.
-func (d *Dispatcher) learnCost(q *request) time.Duration {
-	svc := d.service(q.service)
-	if svc.warmRun.n >= minObserved && svc.coldRun.n >= minObserved {
-		return seconds(max(0, svc.coldRun.value-svc.warmRun.value))
-	}
-	return q.objective
-}
-
-// runTime is how long a request holds a slot: as observed, or else half of its
-// objective.
-func (d *Dispatcher) runTime(q *request) time.Duration {
-	svc := d.service(q.service)
-	if svc.warmRun.n >= minObserved {
-		return seconds(svc.warmRun.value)
-	}
-	return q.objective / 2
-}
-
-// minObserved is how many observations a mean needs before it is used.
-const minObserved = 8
-
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,10 +52,9 @@
 
 // service is what is learnt of one service.
 type service struct {
-	budget  *pacing.RetryBudget
-	warmRun average         // seconds, of requests for objects that the server knew
-	coldRun average         // seconds, of others
-	lost    *pacing.Counter // servers that failed or left lately
+	budget *pacing.RetryBudget
+	runs   map[model.RouteName]*runs
+	lost   *pacing.Counter // servers that failed or left lately
 }
 
 // New returns a Dispatcher that knows no configuration.
@@ -150,6 +149,9 @@
 			delete(d.splits, name)
 		}
 	}
+	for _, s := range d.services {
+		s.forgetRuns(known)
+	}
 	d.record(at, "configuration", "adopted", "newer version")
 }
 
@@ -283,7 +285,11 @@
 func (d *Dispatcher) service(name model.ServiceName) *service {
 	s := d.services[name]
 	if s == nil {
-		s = &service{budget: pacing.NewRetryBudget(d.settings.Retry), lost: pacing.NewCounter(lostFor)}
+		s = &service{
+			budget: pacing.NewRetryBudget(d.settings.Retry),
+			runs:   map[model.RouteName]*runs{},
+			lost:   pacing.NewCounter(lostFor),
+		}
 		d.services[name] = s
 	}
 	return s
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -298,6 +298,79 @@
 	}
 }
 
+// TestBusyServerIsNoSilentServer: requests that wait in a full server's queue are not
+// answered for long, and neither is a health check. The server keeps what it knows and
+// is not left alone longer than the check takes.
+func TestBusyServerIsNoSilentServer(t *testing.T) {
+	suspect := func(t *testing.T) (*Dispatcher, *server) {
+		d := newDispatcher(testRoute())
+		s := d.servers[requireSend(t, arrive(d, start, 1, "k")).Server.ID]
+		ended(d, at(400*time.Millisecond), 1, event.AttemptComplete)
+		arrive(d, at(400*time.Millisecond), 2, "k")
+		arrive(d, at(400*time.Millisecond), 3, "k")
+		d.Step(&Tick{At: at(2 * time.Second)})
+		require.True(t, s.suspected)
+		return d, s
+	}
+	t.Run("an answer meanwhile", func(t *testing.T) {
+		d, s := suspect(t)
+		ended(d, at(2500*time.Millisecond), 2, event.AttemptComplete)
+		d.Step(&ServerProbed{At: at(3 * time.Second), Server: s.entry.ID, Reached: true})
+		require.Zero(t, s.ejectedUntil)
+		require.True(t, s.warm.knows(at(3*time.Second), objectOf(d.config.Match("shop.example", "/browse/"), "k", "")))
+	})
+	t.Run("a good health check", func(t *testing.T) {
+		d, s := suspect(t)
+		d.Step(&ServerProbed{At: at(3 * time.Second), Server: s.entry.ID, Reached: true, Healthy: true})
+		require.Zero(t, s.ejectedUntil)
+		require.NotEmpty(t, s.warm)
+	})
+	t.Run("no answer at all", func(t *testing.T) {
+		d, s := suspect(t)
+		d.Step(&ServerProbed{At: at(3 * time.Second), Server: s.entry.ID, Reached: true})
+		require.NotZero(t, s.ejectedUntil)
+		require.False(t, s.suspected)
+	})
+	t.Run("a queue of three turns is given three times as long", func(t *testing.T) {
+		d := newDispatcher(testRoute())
+		s := d.servers[requireSend(t, arrive(d, start, 1, "k")).Server.ID]
+		run := 500 * time.Millisecond
+		require.Equal(t, 2*run, d.silenceLimit(start, s, run))
+		s.others, s.othersAt = 11, start
+		require.Equal(t, 6*run, d.silenceLimit(start, s, run))
+	})
+}
+
+// TestRoutesOfAServiceAreTimedApart: requests of another route that a server answers at
+// once do not hide how long those of this route take.
+func TestRoutesOfAServiceAreTimedApart(t *testing.T) {
+	quick := testRoute()
+	quick.Name, quick.Prefix, quick.Sticky = "ping", "/ping/", false
+	near := testRoute()
+	near.Homes, quick.Homes = []model.RegionName{"north"}, []model.RegionName{"north"}
+	d := newDispatcher(near, quick)
+	now, id := start, model.RequestID(0)
+	serve := func(path, key string, took time.Duration) {
+		id++
+		d.Step(&RequestArrived{At: now, Request: id, Host: "shop.example", Path: path, Affinity: key, Replayable: true})
+		now = now.Add(took)
+		d.Step(&AttemptEnded{At: now, Request: id, Result: event.AttemptComplete})
+	}
+	for i := range minObserved {
+		serve("/browse/x", fmt.Sprint(i), 900*time.Millisecond)
+		serve("/browse/x", fmt.Sprint(i), 300*time.Millisecond)
+	}
+	for i := range 50 {
+		serve("/ping/x", fmt.Sprint(i), 2*time.Millisecond)
+	}
+	browse := d.service("shop").runsOf(d.config.Match("shop.example", "/browse/x"))
+	require.InDelta(t, 600, browse.learnCost().Milliseconds(), 1)
+	require.InDelta(t, 300, browse.time().Milliseconds(), 1)
+	require.InDelta(t, 900, d.service("shop").longestRun().Milliseconds(), 1)
+	d.Step(&CatalogChanged{At: now, Change: &catalog.ConfigurationChange{Configuration: configuration(2, testRoute())}})
+	require.Len(t, d.service("shop").runs, 1, "the route that is gone is forgotten")
+}
+
 // TestRequestsWithoutAnObjectUseAnyServer: a request that is about no object is as
 // fast at one server as at another, so that two full servers are no reason to refuse it.
 func TestRequestsWithoutAnObjectUseAnyServer(t *testing.T) {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -16,6 +16,10 @@
 	ejectBroken = 3
 )
 
+// probeAge is how recent an answer must be that says more than a health check which
+// waited for a slot in vain: about as long as such a check waits.
+const probeAge = time.Second
+
 // noteHealth learns from the end of an attempt.
 func (d *Dispatcher) noteHealth(ev *AttemptEnded, s *server) {
 	switch {
@@ -59,6 +63,7 @@
 		return
 	}
 	d.lost(now, s)
+	s.suspected = false
 	s.failures++
 	wait := min(ejectMost, ejectFirst<<min(s.failures-1, 4))
 	s.ejectedUntil = now.Add(wait)
@@ -83,7 +88,7 @@
 }
 
 // serverProbed ends an ejection, or prolongs it. A server that was away comes back
-// without what it knew.
+// without what it knew; one that was only slow to answer has forgotten nothing.
 func (d *Dispatcher) serverProbed(ev *ServerProbed) {
 	s := d.servers[ev.Server]
 	if s == nil {
@@ -91,9 +96,16 @@
 	}
 	s.probing = false
 	s.reported(ev.At, &ev.Report, s.inFlight)
+	suspected := s.suspected
+	s.suspected = false
 	if !ev.Healthy && !ev.Reached {
 		d.replaceAttempts(s)
 	}
+	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < probeAge {
+		s.ejectedUntil = 0
+		d.record(ev.At, string(s.entry.ID), "used again", "it has answered meanwhile")
+		return
+	}
 	if !ev.Healthy {
 		s.ejectedUntil = 0
 		d.eject(ev.At, s, "its health check fails")
@@ -101,6 +113,8 @@
 	}
 	s.ejectedUntil = 0
 	s.failures = 0
-	s.warm = warmth{}
+	if !suspected {
+		s.warm = warmth{}
+	}
 	d.record(ev.At, string(s.entry.ID), "used again", "its health check passes")
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -13,6 +13,7 @@
 	id         model.RequestID
 	route      *catalog.Route
 	service    model.ServiceName
+	runs       *runs
 	object     uint64
 	sticky     bool          // servers answer faster where they know the object
 	objective  time.Duration // within which an answer is of full use
@@ -58,6 +59,7 @@
 		deadline:   ev.At.Add(patience(ev.Patience, route.Timeout)),
 		replayable: ev.Replayable,
 	}
+	q.runs = d.service(q.service).runsOf(route)
 	d.requests[q.id] = q
 	d.send(ev.At, q)
 }
@@ -198,11 +200,10 @@
 	if s.region != d.settings.Region {
 		run = max(0, run-regionRoundTrip)
 	}
-	svc := d.service(q.service)
 	if q.knew {
-		svc.warmRun.add(run.Seconds())
+		q.runs.warm.add(run.Seconds())
 	} else if !s.cold(now) {
-		svc.coldRun.add(run.Seconds())
+		q.runs.cold.add(run.Seconds())
 	}
 	s.warm.add(now, q.object)
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,7 @@
 	failures     int  // in a row
 	ejectedUntil model.Instant
 	probing      bool
+	suspected    bool          // left alone for its silence only; it is not known to have failed
 	busySince    model.Instant // when inFlight last left 0
 	answeredAt   model.Instant // last answer, of any kind
 	listedAt     model.Instant // when this instance learnt of it
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -23,21 +23,25 @@
 		return
 	}
 	for _, svc := range d.config.Services {
-		limit := d.silenceLimit(svc.Name)
+		run := d.service(svc.Name).longestRun()
 		for _, s := range d.byService[svc.Name] {
 			if s.inFlight == 0 || s.ejectedUntil != 0 || s.gone {
 				continue
 			}
-			if now.Sub(max(s.busySince, s.answeredAt)) > limit {
+			if now.Sub(max(s.busySince, s.answeredAt)) > d.silenceLimit(now, s, run) {
 				s.ejectedUntil = now // checked at once
+				s.suspected = true
 				d.record(now, string(s.entry.ID), "suspected", "it answers nothing")
 			}
 		}
 	}
 }
 
-func (d *Dispatcher) silenceLimit(name model.ServiceName) time.Duration {
-	return max(minSilence, silentRuns*seconds(d.service(name).coldRun.value))
+// silenceLimit is how long a busy server may take without any answer: a request may
+// have to wait until those before it have been answered.
+func (d *Dispatcher) silenceLimit(now model.Instant, s *server, run time.Duration) time.Duration {
+	turns := max(1, s.load(now)/float64(max(1, s.entry.Slots)))
+	return max(minSilence, scale(run, silentRuns*turns))
 }
 
 // replaceAttempts sends requests that may be repeated elsewhere, away from a server
