--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -146,14 +146,19 @@
 	return max(d.coldWait(now, s), d.fullFor(now, s, q))
 }
 
+// queueShare is how many objectives a request may be expected to wait in a server's
+// queue; see docs/MEASUREMENTS-PLATFORM.md. A late answer is of less use than one in
+// time, but of more than a refusal.
+const queueShare = 1.5
+
 // fullFor returns how long until a server's queue has room for a request, 0 for now.
 //
-// It answers a load above what the servers can carry: a queue so long that answers
-// miss their objective serves nobody.
+// It answers a load above what the servers can carry: a queue that grows without bound
+// makes every answer late, and later than callers wait.
 func (d *Dispatcher) fullFor(now model.Instant, s *server, q *request) time.Duration {
 	slots := float64(max(1, s.entry.Slots))
 	run := q.runs.time()
-	patience := max(q.objective-run, q.objective/2)
+	patience := scale(q.objective, queueShare)
 	return max(0, scale(run, (s.load(now)+1-slots)/slots)-patience)
 }
 
