--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -15,7 +15,7 @@
 	region model.RegionName
 	hash   uint64
 
-	inFlight  int // requests that this instance has sent to it
+	inFlight  int           // requests that this instance has sent to it
 	others    float64       // requests of other instances, as last reported
 	othersAt  model.Instant // when others was reported
 	usual     average       // of others, over the latest reports
