Limits of the configuration are kept: idle time, header time, body size

They were read and not used: connections of callers were closed after a fixed 20 s, which fits the 15 s of today's deployments and no other. Now the time for a header and between requests follow the configuration with a margin, on open connections too; a body that is announced longer than allowed is refused with 413. Headers are read up to 16 KiB as before; a configuration that allows more is logged. Test: TestLimitsMayChange.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -135,12 +135,13 @@
 	if d.config != nil && c.Version <= d.config.Version {
 		return
 	}
+	old := d.config
 	d.config = c
 	known := map[model.RouteName]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		known[r.Name] = true
-		if old := d.splits[r.Name]; old == nil || !slices.Equal(old.targets, r.Targets) {
+		if s := d.splits[r.Name]; s == nil || !slices.Equal(s.targets, r.Targets) {
 			d.splits[r.Name] = newSplit(r.Targets)
 		}
 	}
@@ -152,6 +153,9 @@
 	for _, s := range d.services {
 		s.forgetRuns(known)
 	}
+	if old == nil || old.Limits != c.Limits {
+		d.add(&LimitsChanged{Limits: c.Limits})
+	}
 	d.record(at, "configuration", "adopted", "newer version")
 }
 
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -160,6 +160,9 @@
 // has ended already.
 type Cancel struct{ Request model.RequestID }
 
+// LimitsChanged takes up what a new configuration lets callers send.
+type LimitsChanged struct{ Limits catalog.Limits }
+
 // Record is one decision for the log.
 type Record struct {
 	At      model.Instant
@@ -175,3 +178,5 @@
 func (*Forget) effect()  {}
 func (*Condemn) effect() {}
 func (*Record) effect()  {}
+
+func (*LimitsChanged) effect() {}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,9 +98,14 @@
 	// poolIdle is how long an idle connection is kept: servers that say nothing of
 	// it have been seen to close after 10 s.
 	poolIdle = 8 * time.Second
-	// callerIdle is how long a caller's connection may be idle: callers reuse those
-	// up to four fifths of 15 s old.
+	// callerIdle is how long a caller's connection may be idle while no configuration
+	// says so.
 	callerIdle = 20 * time.Second
+	// idleMargin is how much longer than the configuration's limit an idle connection
+	// is kept, so that a request sent just within the limit finds it open.
+	idleMargin = 5 * time.Second
+	// headerMargin is the same for the time to send a header.
+	headerMargin = time.Second
 	// wholeBodyBytes is the largest body that is read whole before it is sent, so
 	// that a request that one server refused can go to another.
 	wholeBodyBytes = 512 << 10
@@ -289,6 +294,8 @@
 		e.upstream.Forget(f.Server.Address)
 	case *dispatch.Condemn:
 		e.upstream.Condemn(f.Server.Address)
+	case *dispatch.LimitsChanged:
+		e.applyLimits(f.Limits)
 	case *dispatch.Record:
 		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Why}).Info(f.What)
 	}
@@ -301,3 +308,19 @@
 
 // neededTables are the operator's and the servers'.
 const neededTables = 2
+
+// applyLimits takes up what the configuration lets callers send.
+func (e *Edge) applyLimits(l catalog.Limits) {
+	limits := ingress.Limits{BodyBytes: l.BodyBytes}
+	if l.IdleTimeout > 0 {
+		limits.IdleTimeout = l.IdleTimeout + idleMargin
+	}
+	if l.HeaderTimeout > 0 {
+		limits.HeaderTimeout = l.HeaderTimeout + headerMargin
+	}
+	e.callers.SetLimits(limits)
+	if l.HeaderBytes > ingress.DefaultMaxHeaderBytes {
+		e.log.WithFields(logrus.Fields{"limit": l.HeaderBytes, "used": ingress.DefaultMaxHeaderBytes}).
+			Warn("the configuration allows larger headers than are read")
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,6 +17,8 @@
 	net.Listener
 	timeout  time.Duration
 	minBytes int
+	// waitLimit returns how long to wait for a request where the server allows so much.
+	waitLimit func(allowed time.Duration) time.Duration
 }
 
 // Accept implements net.Listener.
@@ -25,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes}, nil
+	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes, waitLimit: l.waitLimit}, nil
 }
 
 // progressConn bounds how slowly a caller may send a body or take an answer.
@@ -34,11 +36,12 @@
 // server's own read deadline instead.
 type progressConn struct {
 	net.Conn
-	timeout  time.Duration
-	minBytes int
-	inBody   bool
-	waited   time.Duration // since the last sufficient progress
-	read     int           // bytes since then
+	timeout   time.Duration
+	minBytes  int
+	waitLimit func(allowed time.Duration) time.Duration
+	inBody    bool
+	waited    time.Duration // since the last sufficient progress
+	read      int           // bytes since then
 }
 
 // startBody replaces the header's read deadline by the progress time-out, until
@@ -51,6 +54,10 @@
 // SetReadDeadline implements net.Conn.
 func (c *progressConn) SetReadDeadline(t time.Time) error {
 	c.inBody = false
+	if !t.IsZero() && time.Until(t) > 0 {
+		now := time.Now()
+		t = now.Add(c.waitLimit(t.Sub(now)))
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,7 @@
 	http      *fasthttp.Server
 	watcher   *watcher
 	directory atomic.Pointer[Directory]
+	limits    atomic.Pointer[Limits]
 
 	inFlight       atomic.Int64
 	lookups        atomic.Int64
@@ -37,13 +38,14 @@
 		handler:  handler,
 		watcher:  newWatcher(),
 	}
+	s.limits.Store(&Limits{})
 	app := fiber.New(fiber.Config{
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		BodyLimit:                    s.settings.BufferBytes,
 		Concurrency:                  s.settings.MaxConnections,
-		ReadTimeout:                  s.settings.HeaderTimeout,
-		IdleTimeout:                  s.settings.IdleTimeout,
+		ReadTimeout:                  longestHeader, // waitLimit shortens both
+		IdleTimeout:                  longestWait,
 		ReadBufferSize:               s.settings.MaxHeaderBytes,
 		DisableDefaultContentType:    true,
 	})
@@ -80,7 +82,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go s.watcher.run(ctx)
-	wrapped := &listener{Listener: ln, timeout: s.settings.ProgressTimeout, minBytes: s.settings.ProgressBytes}
+	wrapped := &listener{
+		Listener:  ln,
+		timeout:   s.settings.ProgressTimeout,
+		minBytes:  s.settings.ProgressBytes,
+		waitLimit: s.waitLimit,
+	}
 	if err := s.http.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
 	}
@@ -135,6 +142,12 @@
 		s.writeRefusal(&ctx.Response, s.traceOf(&ctx.Request.Header), model.NotRun, model.CauseNoRoute, 0)
 		return nil
 	}
+	if s.bodyTooLong(ctx.Request.Header.ContentLength()) {
+		s.writeRefusal(&ctx.Response, s.traceOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		ctx.SetConnectionClose()
+		return nil
+	}
 	x, err := newExchange(s, ctx)
 	if err != nil {
 		s.writeRefusal(&ctx.Response, x.Trace, model.NotRun, model.CauseInvalidRequest, 0)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -252,3 +252,35 @@
 	_, err = c.br.ReadByte()
 	require.True(t, errors.Is(err, io.EOF), err)
 }
+
+// TestLimitsMayChange: callers that were told a longer idle time use their connections
+// for so long, on connections that were open before, too.
+func TestLimitsMayChange(t *testing.T) {
+	s, address := start(t, Settings{IdleTimeout: 100 * time.Millisecond}, func(_ context.Context, x *Exchange) { _ = answerText(x, "ok") })
+	ask := func(c *caller) {
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		_, _, err := c.answer("GET")
+		require.NoError(t, err)
+	}
+	short := dial(t, address)
+	ask(short)
+	_, err := short.br.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "closed after the idle time")
+
+	c := dial(t, address)
+	ask(c)
+	s.SetLimits(Limits{IdleTimeout: 5 * time.Second, HeaderTimeout: 100 * time.Millisecond, BodyBytes: 10})
+	ask(c)
+	time.Sleep(300 * time.Millisecond)
+	ask(c)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world")
+	resp, _, err := c.answer("POST")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+
+	slow := dial(t, address)
+	slow.send("GET / HTTP/1.1\r\nHost: ")
+	resp, _, err = slow.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+}
