Instances share the connections of a backend server

maxConns was read and not used: each instance opened up to 320 connections to a server whatever the number of instances, so that 31 of them could go beyond its 1,590. Each now holds at most its equal part, with a margin of a fifth. Test: TestInstancesShareTheConnectionsOfAServer, which fails without the part (it gives 200 and more).

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -152,9 +153,31 @@
 	if d.settings.Naive {
 		return d.coldWait(now, s)
 	}
+	if s.inFlight >= d.connectionPart(s) {
+		return max(minWait, q.runs.time())
+	}
 	return max(d.coldWait(now, s), d.fullFor(now, s, q))
 }
 
+// connectionMargin is the part of a server's connections that is used, so that
+// instances that disagree on their number, and connections that are being closed, stay
+// within the bound together.
+const connectionMargin = 0.8
+
+// minWait is the shortest time after which a server that has no connection left is
+// worth another look: a tick.
+const minWait = 100 * time.Millisecond
+
+// connectionPart returns how many connections this instance may have to a server: an
+// equal part of what the server takes, and one at least.
+func (d *Dispatcher) connectionPart(s *server) int {
+	svc := d.config.Service(s.entry.Service)
+	if svc == nil || svc.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int(connectionMargin*float64(svc.MaxConnections)/float64(max(1, d.instances))))
+}
+
 // queueShare is how many objectives a request may be expected to wait in a server's
 // queue; see docs/MEASUREMENTS-PLATFORM.md. A late answer is of less use than one in
 // time, but of more than a refusal.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -377,6 +377,32 @@
 	require.Positive(t, once)
 }
 
+// TestInstancesShareTheConnectionsOfAServer: together they stay below what a server
+// takes, whatever the load.
+func TestInstancesShareTheConnectionsOfAServer(t *testing.T) {
+	const instances, most = 4, 20
+	c := configuration(2, testRoute())
+	c.Services[0].MaxConnections = most
+	held := map[model.BackendName]int{}
+	for range instances {
+		d := newDispatcher(testRoute())
+		d.Step(&FleetCounted{At: start, Instances: instances})
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: c}})
+		for _, s := range d.servers {
+			s.entry.Slots = 100 // its queue is never full
+		}
+		for id := range model.RequestID(200) {
+			if send, ok := arrive(d, start, id, fmt.Sprint(id)).(*Send); ok {
+				held[send.Server.ID]++
+			}
+		}
+	}
+	for id, n := range held {
+		require.LessOrEqual(t, n, most, id)
+		require.GreaterOrEqual(t, n, most/2, id)
+	}
+}
+
 // TestRoutesOfAServiceAreTimedApart: requests of another route that a server answers at
 // once do not hide how long those of this route take.
 func TestRoutesOfAServiceAreTimedApart(t *testing.T) {
