Settings are followed while the process runs

SIGHUP was ignored and changes of the file without a signal were not seen. The file is looked at every second and at each signal; bounds and the log's level change at once, other sections are named as needing a restart, a file that cannot be used changes nothing and says so.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -28,10 +28,16 @@
 // checked are the settings with the platform's bounds read.
 type checked struct {
 	settings.Settings
+	file   string
+	text   []byte
 	bounds edge.Bounds
 }
 
 func load(name string) (checked, error) {
+	text, err := os.ReadFile(name) // first, so that a change meanwhile is noticed later
+	if err != nil {
+		return checked{}, fmt.Errorf("read settings %s: %w", name, err)
+	}
 	s, err := settings.Load(name)
 	if err != nil {
 		return checked{}, err
@@ -43,7 +49,7 @@
 	if s.Regions[s.Instance.Zone] == "" {
 		return checked{}, fmt.Errorf("%s: [regions] has no zone %q", name, s.Instance.Zone)
 	}
-	return checked{Settings: s, bounds: bounds}, nil
+	return checked{Settings: s, file: name, text: text, bounds: bounds}, nil
 }
 
 func serve(s checked) error {
@@ -66,7 +72,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // settings are fixed for the life of the process
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	reload := &reloader{file: s.file, text: s.text, current: s, log: log, apply: e.SetBounds}
+	go reload.run(ctx, hangups)
 	serveDoor(log, l.ready, platform.ReadyHandler(e))
 	serveDoor(log, l.lookups, platform.LookupHandler(e))
 	serveDoor(log, l.control, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{})))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,6 +86,8 @@
 		d.store.vouched(ev.At)
 	case *StoreDoubted:
 		d.store.doubt(ev.At)
+	case *BoundsChanged:
+		d.boundsChanged(ev)
 	case *FleetCounted:
 		d.instances = ev.Instances
 	case *RequestArrived:
@@ -100,6 +102,14 @@
 	return d.out
 }
 
+func (d *Dispatcher) boundsChanged(ev *BoundsChanged) {
+	d.settings.Retry, d.settings.Cold, d.settings.ShiftCap = ev.Retry, ev.Cold, ev.ShiftCap
+	for _, s := range d.services {
+		s.budget.Configure(ev.Retry)
+	}
+	d.record(ev.At, "bounds", "adopted", "settings changed")
+}
+
 func (d *Dispatcher) add(f Effect) { d.out = append(d.out, f) }
 
 func (d *Dispatcher) record(at model.Instant, subject, what, why string) {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -6,6 +6,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
 // Event is anything that can happen to a Dispatcher.
@@ -35,6 +36,14 @@
 // failed lately for its reader.
 type StoreDoubted struct{ At model.Instant }
 
+// BoundsChanged reports new bounds of the platform.
+type BoundsChanged struct {
+	At       model.Instant
+	Retry    pacing.RetrySettings
+	Cold     ColdSettings
+	ShiftCap float64
+}
+
 // FleetCounted reports how many instances may be sending.
 type FleetCounted struct {
 	At        model.Instant
@@ -98,6 +107,7 @@
 func (*StoreTried) event()     {}
 func (*StoreVouched) event()   {}
 func (*StoreDoubted) event()   {}
+func (*BoundsChanged) event()  {}
 func (*FleetCounted) event()   {}
 func (*RequestArrived) event() {}
 func (*AttemptEnded) event()   {}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,13 +20,13 @@
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
-	"github.com/primrosenotch/primrosenotch/internal/pacing"
 	"github.com/primrosenotch/primrosenotch/internal/upstream"
 )
 
 // Edge runs one entry instance.
 type Edge struct {
 	options  Options
+	bounds   atomic.Pointer[Bounds]
 	log      *logrus.Entry
 	requests *requestLog
 	metrics  *metrics
@@ -122,8 +122,8 @@
 		dispatcher: dispatch.New(dispatch.Settings{
 			Region:   o.Region,
 			Regions:  o.Regions,
-			Retry:    pacing.RetrySettings{Window: o.Bounds.RetryWindow, Ratio: o.Bounds.RetryRatio, Extra: o.Bounds.RetryExtra},
-			Cold:     dispatch.ColdSettings{Factor: o.Bounds.ColdFactor, Slack: o.Bounds.ColdSlack},
+			Retry:    o.Bounds.retry(),
+			Cold:     o.Bounds.cold(),
 			ShiftCap: o.Bounds.ShiftCap,
 			Naive:    o.Naive,
 		}),
@@ -138,6 +138,7 @@
 		ctx:     ctx,
 		leave:   cancel,
 	}
+	e.bounds.Store(&o.Bounds)
 	e.options.Self.Started = int64(e.clock.now())
 	e.replica = follow.NewReplica(o.tableNames(), e.matters)
 	e.group = e.newGroup()
@@ -177,6 +178,12 @@
 	return group
 }
 
+// SetBounds takes new bounds of the platform over, while the instance runs.
+func (e *Edge) SetBounds(b Bounds) {
+	e.bounds.Store(&b)
+	e.post(&dispatch.BoundsChanged{At: e.clock.now(), Retry: b.retry(), Cold: b.cold(), ShiftCap: b.ShiftCap})
+}
+
 // Listeners are opened before anything starts, so that a taken port is one clear
 // error.
 type Listeners struct{ Callers, Links net.Listener }
@@ -237,7 +244,7 @@
 func (e *Edge) stop() {
 	started := time.Now()
 	at := func(share float64) time.Time {
-		return started.Add(time.Duration(share * float64(e.options.Bounds.Stop)))
+		return started.Add(time.Duration(share * float64(e.bounds.Load().Stop)))
 	}
 	e.log.WithField("in_flight", e.callers.InFlight()).Info("stopping")
 	e.stopping.Store(true)
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -46,7 +46,7 @@
 	if len(near) == 0 {
 		near = all
 	}
-	return near[:min(len(near), maxLookup)], min(lookupTTL, e.options.Bounds.LookupTTL)
+	return near[:min(len(near), maxLookup)], min(lookupTTL, e.bounds.Load().LookupTTL)
 }
 
 // usableInstances lists the records of the instances that take callers' requests.
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -10,9 +10,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
 // Bounds are what the platform requires of all instances together.
@@ -79,11 +81,19 @@
 
 // staleAfter is the age of a table beyond which the store is read by instances that
 // otherwise leave that to peers.
-func (o *Options) staleAfter(table string) time.Duration {
-	if table == o.Tables.Instances {
+func (e *Edge) staleAfter(table string) time.Duration {
+	if table == e.options.Tables.Instances {
 		return instancesStale
 	}
-	return max(o.Bounds.InForce-readTime, tickEvery)
+	return max(e.bounds.Load().InForce-readTime, tickEvery)
+}
+
+func (b *Bounds) retry() pacing.RetrySettings {
+	return pacing.RetrySettings{Window: b.RetryWindow, Ratio: b.RetryRatio, Extra: b.RetryExtra}
+}
+
+func (b *Bounds) cold() dispatch.ColdSettings {
+	return dispatch.ColdSettings{Factor: b.ColdFactor, Slack: b.ColdSlack}
 }
 
 func (o *Options) shareOfInForce(share float64) time.Duration {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -25,7 +25,7 @@
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.readsStore() || e.replica.Age(now, table) > e.options.staleAfter(table)
+	return e.readsStore() || e.replica.Age(now, table) > e.staleAfter(table)
 }
 
 // readersPerRegion is how many instances of a region read the store.
--- a/internal/pacing/retry.go
+++ b/internal/pacing/retry.go
@@ -30,6 +30,14 @@
 	return &RetryBudget{settings: s, first: NewCounter(s.Window), again: NewCounter(s.Window)}
 }
 
+// Configure takes new settings over. What was counted is kept unless the window changes.
+func (b *RetryBudget) Configure(s RetrySettings) {
+	if s.Window != b.settings.Window {
+		b.first, b.again = NewCounter(s.Window), NewCounter(s.Window)
+	}
+	b.settings = s
+}
+
 // Sent counts a first send.
 func (b *RetryBudget) Sent(now model.Instant) { b.first.Add(now, 1) }
 
