--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 type Edge struct {
 	options  Options
 	bounds   atomic.Pointer[Bounds]
+	answers  atomic.Pointer[lookups]
 	log      *logrus.Entry
 	requests *requestLog
 	metrics  *metrics
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -15,50 +15,13 @@
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
 
-// Lookup is a caller's question which instances to use.
-type Lookup struct {
-	Host   string           // that the caller wants to reach; every instance serves all hosts
-	Region model.RegionName // the caller's
-	Zone   model.ZoneName   // the caller's
-}
-
-const (
-	// lookupTTL is how long callers keep an answer: short, so that they leave a dead
-	// instance soon.
-	lookupTTL = 2 * time.Second
-	// maxLookup bounds the addresses of one answer.
-	maxLookup = 64
-)
-
-// Lookup returns the addresses of the instances that a caller should use: those of
-// its region, or any where that has none.
-func (e *Edge) Lookup(l Lookup) ([]string, time.Duration) {
-	e.metrics.lookups.Inc()
-	var near, all []string
-	e.fleetMu.Lock()
-	for _, record := range e.usableInstances() {
-		all = append(all, record.CallerAddr)
-		if e.options.Regions[record.Zone] == l.Region {
-			near = append(near, record.CallerAddr)
-		}
-	}
-	e.fleetMu.Unlock()
-	if len(near) == 0 {
-		near = all
-	}
-	return near[:min(len(near), maxLookup)], min(lookupTTL, e.bounds.Load().LookupTTL)
-}
-
-// usableInstances lists the records of the instances that take callers' requests.
-func (e *Edge) usableInstances() []membership.Record {
-	var list []membership.Record
-	for _, p := range e.group.Peers() {
-		if p.Health == membership.HealthAlive && p.Record.State == membership.Ready && p.Record.CallerAddr != "" {
-			list = append(list, p.Record)
-		}
-	}
+// usableInstances lists the instances that take callers' requests. The caller holds
+// fleetMu.
+func (e *Edge) usableInstances() []membership.Entry {
+	list := e.group.Alive()
 	if e.Ready() {
-		list = append(list, e.group.Self())
+		self := e.options.Self
+		list = append(list, membership.Entry{Instance: self.ID, Zone: self.Zone, CallerAddr: self.Callers})
 	}
 	return list
 }
@@ -73,6 +36,7 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	e.carryOut(e.group.Tick(now))
+	e.publishLookups(true)
 }
 
 // instancesChanged tells the group whom the store lists.
@@ -101,7 +65,8 @@
 	e.post(&dispatch.FleetCounted{At: now, Instances: max(len(list), 1)})
 }
 
-// carryOut does what the group asks for. It must not block.
+// carryOut does what the group asks for, and publishes what follows for look-ups. It
+// must not block.
 func (e *Edge) carryOut(out membership.Output) {
 	for _, id := range out.Close {
 		e.links.Close(id)
@@ -118,6 +83,7 @@
 	for _, n := range out.Notes {
 		e.log.WithFields(logrus.Fields{"subject": n.Subject, "why": n.Why}).Info(n.What)
 	}
+	e.publishLookups(false)
 }
 
 // LinkUp implements link.Events.
@@ -188,8 +154,8 @@
 	usable := map[model.InstanceID]bool{}
 	first := e.Ready()
 	for _, record := range e.usableInstances() {
-		usable[record.ID] = true
-		first = first && e.options.Self.ID <= record.ID
+		usable[record.Instance] = true
+		first = first && e.options.Self.ID <= record.Instance
 	}
 	gone := map[model.InstanceID]int64{}
 	for id, l := range e.listed {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,26 +22,13 @@
 // Due implements follow.Sink: few instances of a region read the store, the others
 // only where those do not keep them up to date.
 func (e *Edge) Due(table string) bool {
+	if answers := e.answers.Load(); answers == nil || answers.reads {
+		return true
+	}
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.readsStore() || e.replica.Age(now, table) > e.staleAfter(table)
-}
-
-// readersPerRegion is how many instances of a region read the store.
-const readersPerRegion = 1
-
-// readsStore reports whether this instance is one of its region's readers: the first
-// by identifier of those that are ready.
-func (e *Edge) readsStore() bool {
-	before := 0
-	for _, record := range e.usableInstances() {
-		near := e.options.Regions[record.Zone] == e.options.Region
-		if near && record.ID < e.options.Self.ID {
-			before++
-		}
-	}
-	return before < readersPerRegion
+	return e.replica.Age(now, table) > e.staleAfter(table)
 }
 
 // Tried implements follow.Sink.
--- a/internal/membership/views.go
+++ b/internal/membership/views.go
@@ -79,6 +79,19 @@
 	CallerAddr string
 }
 
+// Alive lists the other instances that are ready for callers and not suspected, by
+// identifier.
+func (g *Group) Alive() []Entry {
+	list := make([]Entry, 0, len(g.order))
+	for _, m := range g.order {
+		if m == g.self || m.record.State != Ready || m.record.CallerAddr == "" || g.health(m) != HealthAlive {
+			continue
+		}
+		list = append(list, Entry{Instance: m.record.ID, Zone: m.record.Zone, CallerAddr: m.record.CallerAddr})
+	}
+	return list
+}
+
 // Entries lists instances for a caller's look-up: those of its home zones first,
 // then those of the same regions, then others. Inside a zone the order differs
 // between the instances that answer, so that a bounded list spreads callers.
