--- a/internal/standin/relay/faults.go
+++ b/internal/standin/relay/faults.go
@@ -15,6 +15,8 @@
 // Faults are the switches of a link. The zero value passes everything on.
 type Faults struct {
 	State State `json:"state"`
+	// OnlyBack makes StateFrozen hold only the bytes that come back from the target.
+	OnlyBack bool `json:"only_back"`
 	// LatencyMillis and JitterMillis delay bytes each way: the fixed part and the
 	// bound of a uniformly distributed part. Bytes keep their order.
 	LatencyMillis int64 `json:"latency_ms"`
--- a/internal/standin/relay/link.go
+++ b/internal/standin/relay/link.go
@@ -80,7 +80,7 @@
 // pass waits until n bytes may pass in a direction: the link is not frozen and
 // its bandwidth allows them.
 func (l *link) pass(ctx context.Context, way direction, n int) error {
-	if err := l.waitThawed(ctx); err != nil {
+	if err := l.waitOpen(ctx, way); err != nil {
 		return err
 	}
 	l.mu.Lock()
@@ -89,6 +89,14 @@
 	if err := limiter.WaitN(ctx, n); err != nil {
 		return err
 	}
+	return l.waitOpen(ctx, way)
+}
+
+// waitOpen waits until bytes may pass in a direction.
+func (l *link) waitOpen(ctx context.Context, way direction) error {
+	if way == outward && l.get().OnlyBack {
+		return nil
+	}
 	return l.waitThawed(ctx)
 }
 
--- a/internal/standin/relay/session.go
+++ b/internal/standin/relay/session.go
@@ -53,7 +53,7 @@
 // done or one fails.
 func (s *session) run() {
 	defer s.cancel()
-	if s.relay.link.waitThawed(s.ctx) != nil {
+	if s.relay.link.waitOpen(s.ctx, outward) != nil {
 		s.caller.Reset()
 		return
 	}
