Echoes of an earlier process are not counted; comments and names read anew

A peer may still hold the sending time of an earlier process with the same identifier, whose time of day was ahead: its echo would make a copy seem recent.

--- a/cmd/primrosenotch-edge/reload.go
+++ b/cmd/primrosenotch-edge/reload.go
@@ -12,7 +12,7 @@
 )
 
 // settingsEvery is how often the settings file is looked at: it may change without a
-// signal. Half of the platform's shortest bound on a change of the configuration.
+// signal. Well within the 2.5 s in which a change of the configuration is in force.
 const settingsEvery = time.Second
 
 // reloader takes changes of the settings file up while the process runs. Bounds and the
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -16,9 +16,9 @@
 	ejectBroken = 3
 )
 
-// probeAge is how recent an answer must be that says more than a health check which
+// recentAnswer is how recent an answer must be that says more than a health check which
 // waited for a slot in vain: about as long as such a check waits.
-const probeAge = time.Second
+const recentAnswer = time.Second
 
 // noteHealth learns from the end of an attempt.
 func (d *Dispatcher) noteHealth(ev *AttemptEnded, s *server) {
@@ -101,7 +101,7 @@
 	if !ev.Healthy && !ev.Reached {
 		d.replaceAttempts(s)
 	}
-	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < probeAge {
+	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < recentAnswer {
 		s.ejectedUntil = 0
 		d.record(ev.At, string(s.entry.ID), "used again", "it has answered meanwhile")
 		return
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -161,9 +161,11 @@
 // been removed, or may have expired in an outage.
 func (e *Edge) hearOfStore(asked model.Instant, state *linkpb.State) {
 	for _, t := range state.GetTables() {
-		if t.GetTable() != e.options.Tables.Servers {
+		if t.GetTable() != e.options.Tables.Servers || t.GetVersion() == 0 {
 			continue
 		}
+		// Of two ages by the same clock, the reading of this table was settled if a
+		// settled one is as recent.
 		settled := state.GetSettledAgeNs()
 		if settled > 0 && settled <= t.GetAgeNs() {
 			e.post(&dispatch.StoreVouched{At: asked.Add(-time.Duration(settled))})
@@ -243,8 +245,8 @@
 	}
 	e.echoes.Heard(now, from, digest.GetSentNs())
 	sent, known := follow.SentNoEarlierThan(digest.GetEchoNs(), time.Duration(digest.GetHeldNs()))
-	if !known {
-		return
+	if !known || digest.GetEchoNs() < e.options.Self.Started || sent > now {
+		return // no echo, or one of an earlier process with this identifier and its clock
 	}
 	if settled := digest.GetSettledAgeNs(); settled > 0 {
 		e.post(&dispatch.StoreVouched{At: sent.Add(-time.Duration(settled))})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,7 @@
 // Package settings reads the INI settings of an entry instance: its name, its
-// addresses and the bounds that it keeps. They are fixed for the life of the
-// process; what operators change at run time is the operators' text.
+// addresses and the bounds that it keeps. They are fixed for the life of the process,
+// but for what primrosenotch-edge takes up again; what operators change at run time is
+// the operators' text.
 package settings
 
 import (
