--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -130,20 +130,11 @@
 		distance = scale(q.objective, hashSpread*graded)
 	}
 	if s.region != d.settings.Region {
-		distance += time.Duration(roundTrips(q.route.Kind)) * regionRoundTrip
+		distance += regionRoundTrip
 	}
 	return distance
 }
 
-// roundTrips is how often a request crosses the way to its server: once more where it
-// mostly needs a new connection, since one that has been idle may lose it.
-func roundTrips(kind model.Kind) int {
-	if kind.Repeatable() {
-		return 1
-	}
-	return 2
-}
-
 // hashSpread is how many objectives the hash spreads the servers over: the more, the
 // less the distance between regions counts.
 const hashSpread = 1.0
