--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -18,7 +18,6 @@
 	inFlight  int           // requests that this instance has sent to it
 	others    float64       // requests of other instances, as last reported
 	othersAt  model.Instant // when others was reported
-	usual     average       // of others, over the latest reports
 	coldUntil model.Instant
 	coldSends pacing.Window
 	warm      warmth
@@ -35,26 +34,14 @@
 	shed         average
 }
 
-const (
-	// othersFade is the time in which a reported load of other instances loses 63 % of
-	// its weight against their usual load: about two mean run times of the services
-	// that have been measured.
-	othersFade = time.Second
-	// usualFade is the time in which the usual load does so against none, so that a
-	// server that was busy is tried again.
-	usualFade = 10 * time.Second
-)
+// othersFade is the time in which a reported load of other instances loses 63 % of
+// its weight: about two mean run times of the services that have been measured.
+const othersFade = time.Second
 
 // load returns the requests that the server is believed to hold.
-//
-// It answers a load that comes through several instances at once: without what is
-// usual, a server that others keep busy seems idle to each that has not heard of it for
-// a second, and they all send there.
 func (s *server) load(now model.Instant) float64 {
-	age := now.Sub(s.othersAt).Seconds()
-	latest := math.Exp(-age / othersFade.Seconds())
-	usual := s.usual.value * math.Exp(-age/usualFade.Seconds())
-	return float64(s.inFlight) + latest*s.others + (1-latest)*usual
+	age := now.Sub(s.othersAt).Seconds() / othersFade.Seconds()
+	return float64(s.inFlight) + s.others*math.Exp(-age)
 }
 
 // reported takes over the server's own word. held is how many of the requests
@@ -63,7 +50,6 @@
 	if r.HasLoad {
 		s.others = float64(max(0, r.Running+r.Waiting-held))
 		s.othersAt = now
-		s.usual.add(s.others)
 	}
 	if r.HasCold {
 		s.coldUntil = now.Add(r.ColdLeft)
