--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -169,9 +169,9 @@
 	return max(1, int(connectionMargin*float64(svc.MaxConnections)/float64(max(1, d.instances))))
 }
 
-// queueShare is how many objectives a request may be expected to wait in a server's
-// queue; see docs/MEASUREMENTS-PLATFORM.md. A late answer is of less use than one in
-// time, but of more than a refusal.
+// queueShare bounds the expected wait in a server's queue, in objectives: a late answer
+// is worth less than one in time but more than a refusal. The sensitivity is in
+// docs/MEASUREMENTS-PLATFORM.md.
 const queueShare = 1.5
 
 // fullFor returns how long until a server's queue has room for a request, 0 for now.
