edge: an instance is ready once its lookups name it

Cause: readiness was computed on each question, lookup answers are published by the 100 ms tick. Between the two an instance that called itself ready answered lookups with 503 and no body; the test's decoder turns that into the EOF that was seen, and testify asks no more after a failed requirement in its condition. Ruled out: a connection closed by the server. Change: readiness is what has been published, and loading the last table publishes at once. TestLookupAnswersOnceReady fails before (no address).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -316,8 +316,15 @@
 	}
 }
 
-// Ready reports whether callers should be sent to this instance.
+// Ready reports whether callers should be sent to this instance. It becomes true together
+// with the lookup answers that name this instance.
 func (e *Edge) Ready() bool {
+	results := e.published.Load()
+	return results != nil && results.ready && !e.stopping.Load()
+}
+
+// canServe reports whether this instance knows enough to serve and is not stopping.
+func (e *Edge) canServe() bool {
 	return !e.stopping.Load() && e.loadedTables.Load() >= requiredTables
 }
 
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -16,10 +16,10 @@
 )
 
 // usableInstances returns the instances that accept callers' requests, including this
-// one if it is ready. The caller must hold fleetMu.
+// one if it can serve. The caller must hold fleetMu.
 func (e *Edge) usableInstances() []membership.Entry {
 	list := e.group.AliveEntries()
-	if e.Ready() {
+	if e.canServe() {
 		self := e.options.Self
 		list = append(list, membership.Entry{Instance: self.ID, Zone: self.Zone, CallerAddr: self.CallerAddr})
 	}
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -38,7 +38,7 @@
 // this instance has changed, or if force is set. Each tick sets force to publish changes
 // that depend on time alone. The caller must hold fleetMu.
 func (e *Edge) publishLookups(force bool) {
-	generation, ready := e.group.Generation(), e.Ready()
+	generation, ready := e.group.Generation(), e.canServe()
 	if old := e.published.Load(); !force && old != nil && old.generation == generation && old.ready == ready {
 		return
 	}
--- a/internal/edge/lookup_test.go
+++ b/internal/edge/lookup_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -64,6 +65,22 @@
 	require.ElementsMatch(t, []string{"127.0.0.1:3000", "127.0.0.1:3002"}, all)
 }
 
+// TestLookupAnswersOnceReady guards against an instance that reports itself ready to the
+// platform while its lookups, which are published, still name nobody: a caller that asks
+// between readiness and the next tick would be refused.
+func TestLookupAnswersOnceReady(t *testing.T) {
+	e := newEdgeWithPeers(t, 0)
+	e.options.Tables = Tables{Operator: "operator", Servers: "servers", Instances: "instances"}
+	e.options.Decode = func(string, follow.Row) (catalog.Change, error) { return nil, nil }
+	noRows := func() []follow.Row { return nil }
+	e.applyBatch(e.clock.now(), "operator", noRows)
+	require.False(t, e.Ready())
+	e.applyBatch(e.clock.now(), "servers", noRows)
+	require.True(t, e.Ready())
+	got, _ := e.Lookup(Lookup{Region: "region-0"})
+	require.Equal(t, []string{e.options.Self.CallerAddr}, got)
+}
+
 // TestLookupAllocatesNothingInLargeFleet guards against building a list for each lookup,
 // whose cost would grow with the fleet.
 func TestLookupAllocatesNothingInLargeFleet(t *testing.T) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -80,6 +80,9 @@
 	}
 	if firstBatch && table != e.options.Tables.Instances {
 		e.loadedTables.Add(1)
+		e.fleetMu.Lock()
+		e.publishLookups(false)
+		e.fleetMu.Unlock()
 	}
 	if table == e.options.Tables.Instances && len(changed) > 0 {
 		e.instancesChanged(now)
