upstream: bounded bytes from servers, and no reuse after an unnamed refusal

Shown by tests that failed first: a response to another request without end was read until the deadline of the attempt, and a body without a declared length (chunks, or until close) was passed on until then, both with the connection open all the time; and the late second copy of a refusal that names no request was taken for the refusal of the next request on the connection, whose caller was told "not run" although it ran. Change: 1 MiB of a response to another request are skipped, 64 MiB of an undeclared body are passed on; a connection that returned an unnamed refusal is closed.

--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -11,6 +11,10 @@
 // attempt fails.
 const maxMismatchedResponses = 2
 
+// maxSkippedBytes bounds the body of a response to another request that is read in order
+// to get to the next response.
+const maxSkippedBytes = 1 << 20
+
 var (
 	errMismatchedResponses = errors.New("response belongs to another request")
 	errUnsigned            = errors.New("successful response without the server's signature")
@@ -31,6 +35,9 @@
 			return StepReceive, c.requireSignature(resp)
 		}
 		if c.isNotRun(resp) && len(resp.Header.Peek(d.RequestID)) == 0 {
+			// A second copy of this refusal could not be told from a refusal of the next
+			// request, so the connection must not carry one.
+			cn.desynchronized = true
 			return "", nil
 		}
 		cn.desynchronized = true
@@ -58,9 +65,13 @@
 		return errMismatchedResponses
 	}
 	if stream := resp.BodyStream(); stream != nil {
-		if _, err := io.Copy(io.Discard, stream); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(stream, maxSkippedBytes+1))
+		if err != nil {
 			return err
 		}
+		if skipped > maxSkippedBytes {
+			return errMismatchedResponses
+		}
 	}
 	skip := resp.SkipBody
 	resp.Reset()
--- a/internal/upstream/mismatch_test.go
+++ b/internal/upstream/mismatch_test.go
@@ -138,3 +138,28 @@
 	require.Equal(t, "garbled", r.Invalid[0].Value)
 	require.Equal(t, "X-Cold", r.Invalid[1].Name)
 }
+
+// TestLateCopyOfUnnamedRefusal guards against taking the second copy of an earlier refusal,
+// which names no request, for the refusal of the next request on the connection: that
+// request runs, and its caller must not be told that it did not.
+func TestLateCopyOfUnnamedRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	s := startServer(t, func(s *scriptedServer, n int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		if n > 1 {
+			_, _ = io.WriteString(c, matchingResponse)
+			return
+		}
+		_, _ = io.WriteString(c, refusal)
+		if _, err := s.readHead(br); err == nil {
+			_, _ = io.WriteString(c, refusal+matchingResponse)
+		}
+	})
+	c := newClient(t, echoingSettings())
+	_, sendErr := c.Send(testContext(t), newGet(s))
+	require.Equal(t, event.AttemptShed, sendErr.Result)
+	response, sendErr := c.Send(testContext(t), newGet(s))
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -18,6 +18,8 @@
 // only with the connection.
 const closeDelimitedLength = -2
 
+var errEndlessBody = errors.New("response without a declared length exceeds the limit")
+
 var errUnverifiable = errors.New("response has no declared length, so its completeness cannot be checked")
 
 // newResponse returns the response to an attempt. It copies what must outlive resp,
@@ -59,6 +61,7 @@
 	stop           func() bool // detaches the connection from the attempt's context, see context.AfterFunc
 	length         int64       // declared length, -1 if unknown
 	left           int64       // bytes still expected, -1 if unknown
+	undeclared     int64       // bytes read of a body without a declared length
 	closeDelimited bool        // the body ends with the connection
 	reusable       bool
 	err            error // returned by every further read
@@ -94,8 +97,13 @@
 	n, err := b.stream.Read(p)
 	if b.left > 0 {
 		b.left -= int64(n)
+	} else if b.length < 0 {
+		b.undeclared += int64(n)
 	}
 	switch {
+	case b.undeclared > b.client.settings.MaxUndeclaredBodyBytes:
+		b.fail(errEndlessBody)
+		return n, b.err
 	case err == nil && b.left != 0:
 		return n, nil
 	case err == nil || err == io.EOF: //nolint:errorlint // a wrapped io.EOF is a broken response
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -32,6 +32,8 @@
 	// AcceptCloseDelimited accepts a close-delimited response as complete if its
 	// connection is closed in an orderly way, not reset.
 	AcceptCloseDelimited bool
+	// MaxUndeclaredBodyBytes bounds a response body without a declared length.
+	MaxUndeclaredBodyBytes int64
 }
 
 // The defaults of Settings.
@@ -42,6 +44,9 @@
 	DefaultMaxIdlePerAddress = 320
 	DefaultMaxOpenPerAddress = 320
 	DefaultStatusTimeout     = 500 * time.Millisecond
+	// DefaultMaxUndeclaredBodyBytes is far above any answer, and low enough to end one
+	// that does not end by itself.
+	DefaultMaxUndeclaredBodyBytes = 64 << 20
 )
 
 func (s Settings) withDefaults() Settings {
@@ -51,13 +56,14 @@
 	s.MaxIdlePerAddress = orDefault(s.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
 	s.MaxOpenPerAddress = orDefault(s.MaxOpenPerAddress, DefaultMaxOpenPerAddress)
 	s.StatusTimeout = orDefault(s.StatusTimeout, DefaultStatusTimeout)
+	s.MaxUndeclaredBodyBytes = orDefault(s.MaxUndeclaredBodyBytes, DefaultMaxUndeclaredBodyBytes)
 	if s.Dialect == nil {
 		s.Dialect = httpheader.DefaultDialect()
 	}
 	return s
 }
 
-func orDefault[T time.Duration | int](v, fallback T) T {
+func orDefault[T time.Duration | int | int64](v, fallback T) T {
 	if v > 0 {
 		return v
 	}
