--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	published    atomic.Pointer[lookupResults]
 	log          *logrus.Entry
 	requests     *requestLog
+	invalid      *invalidInputs
 	metrics      *metrics
 	clock        clock
 	upstream     *upstream.Client
@@ -154,6 +155,7 @@
 	}, link.DefaultSettings(), e, e)
 	e.metrics = newMetrics(e)
 	e.requests = newRequestLog(o.Log, e.metrics)
+	e.invalid = newInvalidInputs(o.Log, e.metrics.invalid)
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
 		BufferBytes:          maxBufferedBodyBytes,
@@ -316,8 +318,15 @@
 	}
 }
 
-// Ready reports whether callers should be sent to this instance.
+// Ready reports whether callers should be sent to this instance. It becomes true together
+// with the lookup answers that name this instance.
 func (e *Edge) Ready() bool {
+	results := e.published.Load()
+	return results != nil && results.ready && !e.stopping.Load()
+}
+
+// canServe reports whether this instance knows enough to serve and is not stopping.
+func (e *Edge) canServe() bool {
 	return !e.stopping.Load() && e.loadedTables.Load() >= requiredTables
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -80,6 +80,9 @@
 	}
 	if firstBatch && table != e.options.Tables.Instances {
 		e.loadedTables.Add(1)
+		e.fleetMu.Lock()
+		e.publishLookups(false)
+		e.fleetMu.Unlock()
 	}
 	if table == e.options.Tables.Instances && len(changed) > 0 {
 		e.instancesChanged(now)
@@ -107,7 +110,7 @@
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
 	change, err := e.options.Decode(table, row)
 	if err != nil {
-		e.log.WithError(err).Debug("ignored row that cannot be decoded")
+		e.invalid.row(table, row.Key, err)
 		return
 	}
 	switch c := change.(type) {
