dispatch: first candidates by what each region's servers can take

Cause: an object's first candidate was the best by hash within a fixed 110 ms for the way between regions. Change: the cost of distance is such that a region keeps 1.2 times its capacity per demand (zones with instances), never above the round trip.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -134,11 +134,19 @@
 		placementCost = scale(q.objective, hashWeight*score)
 	}
 	if s.region != d.settings.Region {
-		placementCost += regionRoundTrip
+		placementCost += d.distance(q)
 	}
 	return placementCost
 }
 
+// distance returns the placement cost of a server in another region.
+func (d *Dispatcher) distance(q *request) time.Duration {
+	if !q.sticky {
+		return regionRoundTrip
+	}
+	return d.service(q.service).capacity.distance(scale(q.objective, hashWeight))
+}
+
 // hashWeight is the placement cost at the highest hash score, as a multiple of the
 // request's objective. The higher it is, the less the distance between regions counts.
 const hashWeight = 1.0
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,6 +42,7 @@
 	splits      map[model.RouteName]*split
 	requests    map[model.RequestID]*request
 	instances   int
+	demandShare float64 // share of the fleet's requests that this region receives
 	store       storeHealth
 	overflow    overflow
 	randomState uint64
@@ -55,6 +56,7 @@
 type service struct {
 	budget   *pacing.RetryBudget
 	runTimes map[model.RouteName]*runTimes
+	capacity capacity
 	losses   *pacing.Counter // recent failures, departures and evacuations of servers; a server may count more than once
 }
 
@@ -91,6 +93,7 @@
 		d.boundsChanged(ev)
 	case *InstancesCounted:
 		d.instances = ev.Instances
+		d.demandShare = ev.RegionShare
 	case *RequestArrived:
 		d.requestArrived(ev)
 	case *AttemptEnded:
@@ -276,6 +279,7 @@
 
 func (d *Dispatcher) tick(now model.Instant) {
 	d.removeExpired(now)
+	d.balanceRegions()
 	d.ejectSilent(now)
 	d.probeEjected(now)
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -48,6 +48,8 @@
 type InstancesCounted struct {
 	At        model.Instant
 	Instances int
+	// RegionShare is the fraction of them in this instance's region.
+	RegionShare float64
 }
 
 // RequestArrived reports a caller's request.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -63,7 +64,18 @@
 		e.requestRegistration()
 	}
 	e.applyOutput(e.group.SetListed(now, list))
-	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1)})
+	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1), RegionShare: e.regionShare(list)})
+}
+
+// regionShare returns the fraction of the availability zones with instances that are in
+// this instance's region.
+func (e *Edge) regionShare(list []platform.ListedInstance) float64 {
+	zones := map[model.ZoneName]bool{e.options.Self.Zone: true}
+	for _, l := range list {
+		zones[l.Zone] = true
+	}
+	near := lo.CountBy(lo.Keys(zones), func(zone model.ZoneName) bool { return e.options.Regions[zone] == e.options.Region })
+	return float64(near) / float64(len(zones))
 }
 
 // applyOutput carries out what the membership group requests and publishes the resulting
