dispatch: reported loads fade to what is usual; queues of one objective

Run times that included waits made the bound of the queue shrink and grow with the queue itself. Change: a load fades to the mean of the server's own reports (of the region's servers while there are fewer than three); slot time is a low quantile of warm runs; a queue may hold one objective of work instead of 1.5.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -184,7 +184,7 @@
 // queueWaitFactor is the maximum expected wait in a server's queue, as a multiple of the
 // request's objective: a late answer is worth less than one in time, but more than a
 // refusal. docs/MEASUREMENTS-PLATFORM.md shows the effect of other values.
-const queueWaitFactor = 1.5
+const queueWaitFactor = 1.0
 
 // queueWait returns the time until a server's queue has room for a request, 0 if it has.
 //
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -57,7 +57,8 @@
 	budget   *pacing.RetryBudget
 	runTimes map[model.RouteName]*runTimes
 	capacity capacity
-	losses   *pacing.Counter // recent failures, departures and evacuations of servers; a server may count more than once
+	loads    map[model.RegionName]*average // of other instances' requests at a server, over reports
+	losses   *pacing.Counter               // recent failures, departures and evacuations of servers; a server may count more than once
 }
 
 // New returns a Dispatcher without a configuration.
@@ -189,6 +190,7 @@
 		warm:      warmSet{},
 	}
 	s.coldUntil = at.Add(entry.ColdLeft)
+	s.regionLoad = d.service(entry.Service).loadOf(s.region)
 	if old != nil {
 		d.dropServer(old)
 		d.record(at, string(entry.ID), "restarted", "newer incarnation")
@@ -308,8 +310,19 @@
 			budget:   pacing.NewRetryBudget(d.settings.Retry),
 			runTimes: map[model.RouteName]*runTimes{},
 			losses:   pacing.NewCounter(lossWindow),
+			loads:    map[model.RegionName]*average{},
 		}
 		d.services[name] = s
 	}
 	return s
 }
+
+// loadOf returns the mean load at the service's servers in a region.
+func (s *service) loadOf(region model.RegionName) *average {
+	a := s.loads[region]
+	if a == nil {
+		a = &average{}
+		s.loads[region] = a
+	}
+	return a
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -207,6 +207,7 @@
 	}
 	if q.objectKnown {
 		q.runTimes.warm.add(run.Seconds())
+		q.runTimes.unqueued.add(run.Seconds())
 	} else if !s.cold(now) {
 		q.runTimes.cold.add(run.Seconds())
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -13,7 +13,9 @@
 type runTimes struct {
 	objective time.Duration
 	warm      average // seconds, of requests whose object was warm at the server
-	cold      average // seconds, of other requests, except those at cold servers
+	// unqueued estimates the time of a request that did not wait for a slot, in seconds.
+	unqueued lowQuantile
+	cold     average // seconds, of other requests, except those at cold servers
 }
 
 // minObservations is the number of observations before a mean is used.
@@ -32,7 +34,7 @@
 // mean, or half of the objective while there are too few observations.
 func (r *runTimes) slotTime() time.Duration {
 	if r.warm.n >= minObservations {
-		return seconds(r.warm.value)
+		return seconds(r.unqueued.value)
 	}
 	return r.objective / 2
 }
@@ -69,3 +71,30 @@
 	}
 	return longest
 }
+
+// lowQuantile follows a low quantile of observations, so that those which waited in a queue
+// hardly count.
+type lowQuantile struct {
+	value float64
+	n     int
+}
+
+const (
+	// unqueuedQuantile is the quantile taken as the time without a wait.
+	unqueuedQuantile = 0.3
+	// quantileStep is the relative change of the estimate with each observation.
+	quantileStep = 0.06
+)
+
+func (q *lowQuantile) add(v float64) {
+	q.n++
+	if q.n == 1 {
+		q.value = v
+		return
+	}
+	if v > q.value {
+		q.value *= 1 + quantileStep*unqueuedQuantile
+	} else {
+		q.value = max(v, q.value*(1-quantileStep*(1-unqueuedQuantile)))
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -18,6 +18,8 @@
 	inFlight    int           // requests of this instance that are at the server
 	otherLoad   float64       // requests of other instances, as last reported
 	otherLoadAt model.Instant // when otherLoad was reported
+	usualLoad   average       // of other instances' requests, over reports
+	regionLoad  *average      // the same over all servers of the service in the region
 	coldUntil   model.Instant
 	coldSends   pacing.Window
 	warm        warmSet
@@ -38,10 +40,25 @@
 // lost 63 % of its weight: about two mean run times of a typical service.
 const otherLoadDecay = time.Second
 
-// load returns the estimated number of requests at the server.
+// load returns the estimated number of requests at the server. A reported load of other
+// instances fades to what is usual, because an instance of a large fleet hears from a
+// server less often than the server's load changes.
 func (s *server) load(now model.Instant) float64 {
 	age := now.Sub(s.otherLoadAt).Seconds() / otherLoadDecay.Seconds()
-	return float64(s.inFlight) + s.otherLoad*math.Exp(-age)
+	usual := s.expectedOtherLoad()
+	return float64(s.inFlight) + usual + (s.otherLoad-usual)*math.Exp(-age)
+}
+
+// minLoadReports is the number of reports before a server's own mean is used.
+const minLoadReports = 3
+
+// expectedOtherLoad returns the load of other instances that is usual at the server, or at
+// the servers of its service in its region while it has reported too little.
+func (s *server) expectedOtherLoad() float64 {
+	if s.usualLoad.n >= minLoadReports {
+		return s.usualLoad.value
+	}
+	return s.regionLoad.value
 }
 
 // applyReport applies the load and cold state that the server reported. ownRequests is
@@ -50,6 +67,8 @@
 	if r.HasLoad {
 		s.otherLoad = float64(max(0, r.Running+r.Waiting-ownRequests))
 		s.otherLoadAt = now
+		s.usualLoad.add(s.otherLoad)
+		s.regionLoad.add(s.otherLoad)
 	}
 	if r.HasCold {
 		s.coldUntil = now.Add(r.ColdLeft)
