--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -14,6 +14,10 @@
 // maxIdleConnDuration is how long an unused connection is kept.
 const maxIdleConnDuration = 20 * time.Second
 
+// MaxAnswerBytes bounds the body of one answer. It is several times the size of the largest
+// table that instances read.
+const MaxAnswerBytes = 32 << 20
+
 // ErrThrottled is wrapped by the UnavailableError of a call that the platform
 // refused because its rate limit was reached.
 var ErrThrottled = errors.New("platform rate limit reached")
@@ -70,6 +74,7 @@
 			NoDefaultUserAgentHeader:  true,
 			ReadTimeout:               settings.AttemptTimeout,
 			WriteTimeout:              settings.AttemptTimeout,
+			MaxResponseBodySize:       MaxAnswerBytes,
 		},
 	}
 }
@@ -146,14 +151,22 @@
 	case Throttled:
 		return nil, t.unavailableError(req, ErrThrottled)
 	case Rejected:
-		return nil, t.unavailableError(req, fmt.Errorf("%w: %s", ErrRejected, httpResponse.Body()))
+		return nil, t.unavailableError(req, fmt.Errorf("%w: %s", ErrRejected, errorText(httpResponse)))
 	case NotApplied:
-		return nil, t.unavailableError(req, fmt.Errorf("status %d: %s", status, httpResponse.Body()))
+		return nil, t.unavailableError(req, fmt.Errorf("status %d: %s", status, errorText(httpResponse)))
 	default:
 		return nil, t.unknownOutcomeError(req, fmt.Errorf("status %d", status))
 	}
 }
 
+// maxErrorText bounds the part of an answer's body that an error repeats.
+const maxErrorText = 256
+
+func errorText(httpResponse *fasthttp.Response) []byte {
+	body := httpResponse.Body()
+	return body[:min(len(body), maxErrorText)]
+}
+
 // classifyWire classifies a response of the protocol of package wire, and reports
 // whether it says that the object does not exist.
 func classifyWire(httpResponse *fasthttp.Response) (AnswerClass, bool) {
