dispatch: no crash when an evacuation ends before a configuration is known

Found while reading for capacity counts; the test panicked before. Capacities are counted anew only after a change of servers or demand, not every 100 ms.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -108,4 +108,9 @@
 }
 
 // Service returns the service with the given name, or nil if there is none.
-func (c *Configuration) Service(name model.ServiceName) *Service { return c.services[name] }
+func (c *Configuration) Service(name model.ServiceName) *Service {
+	if c == nil {
+		return nil
+	}
+	return c.services[name]
+}
--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -62,8 +62,13 @@
 	return c
 }
 
-// balanceRegions updates what requests to other regions cost for each service.
+// balanceRegions counts the services' capacity anew if it may have changed since the last
+// tick. The count takes time in proportion to the number of servers.
 func (d *Dispatcher) balanceRegions() {
+	if !d.capacityStale {
+		return
+	}
+	d.capacityStale = false
 	for name, s := range d.services {
 		s.capacity = d.countCapacity(name)
 	}
--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -80,3 +80,15 @@
 		}
 	}
 }
+
+// TestEvacuationBeforeConfiguration replays a store whose configuration cannot be read yet
+// while an evacuation starts and ends.
+func TestEvacuationBeforeConfiguration(t *testing.T) {
+	d := New(testSettings("north"))
+	listServer(d, "n-0", "north-a")
+	for _, active := range []bool{true, false} {
+		d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "north-a", Active: active}})
+		d.Step(&Tick{At: start})
+	}
+	requireRefuse(t, arrive(d, start, 1, "7"), model.NotRun, model.CauseNoConfiguration)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,8 @@
 	requests    map[model.RequestID]*request
 	instances   int
 	demandShare float64 // share of the fleet's requests that this region receives
+	// capacityStale is set when servers or demand have changed since capacities were counted.
+	capacityStale bool
 	store       storeHealth
 	overflow    overflow
 	randomState uint64
@@ -95,6 +97,7 @@
 	case *InstancesCounted:
 		d.instances = ev.Instances
 		d.demandShare = ev.RegionShare
+		d.capacityStale = true
 	case *RequestArrived:
 		d.requestArrived(ev)
 	case *AttemptEnded:
@@ -199,6 +202,7 @@
 	list := d.byService[entry.Service]
 	pos, _ := slices.BinarySearchFunc(list, s, compareByID)
 	d.byService[entry.Service] = slices.Insert(list, pos, s)
+	d.capacityStale = true
 }
 
 func compareByID(a, b *server) int { return strings.Compare(string(a.entry.ID), string(b.entry.ID)) }
@@ -214,6 +218,7 @@
 		d.noteServerLoss(at, s)
 		d.record(at, string(entry.ID), "leaves", "its entry is marked as draining")
 	}
+	d.capacityStale = d.capacityStale || entry.Draining != s.entry.Draining
 	s.entry = *entry
 	if entry.ColdLeft > 0 {
 		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
@@ -243,6 +248,7 @@
 func (d *Dispatcher) dropServer(s *server) {
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
+	d.capacityStale = true
 	d.add(&CloseConnections{Server: &s.entry})
 }
 
@@ -250,6 +256,7 @@
 	if d.evacuated[c.Zone] == c.Active {
 		return
 	}
+	d.capacityStale = true
 	for _, s := range d.servers {
 		if s.entry.Zone == c.Zone {
 			d.noteServerLoss(at, s)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -40,6 +40,7 @@
 		d.recordBrokenAttempt(ev, s)
 	}
 	if ev.Draining {
+		d.capacityStale = d.capacityStale || !s.entry.Draining
 		s.entry.Draining = true
 	}
 }
