--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -45,9 +45,9 @@
 	demandShare float64 // share of the fleet's requests that this region receives
 	// capacityStale is set when servers or demand have changed since capacities were counted.
 	capacityStale bool
-	store       storeHealth
-	overflow    overflow
-	randomState uint64
+	store         storeHealth
+	overflow      overflow
+	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
 	ranked     []rankedServer
 	candidates []*server
