--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -92,3 +92,21 @@
 	}
 	requireRefuse(t, arrive(d, start, 1, "7"), model.NotRun, model.CauseNoConfiguration)
 }
+
+// BenchmarkChoose measures the choice of a server by the size of its service.
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{50, 447, 4500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := unevenDispatcher(servers/6, servers-servers/6)
+			q := &request{
+				route: &d.config.Routes[0], service: "shop", sticky: true, objective: 500 * time.Millisecond,
+				runTimes: d.service("shop").runTimesOf(&d.config.Routes[0]),
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.object = uint64(i) * 0x9e3779b97f4a7c15
+				d.choose(start, q)
+			}
+		})
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -60,6 +60,7 @@
 // region of the former. Requests that are not sticky use allCandidates instead. The
 // result is valid until the next call.
 func (d *Dispatcher) candidatesFor(now model.Instant, q *request) []*server {
+	q.distance = d.distance(q)
 	d.ranked = d.ranked[:0]
 	first := -1
 	for _, s := range d.byService[q.service] {
@@ -134,7 +135,7 @@
 		placementCost = scale(q.objective, hashWeight*score)
 	}
 	if s.region != d.settings.Region {
-		placementCost += d.distance(q)
+		placementCost += q.distance
 	}
 	return placementCost
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -17,6 +17,7 @@
 	object      uint64
 	sticky      bool          // servers answer faster if they have the object warm
 	objective   time.Duration // time within which an answer has its full value
+	distance    time.Duration // placement cost of a server in another region
 	deadline    model.Instant
 	replayable  bool
 	server      *server // server of the running attempt, nil if there is none
