edge: deputies renew a region's copy of the store before everybody reads it

When a region's reader dies, it is replaced after 2.2 s at the earliest, but each copy reaches its maximum age 3.3 s after the last read, at all 100 instances of the region at once; each then reads the same changes of 3,000 servers. Change: the instances that follow the reader read at 0.75 and 0.85 of the maximum age; the order takes one instance of each zone in turn, so that the reader and its deputies seldom fail together. Test: 99 instances whose reader died read twice together; 99 times before.

--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -28,12 +29,9 @@
 	ready      bool   // this instance accepts callers' requests
 	all        []string
 	byRegion   map[model.RegionName][]string
-	readsStore bool // this instance reads the store for its region
+	readerRank int // position of this instance in its region's order of readers
 }
 
-// readersPerRegion is the number of instances per region that read the store.
-const readersPerRegion = 1
-
 // publishLookups replaces the lookup answers if the membership group or the readiness of
 // this instance has changed, or if force is set. Each tick sets force to publish changes
 // that depend on time alone. The caller must hold fleetMu.
@@ -42,17 +40,17 @@
 	if old := e.published.Load(); !force && old != nil && old.generation == generation && old.ready == ready {
 		return
 	}
-	lowerIDs := 0
+	var near []membership.Entry // instances of this region
 	next := &lookupResults{generation: generation, ready: ready, byRegion: map[model.RegionName][]string{}}
 	for _, record := range e.usableInstances() {
 		region := e.options.Regions[record.Zone]
 		next.byRegion[region] = append(next.byRegion[region], record.CallerAddr)
 		next.all = append(next.all, record.CallerAddr)
-		if region == e.options.Region && record.Instance < e.options.Self.ID {
-			lowerIDs++
+		if region == e.options.Region {
+			near = append(near, record)
 		}
 	}
-	next.readsStore = lowerIDs < readersPerRegion
+	next.readerRank = readerRank(e.options.Self.ID, e.options.Self.Zone, near)
 	e.published.Store(next)
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,13 +22,14 @@
 // ShouldRead implements follow.Sink. Few instances of a region read the store; the others
 // read it only when those do not keep them up to date.
 func (e *Edge) ShouldRead(table string) bool {
-	if results := e.published.Load(); results == nil || results.readsStore {
+	results := e.published.Load()
+	if results == nil || results.readerRank < readersPerRegion {
 		return true
 	}
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	return e.replica.Age(now, table) > e.maxAge(table)
+	return e.replica.Age(now, table) > ageLimit(e.maxAge(table), results.readerRank)
 }
 
 // ReadEnded implements follow.Sink. It logs when the store becomes unreadable or readable
