--- a/internal/dispatch/balance_test.go
+++ b/internal/dispatch/balance_test.go
@@ -80,3 +80,33 @@
 		}
 	}
 }
+
+// TestEvacuationBeforeConfiguration replays a store whose configuration cannot be read yet
+// while an evacuation starts and ends.
+func TestEvacuationBeforeConfiguration(t *testing.T) {
+	d := New(testSettings("north"))
+	listServer(d, "n-0", "north-a")
+	for _, active := range []bool{true, false} {
+		d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "north-a", Active: active}})
+		d.Step(&Tick{At: start})
+	}
+	requireRefuse(t, arrive(d, start, 1, "7"), model.NotRun, model.CauseNoConfiguration)
+}
+
+// BenchmarkChoose measures the choice of a server by the size of its service.
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{50, 447, 4500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := unevenDispatcher(servers/6, servers-servers/6)
+			q := &request{
+				route: &d.config.Routes[0], service: "shop", sticky: true, objective: 500 * time.Millisecond,
+				runTimes: d.service("shop").runTimesOf(&d.config.Routes[0]),
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				q.object = uint64(i) * 0x9e3779b97f4a7c15
+				d.choose(start, q)
+			}
+		})
+	}
+}
