--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -107,7 +107,8 @@
 	return nil
 }
 
-// Service returns the service with the given name, or nil if there is none.
+// Service returns the service with the given name, or nil if there is none. The
+// configuration may be nil.
 func (c *Configuration) Service(name model.ServiceName) *Service {
 	if c == nil {
 		return nil
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -48,7 +48,8 @@
 type InstancesCounted struct {
 	At        model.Instant
 	Instances int
-	// RegionShare is the fraction of them in this instance's region.
+	// RegionShare is the estimated share of all requests that this instance's region
+	// receives.
 	RegionShare float64
 }
 
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -67,8 +67,8 @@
 	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1), RegionShare: e.regionShare(list)})
 }
 
-// regionShare returns the fraction of the availability zones with instances that are in
-// this instance's region.
+// regionShare estimates the share of all requests that this instance's region receives: its
+// fraction of the availability zones with instances.
 func (e *Edge) regionShare(list []platform.ListedInstance) float64 {
 	zones := map[model.ZoneName]bool{e.options.Self.Zone: true}
 	for _, l := range list {
