--- a/internal/edge/readers_test.go
+++ b/internal/edge/readers_test.go
@@ -49,14 +49,17 @@
 		spread = 600 * time.Millisecond // from one instance to all others of a region
 		step   = 10 * time.Millisecond
 	)
-	region := fleetOf(34, 33, 33)[1:] // without the reader
+	region := fleetOf(34, 33, 33)
+	var limits []time.Duration // of all but the reader, whose death is not noticed yet
+	for _, m := range region[1:] {
+		limits = append(limits, ageLimit(maxAge, readerRank(m.Instance, m.Zone, region)))
+	}
 	reads := 0
 	var renewed time.Duration // when the first deputy read the store
 	for age := time.Duration(0); age < 2*maxAge; age += step {
-		for _, m := range region {
-			rank := readerRank(m.Instance, m.Zone, fleetOf(34, 33, 33)) // its death is not noticed yet
+		for _, limit := range limits {
 			heard := renewed > 0 && age >= renewed+spread
-			if !heard && age > ageLimit(maxAge, rank) && age-step <= ageLimit(maxAge, rank) {
+			if !heard && age > limit && age-step <= limit {
 				reads++
 				if renewed == 0 {
 					renewed = age
