edge: logs and metrics say who cancelled an attempt

A cancelled attempt read "context canceled", whether its caller had left, the dispatcher had given it up or the instance was stopping. Contexts of exchanges and attempts now carry the cause, attempts given up are counted by reason, and a refusal's line says whether the instance is stopping.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,7 +41,7 @@
 	mu             sync.Mutex
 	dispatcher     *dispatch.Dispatcher
 	lastID         model.RequestID
-	attemptCancels map[model.RequestID]context.CancelFunc // of attempts that wait for a response
+	attemptCancels map[model.RequestID]context.CancelCauseFunc // of attempts that wait for a response
 
 	// fleetMu guards the state of other instances and of the store, from group to loaded.
 	fleetMu       sync.Mutex
@@ -133,7 +133,7 @@
 			ShiftCap:      o.Bounds.ShiftCap,
 			RandomServers: o.RandomServers,
 		}),
-		attemptCancels:   map[model.RequestID]context.CancelFunc{},
+		attemptCancels:   map[model.RequestID]context.CancelCauseFunc{},
 		listed:           map[model.InstanceID]listedInstance{},
 		missingSince:     map[model.InstanceID]model.Instant{},
 		serverEntries:    map[model.BackendName]catalog.Server{},
@@ -154,7 +154,7 @@
 		Zone:        string(o.Self.Zone),
 	}, link.DefaultSettings(), e, e)
 	e.metrics = newMetrics(e)
-	e.requests = newRequestLog(o.Log, e.metrics)
+	e.requests = newRequestLog(o.Log, e.metrics, e.stopping.Load)
 	e.invalid = newInvalidInputs(o.Log, e.metrics.invalid)
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
@@ -305,7 +305,7 @@
 		e.probe(f)
 	case *dispatch.Cancel:
 		if cancel := e.attemptCancels[f.Request]; cancel != nil {
-			cancel()
+			cancel(errServerUnreachable)
 		}
 	case *dispatch.CloseConnections:
 		e.upstream.CloseConnections(f.Server.Address)
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -25,14 +25,16 @@
 type requestLog struct {
 	log            *logrus.Entry
 	metrics        *metrics
+	stopping       func() bool // reports whether the instance has been told to stop
 	servedLimiter  *rate.Limiter
 	failureLimiter *rate.Limiter
 }
 
-func newRequestLog(log *logrus.Entry, m *metrics) *requestLog {
+func newRequestLog(log *logrus.Entry, m *metrics, stopping func() bool) *requestLog {
 	return &requestLog{
 		log:            log,
 		metrics:        m,
+		stopping:       stopping,
 		servedLimiter:  rate.NewLimiter(maxServedLines, maxServedLines),
 		failureLimiter: rate.NewLimiter(maxFailureLines, maxFailureLines),
 	}
@@ -87,6 +89,7 @@
 		"configuration":  f.Configuration,
 		"retry_after_ms": f.RetryAfter.Milliseconds(),
 		"status_not_run": f.Outcome == model.NotRun,
+		"stopping":       l.stopping(),
 	}, "refused")
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,6 +15,7 @@
 	requests *prometheus.CounterVec   // by outcome and cause
 	latency  *prometheus.HistogramVec // by kind
 	attempts *prometheus.CounterVec   // by result
+	givenUp  *prometheus.CounterVec   // by reason
 	reads    *prometheus.CounterVec   // by table and result
 	lookups  prometheus.Counter
 	unlogged prometheus.Counter
@@ -38,6 +39,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_attempts_total", Help: "Sends to backend servers by result.",
 		}, []string{"result"}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_attempts_given_up_total", Help: "Attempts cancelled before their answer, by reason.",
+		}, []string{"reason"}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_store_reads_total", Help: "Reads of the platform's store by table and result.",
 		}, []string{"table", "result"}),
@@ -54,7 +58,7 @@
 			Name: "primrosenotch_edge_health_checks_total", Help: "Health checks of backend servers by reason and result.",
 		}, []string{"reason", "result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -20,6 +20,7 @@
 	e.metrics.requestEnded(0, "")
 	e.metrics.observeLatency(0, 0)
 	e.metrics.attempts.WithLabelValues("answered").Inc()
+	e.metrics.givenUp.WithLabelValues("other").Inc()
 	e.metrics.reads.WithLabelValues("table", "read").Inc()
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -58,8 +58,10 @@
 // next effect to carry out for the request, or nil if there is none.
 func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
 	started := e.clock.now()
-	ctx, cancel := context.WithTimeout(ctx, f.TimeLeft)
-	e.setAttemptCancel(f.Request, cancel)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	ctx, cancelTimeout := context.WithTimeout(ctx, f.TimeLeft)
+	cancel := func() { cancelTimeout(); cancelCause(nil) }
+	e.setAttemptCancel(f.Request, cancelCause)
 	answer, failed := e.upstream.Send(ctx, &upstream.Attempt{
 		Backend:         f.Server.ID,
 		Address:         f.Server.Address,
@@ -78,6 +80,9 @@
 	e.setAttemptCancel(f.Request, nil)
 	end := &dispatch.AttemptEnded{Request: f.Request, BodyNotReplayable: !x.Replayable}
 	if failed != nil {
+		if failed.Result == event.AttemptCancelled {
+			e.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(ctx))).Inc()
+		}
 		cancel()
 		e.requests.attemptFailed(x, f, failed, e.clock.now().Sub(started))
 		e.metrics.attempts.WithLabelValues(string(failed.Step)).Inc()
@@ -94,9 +99,25 @@
 	return e.forward(x, f, answer, end, started, cancel)
 }
 
+// errServerUnreachable is the cause of the cancellation of an attempt at a server that
+// accepted no connection for its health check.
+var errServerUnreachable = errors.New("health check of the server got no connection")
+
+// givenUpReason returns the label of the reason why an attempt was cancelled.
+func givenUpReason(cause error) string {
+	switch {
+	case errors.Is(cause, errServerUnreachable):
+		return "server unreachable"
+	case errors.Is(cause, ingress.ErrCallerGone):
+		return "caller gone"
+	default:
+		return "other"
+	}
+}
+
 // setAttemptCancel stores the function that cancels an attempt that waits for a response.
 // A nil function removes the entry.
-func (e *Edge) setAttemptCancel(id model.RequestID, cancel context.CancelFunc) {
+func (e *Edge) setAttemptCancel(id model.RequestID, cancel context.CancelCauseFunc) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if cancel == nil {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -19,7 +19,8 @@
 	// Serve must call Respond or Refuse successfully exactly once before it returns.
 	// The connection of an exchange without a response is closed.
 	//
-	// The context is cancelled when the exchange ends or the caller disconnects; the
+	// The context is cancelled when the exchange ends or the caller disconnects, with
+	// ErrExchangeEnded or ErrCallerGone as its cause; the
 	// server checks the connection of each exchange that takes longer than
 	// disconnectCheckInterval. As in net/http, a caller that shuts down only its
 	// sending side counts as disconnected.
@@ -56,7 +57,7 @@
 	server     *Server
 	ctx        *fasthttp.RequestCtx
 	watched    watched
-	cancel     context.CancelFunc
+	cancel     context.CancelCauseFunc
 	responded  bool
 	finishOnce sync.Once
 }
@@ -81,6 +82,12 @@
 	Done func(sent int64, err error)
 }
 
+// The causes of the cancellation of an exchange's context.
+var (
+	ErrCallerGone    = errors.New("caller closed its connection")
+	ErrExchangeEnded = errors.New("exchange has ended")
+)
+
 // ErrAlreadyResponded is returned for a second response to the same exchange.
 var ErrAlreadyResponded = errors.New("exchange already has a response")
 
@@ -165,7 +172,7 @@
 // has an effect.
 func (x *Exchange) finish(done func()) {
 	x.finishOnce.Do(func() {
-		x.cancel()
+		x.cancel(ErrExchangeEnded)
 		x.server.watcher.remove(x)
 		x.server.inFlight.Add(-1)
 		if done != nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -168,7 +168,7 @@
 // run passes an exchange to the handler and ends it, except for one with a streamed
 // response, which ends once the response has been written.
 func (s *Server) run(x *Exchange) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	x.cancel = cancel
 	s.watcher.add(x)
 	s.handler.Serve(ctx, x)
--- a/internal/ingress/watcher.go
+++ b/internal/ingress/watcher.go
@@ -78,7 +78,7 @@
 func (w *watcher) check(now time.Time) {
 	for _, e := range w.olderThan(now.Add(-disconnectCheckInterval)) {
 		if tcpstate.NewProbe(e.conn).Peek() == tcpstate.Closed {
-			e.x.cancel()
+			e.x.cancel(ErrCallerGone)
 			w.remove(e.x)
 		}
 	}
--- a/internal/upstream/classify.go
+++ b/internal/upstream/classify.go
@@ -11,7 +11,7 @@
 // newSendError returns the error of an attempt without a response. cn is nil if there
 // was no connection.
 func newSendError(ctx context.Context, a *Attempt, cn *conn, step Step, err error) *SendError {
-	if cause := ctx.Err(); cause != nil {
+	if cause := context.Cause(ctx); cause != nil {
 		err = fmt.Errorf("%w (%w)", cause, err)
 	}
 	e := &SendError{Step: step, Backend: a.Backend, Peer: a.Address, Err: err}
