dispatch, edge: running attempts are not given up for a failed health check

A health check that got no connection cancelled the repeatable attempts at its server, in the belief that it had no power; under a burst it only had a full queue of new connections. If no other attempt could be made then, the instance answered itself.

Now such an attempt goes on, and a second one is made beside it where attempts, retry budget and another server permit; the caller gets the first answer. A request is refused only when none of its attempts is running. A server without power still costs its callers one second attempt, as before.

TestStopKeepsRequestsOfUnreachableServer failed before: 502, cause 'shed', with the request at work.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -102,8 +102,12 @@
 		d.requestArrived(ev)
 	case *AttemptEnded:
 		d.attemptEnded(ev)
+	case *AnswerStarted:
+		if q := d.requests[ev.Request]; q != nil {
+			q.answered = true
+		}
 	case *RequestEnded:
-		delete(d.requests, ev.Request)
+		d.requestEnded(ev.Request)
 	case *ServerProbed:
 		d.serverProbed(ev)
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -82,6 +82,7 @@
 type AttemptEnded struct {
 	At      model.Instant
 	Request model.RequestID
+	Attempt int // as in Send
 	Result  event.AttemptResult
 	// Misdirected reports that a different server answered at the address.
 	Misdirected bool
@@ -92,6 +93,10 @@
 	Report            ServerReport
 }
 
+// AnswerStarted reports that a server's answer is being passed on to the caller, which may
+// take longer than the attempt's other steps. No further attempt is started.
+type AnswerStarted struct{ Request model.RequestID }
+
 // RequestEnded reports that the caller has received its answer or is gone.
 type RequestEnded struct {
 	At      model.Instant
@@ -117,6 +122,7 @@
 func (*InstancesCounted) event()   {}
 func (*RequestArrived) event()     {}
 func (*AttemptEnded) event()       {}
+func (*AnswerStarted) event()      {}
 func (*RequestEnded) event()       {}
 func (*ServerProbed) event()       {}
 
@@ -183,9 +189,9 @@
 // may be broken or lead to another server.
 type ClosePooledConnections struct{ Server *catalog.Server }
 
-// Cancel cancels a running attempt. The attempt then ends with event.AttemptCancelled
-// unless it has already ended.
-type Cancel struct{ Request model.RequestID }
+// Hedge sends a request to a second backend server while its first attempt goes on. The
+// caller gets the first complete answer.
+type Hedge struct{ Send *Send }
 
 // LimitsChanged applies the limits on callers' requests from a new configuration.
 type LimitsChanged struct{ Limits catalog.Limits }
@@ -201,7 +207,7 @@
 func (*Send) effect()                   {}
 func (*Refuse) effect()                 {}
 func (*Probe) effect()                  {}
-func (*Cancel) effect()                 {}
+func (*Hedge) effect()                  {}
 func (*CloseConnections) effect()       {}
 func (*ClosePooledConnections) effect() {}
 func (*Record) effect()                 {}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -105,7 +105,7 @@
 	suspected := s.suspected
 	s.suspected = false
 	if !ev.Healthy && !ev.Reached {
-		d.replaceAttempts(s)
+		d.hedgeAttempts(ev.At, s)
 	}
 	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < recentAnswerAge {
 		s.ejectedUntil = 0
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
@@ -20,14 +21,37 @@
 	distance    time.Duration // placement cost of a server in another region
 	deadline    model.Instant
 	replayable  bool
-	server      *server // server of the running attempt, nil if there is none
+	running     []*attempt // oldest first; a second one only while the first is in doubt
 	tried       []*server
-	sends       int // attempts that may have reached a server
-	failedDials int // attempts that failed without a connection
+	sends       int  // attempts that may have reached a server
+	failedDials int  // attempts that failed without a connection
+	mayHaveRun  bool // an earlier attempt may have run
+	answered    bool // an answer is being passed on to the caller
+}
+
+// attempt is a running attempt of a request.
+type attempt struct {
+	number      int // 1 for the request's first attempt
+	server      *server
 	startedAt   model.Instant
 	objectKnown bool // the server was believed to have the object warm
-	mayHaveRun  bool // an earlier attempt may have run
-	replaced    bool // the attempt was cancelled in order to retry elsewhere
+}
+
+// mayHedge reports whether the request may be sent to a second server while its first
+// attempt runs.
+func (q *request) mayHedge() bool {
+	return q.route.Kind.Repeatable() && q.replayable && !q.answered && q.sends < q.route.Attempts
+}
+
+// takeAttempt removes a running attempt and returns it, or nil if it has already ended.
+func (q *request) takeAttempt(number int) *attempt {
+	for i, a := range q.running {
+		if a.number == number {
+			q.running = slices.Delete(q.running, i, i+1)
+			return a
+		}
+	}
+	return nil
 }
 
 const (
@@ -89,8 +113,7 @@
 
 // send sends a request to the best server, or refuses it if there is none.
 func (d *Dispatcher) send(now model.Instant, q *request) {
-	left := q.deadline.Sub(now)
-	if left <= 0 {
+	if q.deadline <= now {
 		d.refuse(q, model.CauseDeadline, 0)
 		return
 	}
@@ -99,12 +122,17 @@
 		d.refuse(q, c.cause, c.wait)
 		return
 	}
+	d.add(d.startAttempt(now, q, c))
+}
+
+// startAttempt records an attempt at the chosen server and returns the effect that makes
+// it.
+func (d *Dispatcher) startAttempt(now model.Instant, q *request, c choice) *Send {
 	s := c.server
-	q.server = s
 	q.tried = append(q.tried, s)
-	q.startedAt = now
-	q.objectKnown = s.warm.contains(now, q.object)
 	q.sends++
+	a := &attempt{number: q.sends + q.failedDials, server: s, startedAt: now, objectKnown: s.warm.contains(now, q.object)}
+	q.running = append(q.running, a)
 	if s.inFlight == 0 {
 		s.busySince = now
 	}
@@ -120,14 +148,14 @@
 	send := &Send{
 		Request:  q.id,
 		Server:   &entry,
-		TimeLeft: left,
-		Attempt:  q.sends + q.failedDials,
+		TimeLeft: q.deadline.Sub(now),
+		Attempt:  a.number,
 		Kind:     q.route.Kind,
 		Decision: Decision{
 			Route:         q.route.Name,
 			Configuration: d.config.Version,
 			Object:        q.object,
-			ObjectKnown:   q.objectKnown,
+			ObjectKnown:   a.objectKnown,
 			Moved:         c.moved,
 			Load:          s.load(now),
 			LoadAge:       now.Sub(max(s.otherLoadAt, s.listedAt)),
@@ -136,7 +164,7 @@
 	if !q.route.Kind.Repeatable() {
 		send.MaxIdle = maxIdleOnce
 	}
-	d.add(send)
+	return send
 }
 
 // refuse refuses a request. The outcome is NotRun only if the request certainly did not
@@ -159,11 +187,14 @@
 
 func (d *Dispatcher) attemptEnded(ev *AttemptEnded) {
 	q := d.requests[ev.Request]
-	if q == nil || q.server == nil {
+	if q == nil {
 		return
 	}
-	s := q.server
-	q.server = nil
+	a := q.takeAttempt(ev.Attempt)
+	if a == nil {
+		return
+	}
+	s := a.server
 	s.inFlight--
 	if ev.Report.HasLoad || ev.Result == event.AttemptComplete || ev.Result == event.AttemptFailed {
 		s.answeredAt = ev.At
@@ -172,25 +203,34 @@
 	d.updateHealth(ev, s)
 	switch ev.Result {
 	case event.AttemptComplete:
-		d.recordRunTime(ev.At, q, s)
+		d.recordRunTime(ev.At, q, a)
+		q.answered = true
 	case event.AttemptFailed:
-		// The complete 5xx answer has already been passed on.
+		q.answered = true // the complete 5xx answer has been passed on
 	case event.AttemptNotSent:
 		q.sends--
 		q.failedDials++
+	case event.AttemptShed:
+	default:
+		q.mayHaveRun = true
+	}
+	if q.answered || len(q.running) > 0 {
+		return // the caller has its answer, or may get that of the other attempt
+	}
+	d.nextAttempt(ev, q)
+}
+
+// nextAttempt decides about a request whose last running attempt has ended without an
+// answer.
+func (d *Dispatcher) nextAttempt(ev *AttemptEnded, q *request) {
+	switch ev.Result {
+	case event.AttemptNotSent:
 		d.retry(ev, q, model.CauseConnect, true)
 	case event.AttemptShed:
 		d.retry(ev, q, model.CauseShed, false)
 	case event.AttemptCancelled:
-		q.mayHaveRun = true
-		if !q.replaced {
-			d.refuse(q, model.CauseCallerGone, 0)
-			return
-		}
-		q.replaced = false
-		d.retry(ev, q, model.CauseTimeout, false)
+		d.refuse(q, model.CauseCallerGone, 0)
 	default:
-		q.mayHaveRun = true
 		if !q.route.Kind.Repeatable() {
 			d.refuse(q, causeOf(ev.Result), 0)
 			return
@@ -199,14 +239,26 @@
 	}
 }
 
+// requestEnded forgets a request and the attempts that have not ended yet.
+func (d *Dispatcher) requestEnded(id model.RequestID) {
+	q := d.requests[id]
+	if q == nil {
+		return
+	}
+	for _, a := range q.running {
+		a.server.inFlight--
+	}
+	delete(d.requests, id)
+}
+
 // recordRunTime records the run time of a request and that the server has its object
 // warm.
-func (d *Dispatcher) recordRunTime(now model.Instant, q *request, s *server) {
-	run := now.Sub(q.startedAt)
+func (d *Dispatcher) recordRunTime(now model.Instant, q *request, a *attempt) {
+	s, run := a.server, now.Sub(a.startedAt)
 	if s.region != d.settings.Region {
 		run = max(0, run-regionRoundTrip)
 	}
-	if q.objectKnown {
+	if a.objectKnown {
 		q.runTimes.warm.add(run.Seconds())
 		q.runTimes.unqueued.add(run.Seconds())
 	} else if !s.cold(now) {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -44,19 +44,30 @@
 	return max(minSilence, scale(run, silentRunTimes*batches))
 }
 
-// replaceAttempts cancels the repeatable requests at a server that did not accept a
-// connection for its health check, so that they are retried elsewhere. Requests without
-// attempts left are not cancelled.
-func (d *Dispatcher) replaceAttempts(s *server) {
+// hedgeAttempts starts a second attempt of each repeatable request at a server that did not
+// accept a connection for its health check. The running attempts go on: the server may
+// have lost power, or be at work with a full queue of new connections.
+func (d *Dispatcher) hedgeAttempts(now model.Instant, s *server) {
 	var stuck []model.RequestID
 	for id, q := range d.requests {
-		if q.server == s && q.route.Kind.Repeatable() && q.sends < q.route.Attempts {
+		if len(q.running) == 1 && q.running[0].server == s && q.mayHedge() {
 			stuck = append(stuck, id)
 		}
 	}
 	slices.Sort(stuck)
 	for _, id := range stuck {
-		d.requests[id].replaced = true
-		d.add(&Cancel{Request: id})
+		d.hedge(now, d.requests[id])
 	}
 }
+
+// hedge starts a second attempt of a request, if a server and the retry budget permit it.
+func (d *Dispatcher) hedge(now model.Instant, q *request) {
+	if q.deadline <= now {
+		return
+	}
+	c := d.choose(now, q)
+	if c.server == nil || !d.service(q.service).budget.Take(now, d.instances) {
+		return
+	}
+	d.add(&Hedge{Send: d.startAttempt(now, q, c)})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,11 +37,11 @@
 	links        *link.Links
 	callerServer *ingress.Server
 
-	// mu guards dispatcher, lastID and attemptCancels.
-	mu             sync.Mutex
-	dispatcher     *dispatch.Dispatcher
-	lastID         model.RequestID
-	attemptCancels map[model.RequestID]context.CancelCauseFunc // of attempts that wait for a response
+	// mu guards dispatcher, lastID and calls.
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	lastID     model.RequestID
+	calls      map[model.RequestID]*call
 
 	// fleetMu guards the state of other instances and of the store, from group to loaded.
 	fleetMu       sync.Mutex
@@ -133,7 +133,7 @@
 			ShiftCap:      o.Bounds.ShiftCap,
 			RandomServers: o.RandomServers,
 		}),
-		attemptCancels:   map[model.RequestID]context.CancelCauseFunc{},
+		calls:            map[model.RequestID]*call{},
 		listed:           map[model.InstanceID]listedInstance{},
 		missingSince:     map[model.InstanceID]model.Instant{},
 		serverEntries:    map[model.BackendName]catalog.Server{},
@@ -303,10 +303,8 @@
 	switch f := f.(type) {
 	case *dispatch.Probe:
 		e.probe(f)
-	case *dispatch.Cancel:
-		if cancel := e.attemptCancels[f.Request]; cancel != nil {
-			cancel(errServerUnreachable)
-		}
+	case *dispatch.Hedge:
+		e.calls[f.Send.Request].hedge(f.Send)
 	case *dispatch.CloseConnections:
 		e.upstream.CloseConnections(f.Server.Address)
 	case *dispatch.ClosePooledConnections:
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -73,6 +73,13 @@
 	l.write(l.failureLimiter, x, fields, "attempt failed")
 }
 
+// hedged logs an attempt that is made while an earlier one is running.
+func (l *requestLog) hedged(x *ingress.Exchange, f *dispatch.Send) {
+	fields := decisionFields(f)
+	fields["why"] = "the server of the running attempt accepted no connection for its health check"
+	l.write(l.failureLimiter, x, fields, "second attempt")
+}
+
 // truncated logs a response that broke off before any of it was forwarded.
 func (l *requestLog) truncated(x *ingress.Exchange, f *dispatch.Send, err error) {
 	fields := decisionFields(f)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,7 +16,8 @@
 	latency  *prometheus.HistogramVec // by kind
 	attempts *prometheus.CounterVec   // by result
 	givenUp  *prometheus.CounterVec   // by reason
-	reads    *prometheus.CounterVec   // by table and result
+	hedges   prometheus.Counter
+	reads    *prometheus.CounterVec // by table and result
 	lookups  prometheus.Counter
 	unlogged prometheus.Counter
 	invalid  *prometheus.CounterVec // by source
@@ -42,6 +43,9 @@
 		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_attempts_given_up_total", Help: "Attempts cancelled before their answer, by reason.",
 		}, []string{"reason"}),
+		hedges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_hedges_total", Help: "Attempts made while an earlier attempt of the request was running.",
+		}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_store_reads_total", Help: "Reads of the platform's store by table and result.",
 		}, []string{"table", "result"}),
@@ -58,7 +62,7 @@
 			Name: "primrosenotch_edge_health_checks_total", Help: "Health checks of backend servers by reason and result.",
 		}, []string{"reason", "result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -22,26 +22,31 @@
 		e.refuse(x, &dispatch.Refuse{Outcome: model.NotRun, Cause: model.CauseStopping, RetryAfter: stoppingRetryAfter})
 		return
 	}
-	e.mu.Lock()
-	e.lastID++
-	id := e.lastID
-	e.mu.Unlock()
+	c := e.beginCall(ctx, x)
+	defer c.end()
 	next := e.post(&dispatch.RequestArrived{
 		At:            e.clock.now(),
-		Request:       id,
+		Request:       c.id,
 		Host:          x.Host,
 		Path:          x.Path,
 		Affinity:      x.AffinityKey,
 		CallerTimeout: x.DeadlineHint,
 		Replayable:    x.Replayable,
 	})
-	for next != nil {
+	for !c.responded {
+		var o outcome
 		switch f := next.(type) {
 		case *dispatch.Send:
-			next = e.attempt(ctx, x, f)
+			o = c.send(f)
 		case *dispatch.Refuse:
 			e.refuse(x, f)
-			next = nil
+			return
+		default:
+			o = <-c.outcomes
+		}
+		next = o.next
+		if o.answer != nil {
+			next = c.forward(o.answer)
 		}
 	}
 }
@@ -54,15 +59,14 @@
 	}
 }
 
-// attempt sends a request to a backend server and forwards the response. It returns the
-// next effect to carry out for the request, or nil if there is none.
-func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
-	started := e.clock.now()
-	ctx, cancelCause := context.WithCancelCause(ctx)
+// send sends a request to a backend server and waits for the head of the answer.
+func (c *call) send(f *dispatch.Send) outcome {
+	e, x, started := c.edge, c.x, c.edge.clock.now()
+	ctx, cancel := context.WithCancelCause(c.ctx)
 	ctx, cancelTimeout := context.WithTimeout(ctx, f.TimeLeft)
-	cancel := func() { cancelTimeout(); cancelCause(nil) }
-	e.setAttemptCancel(f.Request, cancelCause)
-	answer, failed := e.upstream.Send(ctx, &upstream.Attempt{
+	release := func() { cancelTimeout(); cancel(nil) }
+	c.startWaiting(f.Attempt, cancel)
+	response, failed := e.upstream.Send(ctx, &upstream.Attempt{
 		Backend:         f.Server.ID,
 		Address:         f.Server.Address,
 		Method:          x.Method,
@@ -77,37 +81,41 @@
 		ResponseTimeout: firstByteTimeout(f),
 		MaxIdle:         f.MaxIdle,
 	})
-	e.setAttemptCancel(f.Request, nil)
-	end := &dispatch.AttemptEnded{Request: f.Request, BodyNotReplayable: !x.Replayable}
-	if failed != nil {
-		if failed.Result == event.AttemptCancelled {
-			e.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(ctx))).Inc()
+	c.stopWaiting(f.Attempt)
+	if failed == nil && errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
+		_ = response.Body.Close() // its connection is being closed
+		failed = &upstream.SendError{
+			Result: event.AttemptCancelled, Sent: true, Step: upstream.StepReceive, Report: response.Report,
+			Backend: f.Server.ID, Peer: f.Server.Address, Err: errAnsweredElsewhere,
 		}
-		cancel()
-		e.requests.attemptFailed(x, f, failed, e.clock.now().Sub(started))
-		e.metrics.attempts.WithLabelValues(string(failed.Step)).Inc()
-		end.Result = failed.Result
-		end.Misdirected = failed.Misdirected
-		end.Draining = failed.Draining
-		end.Report = e.serverReport(f.Server.ID, &failed.Report)
-		end.At = e.clock.now()
-		return e.post(end)
 	}
-	end.Draining = answer.Draining
-	end.Report = e.serverReport(f.Server.ID, &answer.Report)
-	e.metrics.attempts.WithLabelValues("answered").Inc()
-	return e.forward(x, f, answer, end, started, cancel)
+	if failed == nil {
+		e.metrics.attempts.WithLabelValues("answered").Inc()
+		return outcome{answer: &answer{send: f, response: response, started: started, release: release}}
+	}
+	if failed.Result == event.AttemptCancelled {
+		e.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(ctx))).Inc()
+	}
+	release()
+	e.requests.attemptFailed(x, f, failed, e.clock.now().Sub(started))
+	e.metrics.attempts.WithLabelValues(string(failed.Step)).Inc()
+	return outcome{next: e.post(&dispatch.AttemptEnded{
+		At:                e.clock.now(),
+		Request:           c.id,
+		Attempt:           f.Attempt,
+		Result:            failed.Result,
+		Misdirected:       failed.Misdirected,
+		Draining:          failed.Draining,
+		BodyNotReplayable: !x.Replayable,
+		Report:            e.serverReport(f.Server.ID, &failed.Report),
+	})}
 }
 
-// errServerUnreachable is the cause of the cancellation of an attempt at a server that
-// accepted no connection for its health check.
-var errServerUnreachable = errors.New("health check of the server got no connection")
-
 // givenUpReason returns the label of the reason why an attempt was cancelled.
 func givenUpReason(cause error) string {
 	switch {
-	case errors.Is(cause, errServerUnreachable):
-		return "server unreachable"
+	case errors.Is(cause, errAnsweredElsewhere):
+		return "answered elsewhere"
 	case errors.Is(cause, ingress.ErrCallerGone):
 		return "caller gone"
 	default:
@@ -115,18 +123,6 @@
 	}
 }
 
-// setAttemptCancel stores the function that cancels an attempt that waits for a response.
-// A nil function removes the entry.
-func (e *Edge) setAttemptCancel(id model.RequestID, cancel context.CancelCauseFunc) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if cancel == nil {
-		delete(e.attemptCancels, id)
-		return
-	}
-	e.attemptCancels[id] = cancel
-}
-
 // firstByteTimeout returns the timeout for the first byte of a response. If the dispatcher
 // set none, it returns more than the time left, so that the context's deadline applies.
 func firstByteTimeout(f *dispatch.Send) time.Duration {
@@ -148,30 +144,39 @@
 	}
 }
 
-// forward passes a response on to the caller. A body of up to maxBufferedBodyBytes is read
-// first, and the attempt may be retried if it breaks off; a larger one is streamed, and the
-// attempt ends after forward has returned.
-func (e *Edge) forward(x *ingress.Exchange, f *dispatch.Send, answer *upstream.Response, end *dispatch.AttemptEnded, started model.Instant, cancel func()) dispatch.Effect {
+// forward passes an answer on to the caller and returns the next effect if that was not
+// possible. A body of up to maxBufferedBodyBytes is read first, and the attempt may be
+// retried if it breaks off; a larger one is streamed, and the attempt ends after forward has
+// returned.
+func (c *call) forward(a *answer) dispatch.Effect {
+	e, x, f := c.edge, c.x, a.send
+	end := &dispatch.AttemptEnded{
+		Request:           c.id,
+		Attempt:           f.Attempt,
+		Draining:          a.response.Draining,
+		BodyNotReplayable: !x.Replayable,
+		Report:            e.serverReport(f.Server.ID, &a.response.Report),
+	}
 	finish := func(result event.AttemptResult) dispatch.Effect {
-		cancel()
+		a.release()
 		end.Result = result
 		end.At = e.clock.now()
 		return e.post(end)
 	}
-	if claimsNotRun(answer.Status) {
-		_ = answer.Body.Close() // only the status is used
+	if claimsNotRun(a.response.Status) {
+		_ = a.response.Body.Close() // only the status is used
 		return finish(event.AttemptBroken)
 	}
 	result := event.AttemptComplete
-	if answer.Status >= 500 {
+	if a.response.Status >= 500 {
 		result = event.AttemptFailed
 	}
 	forwarded := make(chan event.AttemptResult, 1)
 	err := x.Respond(&ingress.Response{
-		Status:    answer.Status,
-		Header:    answer.Header,
-		BodyBytes: answer.BodyBytes,
-		Body:      answer.Body,
+		Status:    a.response.Status,
+		Header:    a.response.Header,
+		BodyBytes: a.response.BodyBytes,
+		Body:      a.response.Body,
 		Done: func(_ int64, err error) {
 			if err != nil {
 				result = event.AttemptTruncated
@@ -183,18 +188,20 @@
 		e.requests.truncated(x, f, err)
 		return finish(event.AttemptTruncated)
 	}
+	c.responded = true
 	done := func(result event.AttemptResult) {
 		finish(result)
-		elapsed := e.clock.now().Sub(started)
-		e.requests.answered(x, f, answer.Status, elapsed)
+		elapsed := e.clock.now().Sub(a.started)
+		e.requests.answered(x, f, a.response.Status, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
 		e.metrics.observeLatency(f.Kind, elapsed)
-		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
+		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: c.id})
 	}
 	select {
 	case result := <-forwarded:
 		done(result)
 	default:
+		e.post(&dispatch.AnswerStarted{Request: c.id})
 		go func() { done(<-forwarded) }()
 	}
 	return nil
