edge: lookups name instances by their share of the capacity

A burst of uploads filled the slow links' queues, new connections to servers timed out behind them, and servers that were well were ejected: 4,284 requests refused with no-backend, 1,889 with connect. Callers picked every instance alike. This is also what grows with the instances: the small deployments have links of 1,000 Mbit/s only.

Instances now state bandwidth and processor in their entry, from the settings, and each lookup names an instance to the share of callers that its scarcer resource is of the largest instance's. Which callers is stable, so that connections are kept; lookups cost the same with any number of instances.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -114,10 +114,12 @@
 	})
 	return edge.New(edge.Options{
 		Self: catalog.Instance{
-			ID:         model.InstanceID(s.Instance.ID),
-			Zone:       model.ZoneName(s.Instance.Zone),
-			LinkAddr:   s.Advertise.Links,
-			CallerAddr: s.Advertise.Callers,
+			ID:            model.InstanceID(s.Instance.ID),
+			Zone:          model.ZoneName(s.Instance.Zone),
+			LinkAddr:      s.Advertise.Links,
+			CallerAddr:    s.Advertise.Callers,
+			BandwidthMbit: s.Instance.BandwidthMbit,
+			CPUs:          s.Instance.CPUs,
 		},
 		Region:   regions[model.ZoneName(s.Instance.Zone)],
 		Regions:  regions,
--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -70,6 +70,10 @@
 	LinkAddr     string // host:port for links between instances
 	CallerAddr   string // host:port for callers
 	StartedNanos int64  // nanoseconds since the epoch by the instance's clock
+	// BandwidthMbit and CPUs are the capacity of the instance's link, in Mbit/s each way, and
+	// of its processor, in cores; 0 if unknown.
+	BandwidthMbit float64 `json:",omitempty"`
+	CPUs          float64 `json:",omitempty"`
 }
 
 func (*ConfigurationChange) change() {}
--- a/internal/edge/lookup.go
+++ b/internal/edge/lookup.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -12,6 +15,7 @@
 	Host   string           // host that the caller wants to reach; every instance serves all hosts
 	Region model.RegionName // region of the caller
 	Zone   model.ZoneName   // availability zone of the caller
+	Caller string           // address of the caller
 }
 
 const (
@@ -27,11 +31,38 @@
 type lookupResults struct {
 	generation uint64 // of the membership group
 	ready      bool   // this instance accepts callers' requests
-	all        []string
-	byRegion   map[model.RegionName][]string
+	all        *lookupAnswers
+	byRegion   map[model.RegionName]*lookupAnswers
 	readerRank int // position of this instance in its region's order of readers
 }
 
+// lookupAnswers holds the variants of the answer to lookups. Callers get one of them each.
+type lookupAnswers [lookupVariants][]string
+
+// lookupAnswers returns the answers that name a list of instances, each by its share of their
+// capacity. The caller must hold fleetMu.
+func (e *Edge) lookupAnswers(list []membership.Entry) *lookupAnswers {
+	shares := relativeCapacities(lo.Map(list, func(m membership.Entry, _ int) catalog.Instance { return e.listedInstance(m.Instance) }))
+	answers := &lookupAnswers{}
+	for variant := range answers {
+		for i, m := range list {
+			if namedIn(variant, m.Instance, shares[i]) {
+				answers[variant] = append(answers[variant], m.CallerAddr)
+			}
+		}
+	}
+	return answers
+}
+
+// listedInstance returns what the store lists of an instance, which may be nothing. The
+// caller must hold fleetMu.
+func (e *Edge) listedInstance(id model.InstanceID) catalog.Instance {
+	if id == e.options.Self.ID {
+		return e.options.Self
+	}
+	return e.listed[id].entry
+}
+
 // publishLookups replaces the lookup answers if the membership group or the readiness of
 // this instance has changed, or if force is set. Each tick sets force to publish changes
 // that depend on time alone. The caller must hold fleetMu.
@@ -40,16 +71,14 @@
 	if old := e.published.Load(); !force && old != nil && old.generation == generation && old.ready == ready {
 		return
 	}
-	var near []membership.Entry // instances of this region
-	next := &lookupResults{generation: generation, ready: ready, byRegion: map[model.RegionName][]string{}}
-	for _, record := range e.usableInstances() {
-		region := e.options.Regions[record.Zone]
-		next.byRegion[region] = append(next.byRegion[region], record.CallerAddr)
-		next.all = append(next.all, record.CallerAddr)
-		if region == e.options.Region {
-			near = append(near, record)
-		}
+	next := &lookupResults{generation: generation, ready: ready, byRegion: map[model.RegionName]*lookupAnswers{}}
+	usable := e.usableInstances()
+	next.all = e.lookupAnswers(usable)
+	byRegion := lo.GroupBy(usable, func(m membership.Entry) model.RegionName { return e.options.Regions[m.Zone] })
+	for region, list := range byRegion {
+		next.byRegion[region] = e.lookupAnswers(list)
 	}
+	near := byRegion[e.options.Region] // with this instance
 	next.readerRank = readerRank(e.options.Self.ID, e.options.Self.Zone, near)
 	e.published.Store(next)
 }
@@ -63,9 +92,10 @@
 	if results == nil {
 		return nil, ttl
 	}
-	addresses := results.byRegion[l.Region]
-	if len(addresses) == 0 {
-		addresses = results.all
+	answers := results.byRegion[l.Region]
+	if answers == nil {
+		answers = results.all
 	}
+	addresses := answers[variantOf(&l)]
 	return addresses[:min(len(addresses), maxLookupAddresses)], ttl
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sort"
 	"strings"
@@ -21,6 +22,10 @@
 type Instance struct {
 	ID   string `ini:"id"`   // unique across all zones
 	Zone string `ini:"zone"` // availability zone, as the operators' text names it
+	// BandwidthMbit and CPUs are what this instance has, for its share of the callers; 0 if
+	// unknown.
+	BandwidthMbit float64 `ini:"bandwidth mbit"`
+	CPUs          float64 `ini:"cpus"`
 }
 
 // Listen is the [listen] section; each value is host:port with an IP address.
@@ -163,7 +168,7 @@
 
 // knownKeys lists the keys of each section. [peers] and [regions] accept any key.
 var knownKeys = map[string][]string{
-	"instance":  {"id", "zone"},
+	"instance":  {"id", "zone", "bandwidth mbit", "cpus"},
 	"listen":    {"callers", "links", "control"},
 	"advertise": {"callers", "links", "control"},
 	"platform":  {"address", "timeout", "poll every", "poll factor"},
@@ -207,6 +212,7 @@
 	if s.Instance.ID == "" {
 		report("instance", "id", "is missing; each instance needs a unique identifier")
 	}
+	s.checkCapacity(report)
 	if s.Instance.Zone == "" {
 		report("instance", "zone", "is missing; set a zone of the operators' text")
 	}
@@ -215,6 +221,17 @@
 	return errors.Join(errs...)
 }
 
+func (s *Settings) checkCapacity(report func(section, key, problem string)) {
+	for _, c := range []struct {
+		key   string
+		value float64
+	}{{"bandwidth mbit", s.Instance.BandwidthMbit}, {"cpus", s.Instance.CPUs}} {
+		if !(c.value >= 0 && c.value <= math.MaxInt32) {
+			report("instance", c.key, fmt.Sprintf("%v is not a number from 0 to %d", c.value, math.MaxInt32))
+		}
+	}
+}
+
 func (s *Settings) checkAddresses(report func(section, key, problem string)) {
 	addresses := []struct{ section, key, value string }{
 		{"listen", "callers", s.Listen.Callers},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,9 +41,11 @@
 }
 
 func TestLoadReportsAllErrors(t *testing.T) {
-	_, err := Load(writeFile(t, "[instance]\nid = a\n[listen]\ncallers = host:1\n[serving]\ndrain = 0s\n[log]\nformat = xml\n"))
+	_, err := Load(writeFile(t, "[instance]\nid = a\nbandwidth mbit = -1\ncpus = NaN\n[listen]\ncallers = host:1\n[serving]\ndrain = 0s\n[log]\nformat = xml\n"))
 	for _, part := range []string{
 		"[instance] zone: is missing",
+		"[instance] bandwidth mbit: -1 is not a number",
+		"[instance] cpus: NaN is not a number",
 		`[listen] callers: "host" is not an IP address`,
 		"[listen] links: is missing",
 		"[platform] address: is missing",
