edge: a second answer ends the running attempt only when it can be passed on

Callers of instances that had got SIGTERM could still be told 502 although their server was at work: as soon as a second server answered, the first attempt was cancelled, before the answer was known to be usable. If its status was one that is never passed on (408, 421, 429, 503 without the field that says not run), or if its body broke off, no attempt was left, and the instance answered itself.

TestStopKeepsRequestsWhoseSecondAttemptFails failed before, in both cases: 502 with the causes 'connection-broken' and 'answer-incomplete', with the request at work.

Now a hedge reads its answer as far as it would be buffered, beside the running attempts, and ends them only then. An answer that has to be streamed (without a length, or longer than the buffer) still ends them with its header.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"sync"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -47,6 +50,8 @@
 	send     *dispatch.Send
 	response *upstream.Response
 	started  model.Instant
+	ctx      context.Context // of the attempt
+	cancel   context.CancelCauseFunc
 	release  func() // releases the attempt's context
 }
 
@@ -83,6 +88,9 @@
 	c.edge.metrics.hedges.Inc()
 	c.hedges.Go(func() {
 		o := c.send(f)
+		if o.answer != nil {
+			o = c.receive(o.answer)
+		}
 		if o.answer != nil {
 			c.cancelWaiting()
 		} else if o.next == nil {
@@ -96,14 +104,56 @@
 	})
 }
 
+// receive reads the body of a hedge's answer, unless it has to be streamed. Until then the
+// other attempts go on, as they are needed if the answer cannot be passed on.
+func (c *call) receive(a *answer) outcome {
+	length := a.response.BodyBytes
+	switch {
+	case claimsNotRun(a.response.Status):
+		return outcome{next: c.reject(a)}
+	case length < 0, length > maxBufferedBodyBytes, c.x.Method == http.MethodHead:
+		return outcome{answer: a}
+	}
+	c.startWaiting(a.send.Attempt, a.cancel)
+	body, err := io.ReadAll(a.response.Body)
+	c.stopWaiting(a.send.Attempt)
+	if err == nil {
+		a.response.Body = io.NopCloser(bytes.NewReader(body))
+		return outcome{answer: a}
+	}
+	result := event.AttemptTruncated
+	if errors.Is(a.ctx.Err(), context.Canceled) {
+		result = event.AttemptCancelled
+		c.edge.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(a.ctx))).Inc()
+	}
+	c.edge.requests.truncated(c.x, a.send, err)
+	return outcome{next: c.endAttempt(a, result)}
+}
+
+// reject ends the attempt of an answer that is not passed on because of its status.
+func (c *call) reject(a *answer) dispatch.Effect {
+	_ = a.response.Body.Close() // only the status is used
+	return c.endAttempt(a, event.AttemptBroken)
+}
+
 // discard drops a hedge's answer that came too late. A call that waits for an effect
 // receives it before it ends, so that there is always an answer.
 func (c *call) discard(a *answer) {
 	_ = a.response.Body.Close() // another answer has been passed on
+	c.endAttempt(a, event.AttemptCancelled)
+}
+
+// endAttempt reports the end of an attempt that was answered and returns the next effect.
+func (c *call) endAttempt(a *answer, result event.AttemptResult) dispatch.Effect {
 	a.release()
-	c.edge.post(&dispatch.AttemptEnded{
-		At: c.edge.clock.now(), Request: c.id, Attempt: a.send.Attempt, Result: event.AttemptCancelled,
-		Draining: a.response.Draining, Report: c.edge.serverReport(a.send.Server.ID, &a.response.Report),
+	return c.edge.post(&dispatch.AttemptEnded{
+		At:                c.edge.clock.now(),
+		Request:           c.id,
+		Attempt:           a.send.Attempt,
+		Result:            result,
+		Draining:          a.response.Draining,
+		BodyNotReplayable: !c.x.Replayable,
+		Report:            c.edge.serverReport(a.send.Server.ID, &a.response.Report),
 	})
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -91,7 +91,7 @@
 	}
 	if failed == nil {
 		e.metrics.attempts.WithLabelValues("answered").Inc()
-		return outcome{answer: &answer{send: f, response: response, started: started, release: release}}
+		return outcome{answer: &answer{send: f, response: response, started: started, ctx: ctx, cancel: cancel, release: release}}
 	}
 	if failed.Result == event.AttemptCancelled {
 		e.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(ctx))).Inc()
@@ -150,22 +150,8 @@
 // returned.
 func (c *call) forward(a *answer) dispatch.Effect {
 	e, x, f := c.edge, c.x, a.send
-	end := &dispatch.AttemptEnded{
-		Request:           c.id,
-		Attempt:           f.Attempt,
-		Draining:          a.response.Draining,
-		BodyNotReplayable: !x.Replayable,
-		Report:            e.serverReport(f.Server.ID, &a.response.Report),
-	}
-	finish := func(result event.AttemptResult) dispatch.Effect {
-		a.release()
-		end.Result = result
-		end.At = e.clock.now()
-		return e.post(end)
-	}
 	if claimsNotRun(a.response.Status) {
-		_ = a.response.Body.Close() // only the status is used
-		return finish(event.AttemptBroken)
+		return c.reject(a)
 	}
 	result := event.AttemptComplete
 	if a.response.Status >= 500 {
@@ -186,11 +172,11 @@
 	})
 	if err != nil {
 		e.requests.truncated(x, f, err)
-		return finish(event.AttemptTruncated)
+		return c.endAttempt(a, event.AttemptTruncated)
 	}
 	c.responded = true
 	done := func(result event.AttemptResult) {
-		finish(result)
+		c.endAttempt(a, result)
 		elapsed := e.clock.now().Sub(a.started)
 		e.requests.answered(x, f, a.response.Status, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
