upstream: a cancelled attempt sends nothing

A server could receive a request after its caller had left: if an attempt ended as its caller left, its successor began with a cancelled context, and a pooled connection took the request before the goroutine that closes it had run. Only new connections were safe, since dialing checks the context.

Send now checks the context before it takes a connection.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -22,6 +22,9 @@
 // body. When the context is done, the connection is closed, which makes the backend
 // server cancel the request. Exactly one of the results is nil.
 func (c *Client) Send(ctx context.Context, a *Attempt) (*Response, *SendError) {
+	if err := ctx.Err(); errors.Is(err, context.Canceled) {
+		return nil, newSendError(ctx, a, nil, StepDial, err) // not even over a pooled connection
+	}
 	cn, step, err := c.connect(ctx, a)
 	if err != nil {
 		return nil, newSendError(ctx, a, nil, step, err)
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -324,3 +324,20 @@
 	_, err = newClient(t, Settings{}).Status(testContext(t), "b", bad.addr)
 	require.ErrorContains(t, err, "status code 500")
 }
+
+// TestCancelledAttemptSendsNothing guards against requests that reach a server after their
+// caller has left: a pooled connection takes the request before it is closed.
+func TestCancelledAttemptSendsNothing(t *testing.T) {
+	s := startServer(t, respondAlways(okResponse))
+	c := newClient(t, Settings{})
+	ctx, cancel := context.WithCancel(testContext(t))
+	cancel()
+	for range 50 {
+		response, sendErr := c.Send(testContext(t), newGet(s))
+		readBody(t, response, sendErr)
+		_, sendErr = c.Send(ctx, newGet(s))
+		require.NotNil(t, sendErr)
+		require.Equal(t, event.AttemptCancelled, sendErr.Result)
+		require.False(t, sendErr.Sent)
+	}
+}
