edge: a second attempt that begins late does not delay the answer

A caller's answer could be held back until a second server had run the request, too, at worst until the deadline: ending a call cancels the attempts that wait for an answer and then waits for their goroutines, but the goroutine of a hedge that had not yet registered its attempt was missed, and sent the request. It has the time between the health check's result and its first instructions for that, which a busy machine makes long. The same held between the header of a second answer and the reading of its body.

An ended call now cancels attempts that begin to wait.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -36,6 +36,7 @@
 
 	mu      sync.Mutex
 	waiting map[int]context.CancelCauseFunc // attempts that wait for an answer, by number
+	over    bool                            // attempts that begin to wait are cancelled
 }
 
 // outcome is what an attempt has led to: an answer to pass on, or the next effect, which is
@@ -78,6 +79,9 @@
 	delete(c.edge.calls, c.id)
 	c.edge.mu.Unlock()
 	close(c.ended)
+	c.mu.Lock()
+	c.over = true // a hedge's goroutine may not have begun to wait
+	c.mu.Unlock()
 	c.cancelWaiting()
 	c.hedges.Wait()
 }
@@ -162,6 +166,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting[attempt] = cancel
+	if c.over {
+		cancel(errAnsweredElsewhere)
+	}
 }
 
 func (c *call) stopWaiting(attempt int) {
--- /dev/null
+++ b/internal/edge/call_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
+)
+
+// TestHedgeStartedAfterTheAnswerDoesNotDelayIt guards against an answer that is held back
+// until a second attempt has ended. The attempt's goroutine may begin after the request has
+// been answered by the first one.
+func TestHedgeStartedAfterTheAnswerDoesNotDelayIt(t *testing.T) {
+	runs := make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		runs <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	e := newEdgeWithPeers(t, 0)
+	c := e.beginCall(t.Context(), &ingress.Exchange{Method: http.MethodGet, URI: []byte("/"), Replayable: true})
+	c.end()
+	started := time.Now()
+	o := c.send(&dispatch.Send{
+		Request:  c.id,
+		Server:   &catalog.Server{ID: "b", Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		TimeLeft: 2 * time.Second,
+		Attempt:  2,
+	})
+	require.Nil(t, o.answer)
+	require.Nil(t, o.next)
+	require.Less(t, time.Since(started), time.Second)
+	require.Empty(t, runs, "no server runs a request that has been answered")
+}
