edge: callers that leave do not count as failures of their server

Sound servers were taken out of use for up to 4 s, and their pooled connections closed, when three callers in a row had left while they were sent an answer: the attempt ended as 'answer broke off', as if the server had broken it, and three of those eject. While an answer's body was read, that also took retry budget for a caller that was gone.

TestCallersThatLeaveDoNotEjectTheServer failed before, for buffered and for streamed answers: the fourth request went to another server.

The end of such an attempt is told by the cause of its context's cancellation or by the failed write to the caller, and counts as cancelled.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -125,13 +125,23 @@
 		a.response.Body = io.NopCloser(bytes.NewReader(body))
 		return outcome{answer: a}
 	}
-	result := event.AttemptTruncated
-	if errors.Is(a.ctx.Err(), context.Canceled) {
-		result = event.AttemptCancelled
-		c.edge.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(a.ctx))).Inc()
-	}
 	c.edge.requests.truncated(c.x, a.send, err)
-	return outcome{next: c.endAttempt(a, result)}
+	return outcome{next: c.endAttempt(a, c.brokenResult(a, err))}
+}
+
+// brokenResult returns the result of an attempt whose answer broke off with an error. The
+// server is not to blame if the attempt was cancelled or the caller did not take the answer.
+func (c *call) brokenResult(a *answer, err error) event.AttemptResult {
+	cause := context.Cause(a.ctx)
+	switch {
+	case errors.Is(cause, ingress.ErrCallerGone), errors.Is(cause, errAnsweredElsewhere):
+	case errors.Is(err, ingress.ErrNotDelivered):
+		cause = ingress.ErrCallerGone
+	default:
+		return event.AttemptTruncated
+	}
+	c.edge.metrics.givenUp.WithLabelValues(givenUpReason(cause)).Inc()
+	return event.AttemptCancelled
 }
 
 // reject ends the attempt of an answer that is not passed on because of its status.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -165,14 +165,14 @@
 		Body:      a.response.Body,
 		Done: func(_ int64, err error) {
 			if err != nil {
-				result = event.AttemptTruncated
+				result = c.brokenResult(a, err)
 			}
 			forwarded <- result
 		},
 	})
 	if err != nil {
 		e.requests.truncated(x, f, err)
-		return c.endAttempt(a, event.AttemptTruncated)
+		return c.endAttempt(a, c.brokenResult(a, err))
 	}
 	c.responded = true
 	done := func(result event.AttemptResult) {
@@ -206,6 +206,8 @@
 		return model.CauseNone
 	case event.AttemptTruncated:
 		return model.CauseAnswerIncomplete
+	case event.AttemptCancelled:
+		return model.CauseCallerGone
 	default:
 		return model.CauseServerFailed
 	}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -88,6 +88,9 @@
 	ErrExchangeEnded = errors.New("exchange has ended")
 )
 
+// ErrNotDelivered is passed to Response.Done if the caller did not take the response.
+var ErrNotDelivered = errors.New("response could not be written to the caller")
+
 // ErrAlreadyResponded is returned for a second response to the same exchange.
 var ErrAlreadyResponded = errors.New("exchange already has a response")
 
--- a/internal/ingress/responsestream.go
+++ b/internal/ingress/responsestream.go
@@ -72,7 +72,7 @@
 	case s.err != nil:
 		return s.err
 	case writeErr != nil:
-		return fmt.Errorf("write response to caller %s: %w", s.x.Remote, writeErr)
+		return fmt.Errorf("%w %s: %w", ErrNotDelivered, s.x.Remote, writeErr)
 	case !s.eof && s.sent != s.a.BodyBytes:
 		return ErrBrokenResponse
 	default:
