edge: a server's silence within an answer does not end the attempt

An attempt was given up when its server, in the middle of its answer, sent nothing for 5 s: the progress timeout of the client for backend servers, which the instance did not set, applied beside the request's own deadline. The caller got 502 or an answer that broke off, though the server was at work.

TestSilenceWithinAnAnswerDoesNotEndIt failed before: 'no progress on the connection'.

The timeout is now above the time that any request has, so that its deadline ends the attempt; a caller that leaves still ends it at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,7 @@
 func upstreamSettings(o *Options) upstream.Settings {
 	return upstream.Settings{
 		DialTimeout:          dialTimeout,
+		ProgressTimeout:      progressTimeout,
 		IdleTimeout:          poolIdleTimeout,
 		Dialect:              o.Dialect,
 		AcceptCloseDelimited: true,
@@ -98,6 +99,9 @@
 	// dialTimeout allows for three round trips between regions and a slow accept by the
 	// server.
 	dialTimeout = 400 * time.Millisecond
+	// progressTimeout is above the time that any request has, so that only the request's own
+	// deadline ends an attempt at a silent server.
+	progressTimeout = time.Minute
 	// poolIdleTimeout is how long an idle connection to a backend server is kept.
 	// Some servers that announce no idle timeout close connections after 10 s.
 	poolIdleTimeout = 8 * time.Second
