--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"sync"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -33,6 +36,7 @@
 
 	mu      sync.Mutex
 	waiting map[int]context.CancelCauseFunc // attempts that wait for an answer, by number
+	over    bool                            // attempts that begin to wait are cancelled
 }
 
 // outcome is what an attempt has led to: an answer to pass on, or the next effect, which is
@@ -47,6 +51,8 @@
 	send     *dispatch.Send
 	response *upstream.Response
 	started  model.Instant
+	ctx      context.Context // of the attempt
+	cancel   context.CancelCauseFunc
 	release  func() // releases the attempt's context
 }
 
@@ -73,6 +79,9 @@
 	delete(c.edge.calls, c.id)
 	c.edge.mu.Unlock()
 	close(c.ended)
+	c.mu.Lock()
+	c.over = true // a hedge's goroutine may not have begun to wait
+	c.mu.Unlock()
 	c.cancelWaiting()
 	c.hedges.Wait()
 }
@@ -83,6 +92,9 @@
 	c.edge.metrics.hedges.Inc()
 	c.hedges.Go(func() {
 		o := c.send(f)
+		if o.answer != nil {
+			o = c.receive(o.answer)
+		}
 		if o.answer != nil {
 			c.cancelWaiting()
 		} else if o.next == nil {
@@ -96,14 +108,66 @@
 	})
 }
 
+// receive reads the body of a hedge's answer, unless it has to be streamed. Until then the
+// other attempts go on, as they are needed if the answer cannot be passed on.
+func (c *call) receive(a *answer) outcome {
+	length := a.response.BodyBytes
+	switch {
+	case claimsNotRun(a.response.Status):
+		return outcome{next: c.reject(a)}
+	case length < 0, length > maxBufferedBodyBytes, c.x.Method == http.MethodHead:
+		return outcome{answer: a}
+	}
+	c.startWaiting(a.send.Attempt, a.cancel)
+	body, err := io.ReadAll(a.response.Body)
+	c.stopWaiting(a.send.Attempt)
+	if err == nil {
+		a.response.Body = io.NopCloser(bytes.NewReader(body))
+		return outcome{answer: a}
+	}
+	c.edge.requests.truncated(c.x, a.send, err)
+	return outcome{next: c.endAttempt(a, c.brokenResult(a, err))}
+}
+
+// brokenResult returns the result of an attempt whose answer broke off with an error. The
+// server is not to blame if the attempt was cancelled or the caller did not take the answer.
+func (c *call) brokenResult(a *answer, err error) event.AttemptResult {
+	cause := context.Cause(a.ctx)
+	switch {
+	case errors.Is(cause, ingress.ErrCallerGone), errors.Is(cause, errAnsweredElsewhere):
+	case errors.Is(err, ingress.ErrNotDelivered):
+		cause = ingress.ErrCallerGone
+	default:
+		return event.AttemptTruncated
+	}
+	c.edge.metrics.givenUp.WithLabelValues(givenUpReason(cause)).Inc()
+	return event.AttemptCancelled
+}
+
+// reject ends the attempt of an answer that is not passed on because of its status.
+func (c *call) reject(a *answer) dispatch.Effect {
+	_ = a.response.Body.Close() // only the status is used
+	return c.endAttempt(a, event.AttemptBroken)
+}
+
 // discard drops a hedge's answer that came too late. A call that waits for an effect
 // receives it before it ends, so that there is always an answer.
 func (c *call) discard(a *answer) {
 	_ = a.response.Body.Close() // another answer has been passed on
+	c.endAttempt(a, event.AttemptCancelled)
+}
+
+// endAttempt reports the end of an attempt that was answered and returns the next effect.
+func (c *call) endAttempt(a *answer, result event.AttemptResult) dispatch.Effect {
 	a.release()
-	c.edge.post(&dispatch.AttemptEnded{
-		At: c.edge.clock.now(), Request: c.id, Attempt: a.send.Attempt, Result: event.AttemptCancelled,
-		Draining: a.response.Draining, Report: c.edge.serverReport(a.send.Server.ID, &a.response.Report),
+	return c.edge.post(&dispatch.AttemptEnded{
+		At:                c.edge.clock.now(),
+		Request:           c.id,
+		Attempt:           a.send.Attempt,
+		Result:            result,
+		Draining:          a.response.Draining,
+		BodyNotReplayable: !c.x.Replayable,
+		Report:            c.edge.serverReport(a.send.Server.ID, &a.response.Report),
 	})
 }
 
@@ -112,6 +176,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting[attempt] = cancel
+	if c.over {
+		cancel(errAnsweredElsewhere)
+	}
 }
 
 func (c *call) stopWaiting(attempt int) {
