dispatch: a refusal carries what it was decided on

Cause: a refusal told its cause and nothing about the servers that were looked at. Change: Refuse.Inputs counts the servers that were ruled out by reason, and describes up to four full candidates with load, age of the load, slots and wait. usable becomes excluded, which returns the reason. A Record says whether something failed, and the adoption of a configuration names both versions. Decision gains slots, objective and the time since the request arrived.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// KnowsHost reports whether any route has the given host.
+func (c *Configuration) KnowsHost(host string) bool { return len(c.routesForHost(host)) > 0 }
+
 func (c *Configuration) routesForHost(host string) []*Route {
 	host = strings.ToLower(host)
 	if routes, ok := c.byHost[host]; ok {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -64,7 +64,7 @@
 	d.ranked = d.ranked[:0]
 	first := -1
 	for _, s := range d.byService[q.service] {
-		if !d.usable(now, s, q) {
+		if d.excluded(s, q) != notExcluded {
 			continue
 		}
 		score := rendezvousScore(q.object, s.hash)
@@ -205,20 +205,26 @@
 // come back.
 const defaultRetryAfter = time.Second
 
-func (d *Dispatcher) usable(now model.Instant, s *server, q *request) bool {
+// excluded returns why a server may not take a request, if it may not.
+func (d *Dispatcher) excluded(s *server, q *request) exclusion {
 	switch {
-	case s.misdirected, s.entry.Draining, d.evacuated[s.entry.Zone]:
-		return false
+	case s.misdirected:
+		return excludedMisdirected
+	case s.entry.Draining:
+		return excludedDraining
+	case d.evacuated[s.entry.Zone]:
+		return excludedEvacuated
 	case s.ejectedUntil != 0:
-		return false
+		return excludedEjected
 	case slices.Contains(q.tried, s):
-		return false
+		return excludedTried
 	case len(q.route.HomeRegions) > 0 && !slices.Contains(q.route.HomeRegions, s.region):
-		return false
+		return excludedHomeRegions
 	case d.settings.RandomServers && s.region != d.settings.Region:
-		return false
+		return excludedOtherRegion
+	default:
+		return notExcluded
 	}
-	return true
 }
 
 // cost estimates the time that a request takes at a server beyond the best possible
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -175,7 +175,7 @@
 	if old == nil || old.Limits != c.Limits {
 		d.add(&LimitsChanged{Limits: c.Limits})
 	}
-	d.record(at, "configuration", "adopted", "newer version")
+	d.record(at, "configuration", "adopted", adoptionReason(old, c))
 }
 
 func (d *Dispatcher) serverListed(at model.Instant, entry *catalog.Server) {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -146,6 +146,9 @@
 	Moved         bool          // to a region other than that of the object's first candidate
 	Load          float64       // estimated number of requests at the server
 	LoadAge       time.Duration // time since the server reported its load
+	Slots         int           // of the server
+	Objective     time.Duration // time from arrival within which an answer has its full value
+	Elapsed       time.Duration // time since the request arrived
 }
 
 // Refuse refuses a request: no answer of a backend server is passed on. The outcome
@@ -158,6 +161,7 @@
 	Route      model.RouteName // empty if none matched
 	// Configuration is the active version, 0 if there is none.
 	Configuration int64
+	Inputs        *Inputs // nil if there is no configuration
 }
 
 // Probe starts a health check of a backend server.
@@ -196,6 +200,7 @@
 	Subject string
 	Message string
 	Reason  string
+	Warning bool // something failed
 }
 
 func (*Send) effect()                   {}
--- /dev/null
+++ b/internal/dispatch/explain.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// exclusion is why a server may not take a request.
+type exclusion uint8
+
+const (
+	notExcluded exclusion = iota
+	excludedMisdirected
+	excludedDraining
+	excludedEvacuated
+	excludedEjected
+	excludedTried
+	excludedHomeRegions
+	excludedOtherRegion
+
+	exclusionCount
+)
+
+var exclusionNames = [exclusionCount]string{
+	excludedMisdirected: "another server at its address",
+	excludedDraining:    "draining",
+	excludedEvacuated:   "zone evacuated",
+	excludedEjected:     "ejected",
+	excludedTried:       "tried already",
+	excludedHomeRegions: "outside the home regions",
+	excludedOtherRegion: "another region",
+}
+
+// String returns the name used in log lines.
+func (x exclusion) String() string { return exclusionNames[x] }
+
+// FullReason is why a candidate could not take a request at once.
+type FullReason string
+
+// The reasons.
+const (
+	FullQueue       FullReason = "queue full"
+	FullConnections FullReason = "connection share used"
+	FullCold        FullReason = "cold start limit"
+)
+
+// Inputs are what a refusal was decided on.
+type Inputs struct {
+	// HostKnown reports whether any route has the request's host. It is set only if no
+	// route matched.
+	HostKnown bool
+	Service   model.ServiceName
+	// Attempts is the number of earlier attempts, of at most MaxAttempts; those that failed
+	// without a connection count only in Attempts.
+	Attempts    int
+	MaxAttempts int
+	Repeatable  bool
+	// Choice is the failed choice of a server, nil if the refusal did not depend on one.
+	Choice *FailedChoice
+}
+
+// FailedChoice describes a choice that found no server.
+type FailedChoice struct {
+	Servers  int            // of the service
+	Excluded map[string]int // servers that may not take the request, by reason
+	// MoveAllowed reports whether the request might have gone to another region.
+	MoveAllowed bool
+	Candidates  int // servers that were looked at and full
+	// Fullest holds up to maxDescribedCandidates of the candidates, the shortest wait first.
+	Fullest []FullCandidate
+}
+
+// FullCandidate is a server that may take a request but had no room for it.
+type FullCandidate struct {
+	Server  model.BackendName
+	Zone    model.ZoneName
+	Reason  FullReason
+	Load    float64       // estimated number of requests at the server
+	LoadAge time.Duration // time since the server reported its load
+	Slots   int
+	Wait    time.Duration // estimated time until the server has room
+}
+
+// maxDescribedCandidates bounds the candidates in a FailedChoice. Requests about an object
+// have two candidates.
+const maxDescribedCandidates = 4
+
+// describeFailedChoice describes the latest choice, which found no server for q.
+func (d *Dispatcher) describeFailedChoice(now model.Instant, q *request) *FailedChoice {
+	servers := d.byService[q.service]
+	c := &FailedChoice{Servers: len(servers), Excluded: map[string]int{}, MoveAllowed: d.mayMove(now, q.service), Candidates: len(d.candidates)}
+	for _, s := range servers {
+		if x := d.excluded(s, q); x != notExcluded {
+			c.Excluded[x.String()]++
+		}
+	}
+	for _, s := range d.candidates {
+		c.Fullest = append(c.Fullest, d.describeFull(now, s, q))
+	}
+	slices.SortStableFunc(c.Fullest, func(a, b FullCandidate) int { return cmp.Compare(a.Wait, b.Wait) })
+	c.Fullest = c.Fullest[:min(len(c.Fullest), maxDescribedCandidates)]
+	return c
+}
+
+func (d *Dispatcher) describeFull(now model.Instant, s *server, q *request) FullCandidate {
+	reason := FullQueue
+	switch {
+	case s.inFlight >= d.connectionShare(s):
+		reason = FullConnections
+	case d.coldWait(now, s) > d.queueWait(now, s, q):
+		reason = FullCold
+	}
+	return FullCandidate{
+		Server:  s.entry.ID,
+		Zone:    s.entry.Zone,
+		Reason:  reason,
+		Load:    s.load(now),
+		LoadAge: s.loadAge(now),
+		Slots:   s.entry.Slots,
+		Wait:    d.wait(now, s, q),
+	}
+}
+
+// loadAge returns the time since the server reported its load, or since it was first seen.
+func (s *server) loadAge(now model.Instant) time.Duration {
+	return now.Sub(max(s.otherLoadAt, s.listedAt))
+}
+
+// inputsOf returns what the refusal of a request is decided on.
+func (d *Dispatcher) inputsOf(q *request) *Inputs {
+	return &Inputs{
+		Service:     q.service,
+		Attempts:    q.sends + q.failedDials,
+		MaxAttempts: q.route.Attempts,
+		Repeatable:  q.route.Kind.Repeatable(),
+		Choice:      q.failedChoice,
+	}
+}
+
+// adoptionReason describes why a configuration replaces old, which may be nil.
+func adoptionReason(old, adopted *catalog.Configuration) string {
+	if old == nil {
+		return fmt.Sprintf("version %d is the first", adopted.Version)
+	}
+	return fmt.Sprintf("version %d is newer than version %d", adopted.Version, old.Version)
+}
+
+// warn records a decision that is made because something failed.
+func (d *Dispatcher) warn(at model.Instant, subject, message, reason string) {
+	d.add(&Record{At: at, Subject: subject, Message: message, Reason: reason, Warning: true})
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -25,7 +25,7 @@
 	switch {
 	case ev.Misdirected:
 		s.misdirected = true
-		d.record(ev.At, string(s.entry.ID), "not used", "another server answers at its address")
+		d.warn(ev.At, string(s.entry.ID), "not used", "another server answers at its address")
 		d.add(&ClosePooledConnections{Server: &s.entry})
 	case ev.Result == event.AttemptNotSent:
 		d.eject(ev.At, s, "connection failed")
@@ -69,7 +69,7 @@
 	s.failures++
 	wait := min(maxEjection, minEjection<<min(s.failures-1, 4))
 	s.ejectedUntil = now.Add(wait)
-	d.record(now, string(s.entry.ID), "ejected", reason)
+	d.warn(now, string(s.entry.ID), "ejected", reason)
 	d.add(&ClosePooledConnections{Server: &s.entry})
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -28,6 +28,9 @@
 	objectKnown bool // the server was believed to have the object warm
 	mayHaveRun  bool // an earlier attempt may have run
 	replaced    bool // the attempt was cancelled in order to retry elsewhere
+	arrivedAt   model.Instant
+	// failedChoice is set if no server was found.
+	failedChoice *FailedChoice
 }
 
 const (
@@ -48,7 +51,7 @@
 	}
 	route := d.config.Match(ev.Host, ev.Path)
 	if route == nil {
-		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version})
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version, Inputs: &Inputs{HostKnown: d.config.KnowsHost(ev.Host)}})
 		return
 	}
 	q := &request{
@@ -60,6 +63,7 @@
 		objective:  objective(route),
 		deadline:   ev.At.Add(effectiveTimeout(ev.CallerTimeout, route.Timeout)),
 		replayable: ev.Replayable,
+		arrivedAt:  ev.At,
 	}
 	q.runTimes = d.service(q.service).runTimesOf(route)
 	d.requests[q.id] = q
@@ -96,6 +100,7 @@
 	}
 	c := d.choose(now, q)
 	if c.server == nil {
+		q.failedChoice = d.describeFailedChoice(now, q)
 		d.refuse(q, c.cause, c.wait)
 		return
 	}
@@ -130,7 +135,10 @@
 			ObjectKnown:   q.objectKnown,
 			Moved:         c.moved,
 			Load:          s.load(now),
-			LoadAge:       now.Sub(max(s.otherLoadAt, s.listedAt)),
+			LoadAge:       s.loadAge(now),
+			Slots:         s.entry.Slots,
+			Objective:     q.objective,
+			Elapsed:       now.Sub(q.arrivedAt),
 		},
 	}
 	if !q.route.Kind.Repeatable() {
@@ -153,6 +161,7 @@
 		RetryAfter:    retryAfter,
 		Route:         q.route.Name,
 		Configuration: d.config.Version,
+		Inputs:        d.inputsOf(q),
 	})
 	delete(d.requests, q.id)
 }
