edge: each refusal and failed attempt says why in one line

Change: lines about requests carry host and path (escaped, at most 200 bytes), refusals what they were decided on, failures the age of the configuration. Levels: info for what the caller or the operator caused, error if the instance can serve none of a service's requests, warning otherwise. Requests that the HTTP server refuses itself are logged and counted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,7 +154,7 @@
 		Zone:        string(o.Self.Zone),
 	}, link.DefaultSettings(), e, e)
 	e.metrics = newMetrics(e)
-	e.requests = newRequestLog(o.Log, e.metrics)
+	e.requests = newRequestLog(o.Log, e.metrics, e.configurationAge)
 	e.invalid = newInvalidInputs(o.Log, e.metrics.invalid)
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
@@ -162,6 +162,7 @@
 		Dialect:              o.Dialect,
 		NoLookups:            true,
 		FractionalRetryAfter: true,
+		OnReject:             e.rejected,
 	}, e)
 	return e
 }
@@ -314,7 +315,7 @@
 	case *dispatch.LimitsChanged:
 		e.applyLimits(f.Limits)
 	case *dispatch.Record:
-		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Reason}).Info(f.Message)
+		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Reason}).Log(recordLevel(f), f.Message)
 	}
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// rejected logs and counts a request that was refused before Serve was called.
+func (e *Edge) rejected(r *ingress.Rejection) {
+	e.requests.rejected(r)
+	e.metrics.requestEnded(model.NotRun, r.Cause)
+}
+
 // attempt sends a request to a backend server and forwards the response. It returns the
 // next effect to carry out for the request, or nil if there is none.
 func (e *Edge) attempt(ctx context.Context, x *ingress.Exchange, f *dispatch.Send) dispatch.Effect {
@@ -139,12 +145,14 @@
 	}
 	if claimsNotRun(answer.Status) {
 		_ = answer.Body.Close() // only the status is used
+		e.requests.notForwarded(x, f, answer.Status, e.clock.now().Sub(started))
 		return finish(event.AttemptBroken)
 	}
 	result := event.AttemptComplete
 	if answer.Status >= 500 {
 		result = event.AttemptFailed
 	}
+	var broken error // set before the result is sent to forwarded
 	forwarded := make(chan event.AttemptResult, 1)
 	err := x.Respond(&ingress.Response{
 		Status:    answer.Status,
@@ -153,19 +161,19 @@
 		Body:      answer.Body,
 		Done: func(_ int64, err error) {
 			if err != nil {
-				result = event.AttemptTruncated
+				result, broken = event.AttemptTruncated, err
 			}
 			forwarded <- result
 		},
 	})
 	if err != nil {
-		e.requests.truncated(x, f, err)
+		e.requests.truncated(x, f, err, e.clock.now().Sub(started))
 		return finish(event.AttemptTruncated)
 	}
 	done := func(result event.AttemptResult) {
 		finish(result)
 		elapsed := e.clock.now().Sub(started)
-		e.requests.answered(x, f, answer.Status, elapsed)
+		e.requests.answered(x, f, answer.Status, broken, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
 		e.metrics.observeLatency(f.Kind, elapsed)
 		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: end.Request})
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -108,6 +108,14 @@
 	return !known || listed.Server.DiffersBeyondHeartbeat(&old)
 }
 
+// configurationAge returns the time since this instance's copy of the operator's table was
+// last known to be the latest.
+func (e *Edge) configurationAge() time.Duration {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	return e.replica.Age(e.clock.now(), e.options.Tables.Operator)
+}
+
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
 	change, err := e.options.Decode(table, row)
 	if err != nil {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -116,7 +116,7 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		next(ctx)
 		if len(ctx.Response.Header.Peek(s.settings.Dialect.RequestID)) == 0 {
-			s.writeRefusal(&ctx.Response, s.requestIDOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+			s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, errUnroutable)
 		}
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
@@ -126,7 +126,7 @@
 
 // refuseMalformed refuses a request whose header could not be read.
 func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
-	s.writeRefusal(&ctx.Response, s.requestIDOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+	s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, fmt.Errorf("read header: %w", err))
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
@@ -141,30 +141,55 @@
 func (s *Server) serve(c fiber.Ctx) error {
 	ctx := c.RequestCtx()
 	if !s.settings.NoLookups && strings.HasPrefix(string(ctx.Path()), reservedPrefix) {
-		s.writeRefusal(&ctx.Response, s.requestIDOf(&ctx.Request.Header), model.NotRun, model.CauseNoRoute, 0)
+		s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseNoRoute, errReservedPath)
 		return nil
 	}
-	if s.bodyTooLong(ctx.Request.Header.ContentLength()) {
-		s.writeRefusal(&ctx.Response, s.requestIDOf(&ctx.Request.Header), model.NotRun, model.CauseInvalidRequest, 0)
+	if length := ctx.Request.Header.ContentLength(); s.bodyTooLong(length) {
+		s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, fmt.Errorf("body of %d bytes is too long", length))
 		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
 		ctx.SetConnectionClose()
 		return nil
 	}
 	x, err := newExchange(s, ctx)
 	if err != nil {
-		s.writeRefusal(&ctx.Response, x.TraceID, model.NotRun, model.CauseInvalidRequest, 0)
+		s.reject(ctx, x.TraceID, model.CauseInvalidRequest, fmt.Errorf("read body: %w", err))
 		ctx.SetConnectionClose()
 		return nil
 	}
 	if s.inFlight.Add(1) > int64(s.settings.MaxExchanges) {
 		s.inFlight.Add(-1)
 		s.overloaded.Add(1)
+		s.notifyReject(ctx, x.TraceID, model.CauseOverload, nil)
 		return x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
 	}
 	s.run(x)
 	return nil
 }
 
+var (
+	errUnroutable   = errors.New("method or path is not supported")
+	errReservedPath = errors.New("path is reserved")
+)
+
+// reject refuses a request that is not passed to the handler.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, requestID string, cause model.Cause, err error) {
+	s.writeRefusal(&ctx.Response, requestID, model.NotRun, cause, 0)
+	s.notifyReject(ctx, requestID, cause, err)
+}
+
+func (s *Server) notifyReject(ctx *fasthttp.RequestCtx, requestID string, cause model.Cause, err error) {
+	if s.settings.OnReject == nil {
+		return
+	}
+	s.settings.OnReject(&Rejection{
+		RequestID: requestID,
+		Host:      string(ctx.Host()),
+		Path:      string(ctx.Path()),
+		Cause:     cause,
+		Err:       err,
+	})
+}
+
 // run passes an exchange to the handler and ends it, except for one with a streamed
 // response, which ends once the response has been written.
 func (s *Server) run(x *Exchange) {
--- a/internal/ingress/settings.go
+++ b/internal/ingress/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 // DefaultBufferBytes is the default of Settings.BufferBytes.
@@ -47,6 +48,18 @@
 	FractionalRetryAfter bool
 	// OverloadRetryAfter is the Retry-After hint of a refusal because of overload.
 	OverloadRetryAfter time.Duration
+	// OnReject, if set, is called for each request that the server refuses without calling
+	// the handler, except for lookups. It must not block.
+	OnReject func(*Rejection)
+}
+
+// Rejection is a request that was refused without calling the handler.
+type Rejection struct {
+	RequestID string
+	Host      string // empty if the header could not be read
+	Path      string
+	Cause     model.Cause
+	Err       error // what is wrong with the request, nil for CauseOverload
 }
 
 // The defaults of Settings.
