logsink: keep failures first; log times in milliseconds

Cause: with the writer stalled, lines of served requests filled the queue and refusals were dropped with them. Times in whole seconds cannot order lines of several instances. Change: lines of level info are accepted only up to half of the queue. Times of JSON lines have milliseconds.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -87,6 +87,10 @@
 // logFlushTimeout limits the time for writing the last log lines at the end of the process.
 const logFlushTimeout = 200 * time.Millisecond
 
+// logTimeFormat is RFC 3339 in milliseconds, so that the lines of several instances can be
+// put in order.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func newLog(i do.Injector) (*logrus.Entry, error) {
 	s := do.MustInvoke[loadedSettings](i)
 	level, err := logrus.ParseLevel(s.Log.Level)
@@ -97,7 +101,7 @@
 	log.SetOutput(do.MustInvoke[*logsink.Sink](i))
 	log.SetLevel(level)
 	if s.Log.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTimeFormat})
 	}
 	return log.WithField("instance", s.Instance.ID), nil
 }
--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -1,8 +1,10 @@
 // Package logsink writes log lines without ever blocking the caller: lines wait in a bounded
-// queue, and lines that do not fit are counted and dropped.
+// queue, and lines that do not fit are counted and dropped. Part of the queue is reserved for
+// warnings and errors.
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +15,20 @@
 // maxQueuedLines is the capacity of the queue: about one second of a busy instance's lines.
 const maxQueuedLines = 2048
 
+// maxQueuedInfoLines is the number of queued lines beyond which only warnings and errors are
+// accepted.
+const maxQueuedInfoLines = maxQueuedLines / 2
+
+// jsonInfo and textInfo are how logrus marks a line of level info. Quotes in values are
+// escaped in JSON, so that no value contains jsonInfo.
+var (
+	jsonInfo = []byte(`"level":"info"`)
+	textInfo = []byte("level=info ")
+)
+
+// textLevelBytes is the length of the part of a text line that holds its time and level.
+const textLevelBytes = 60
+
 // Sink is an io.Writer that takes one whole line per Write. It is safe for concurrent use.
 type Sink struct {
 	out       io.Writer
@@ -31,6 +47,10 @@
 
 // Write implements io.Writer. It never fails and never blocks.
 func (s *Sink) Write(line []byte) (int, error) {
+	if len(s.queue) >= maxQueuedInfoLines && isInfo(line) {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
@@ -39,6 +59,13 @@
 	return len(line), nil
 }
 
+func isInfo(line []byte) bool {
+	if bytes.HasPrefix(line, []byte("{")) {
+		return bytes.Contains(line, jsonInfo)
+	}
+	return bytes.Contains(line[:min(len(line), textLevelBytes)], textInfo)
+}
+
 // Dropped returns the number of lines dropped since the start.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -39,6 +39,34 @@
 	require.True(t, strings.Contains(w.out.String(), `"msg":"log lines dropped"`))
 }
 
+func TestFailuresAreKeptFirst(t *testing.T) {
+	w := &blockingWriter{unblocked: make(chan struct{})}
+	s := New(w)
+	info, warning := `{"level":"info","msg":"answered"}`+"\n", `{"level":"warning","msg":"refused"}`+"\n"
+	for range 2 * maxQueuedLines {
+		_, _ = s.Write([]byte(info))
+	}
+	for range maxQueuedLines - maxQueuedInfoLines {
+		_, _ = s.Write([]byte(warning))
+	}
+	close(w.unblocked)
+	s.Close(time.Second)
+	require.Equal(t, maxQueuedLines-maxQueuedInfoLines, strings.Count(w.out.String(), warning))
+	require.InDelta(t, 2*maxQueuedLines-maxQueuedInfoLines, s.Dropped(), 1) // the writer holds one line
+}
+
+func TestInfoIsRecognized(t *testing.T) {
+	for line, want := range map[string]bool{
+		`{"level":"info","msg":"answered"}`:                                      true,
+		`{"level":"warning","path":"/\"level\":\"info\" level=info "}`:           false,
+		`time="2026-12-04T20:00:00Z" level=info msg=answered`:                    true,
+		`time="2026-12-04T20:00:00Z" level=warning msg=refused path=level=info `: false,
+		"": false,
+	} {
+		require.Equal(t, want, isInfo([]byte(line)), line)
+	}
+}
+
 func TestCloseTimesOutOnBlockedWriter(t *testing.T) {
 	s := New(&blockingWriter{unblocked: make(chan struct{})})
 	for range maxQueuedLines + 2 {
