cli: explain a request from logs of primrosenotch-edge

Cause: on-call engineers have only logs, and had to search the id in the logs of all instances and to know what each field means. It prints the decisions in order with their inputs, the events that mattered, and last the cause in words. Missing lines are said to be missing, with the restarts that explain it. An id that is not found and a file that cannot be read exit with 1. Lines about peers are marked as such, as their message suspected is also one about servers.

--- a/cmd/primrosenotch/main.go
+++ b/cmd/primrosenotch/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"os/user"
@@ -23,12 +24,14 @@
 
 func newEnvironment() *cli.Environment {
 	return &cli.Environment{
+		Stdin:     os.Stdin,
 		Stdout:    os.Stdout,
 		Stderr:    os.Stderr,
 		Now:       time.Now,
 		Author:    currentUser(),
 		NewID:     uuid.NewString,
 		ReadFile:  os.ReadFile,
+		OpenFile:  func(name string) (io.ReadCloser, error) { return os.Open(name) },
 		OpenTable: openTable,
 	}
 }
--- a/internal/cli/environment.go
+++ b/internal/cli/environment.go
@@ -13,6 +13,7 @@
 
 // Environment holds the external dependencies of the commands.
 type Environment struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	Now    func() time.Time
@@ -21,6 +22,8 @@
 	// NewID returns a unique identifier for an operation or a planned stop.
 	NewID    func() string
 	ReadFile func(name string) ([]byte, error)
+	// OpenFile opens a file that may be too long to be held in memory.
+	OpenFile func(name string) (io.ReadCloser, error)
 	// OpenTable returns a client of the platform's table service at address
 	// (host:port).
 	OpenTable func(address string) (platform.Table, error)
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -12,6 +12,7 @@
 
 type explainCommand struct {
 	s    *session
+	Logs []string `long:"log" value-name:"FILE" description:"explain a request from a log of primrosenotch-edge instead of querying instances; - for standard input; may be repeated"`
 	Args struct {
 		Name string `positional-arg-name:"ID|NAME" description:"X-Request-Id of a response, or the name of an instance, backend server, zone or service"`
 	} `positional-args:"true" required:"true"`
@@ -20,12 +21,17 @@
 func (*explainCommand) examples() string {
 	return `  primrosenotch explain 0b9f6d1e --entry 10.1.0.10:7400     a request, by its X-Request-Id
   primrosenotch explain checkout-03 --entry 10.1.0.10:7400  a backend server
+  primrosenotch explain 0b9f6d1e --log a.log --log b.log    a request, from the logs of instances on the platform
+  journalctl -u primrosenotch-edge | primrosenotch explain 0b9f6d1e --log -
 `
 }
 
 // Execute implements flags.Commander. It queries the name both as a request and as
 // a subject, so that operators need not know which of them it is.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.s.explainFromLogs(c.Args.Name, c.Logs)
+	}
 	fleet, err := c.s.clients.fleet()
 	if err != nil {
 		return err
--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -19,6 +20,7 @@
 	t        *testing.T
 	table    *fakeTable
 	files    map[string]string
+	stdin    string
 	out      bytes.Buffer
 	clock    time.Time
 	ids      int
@@ -37,6 +39,7 @@
 
 func (tr *transcript) environment(stdout, stderr *bytes.Buffer) *Environment {
 	return &Environment{
+		Stdin:  strings.NewReader(tr.stdin),
 		Stdout: stdout,
 		Stderr: stderr,
 		Now: func() time.Time {
@@ -55,6 +58,13 @@
 			}
 			return []byte(content), nil
 		},
+		OpenFile: func(name string) (io.ReadCloser, error) {
+			content, found := tr.files[name]
+			if !found {
+				return nil, &os.PathError{Op: "open", Path: name, Err: os.ErrNotExist}
+			}
+			return io.NopCloser(strings.NewReader(content)), nil
+		},
 		OpenTable: func(string) (platform.Table, error) { return tr.table, nil },
 	}
 }
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,290 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// cause returns in plain words why the request ended as it did.
+func (s *story) cause() string {
+	if s.end == nil {
+		return s.missingEnd()
+	}
+	text := s.endCause()
+	if earlier := s.earlierEnds(); earlier > 0 {
+		text += fmt.Sprintf("; it was the caller's last of %d tries with this id", earlier+1)
+	}
+	return text
+}
+
+// earlierEnds counts the earlier tries of the caller. An answer that broke off before it
+// was forwarded belongs to the try that follows it.
+func (s *story) earlierEnds() int {
+	return lo.CountBy(s.lines, func(l Line) bool {
+		return (l.Message == messageAnswered || l.Message == messageRefused) && !l.same(s.end)
+	})
+}
+
+func (l *Line) same(other *Line) bool {
+	return l.Time.Equal(other.Time) && l.Instance == other.Instance && l.Message == other.Message
+}
+
+func (s *story) missingEnd() string {
+	last := &s.lines[len(s.lines)-1]
+	text := fmt.Sprintf("unknown: the logs read lack the line that tells what the caller got; the last line is of %s at %s",
+		last.Instance, last.Time.UTC().Format("15:04:05.000Z"))
+	for _, k := range s.kills {
+		if k.Instance == last.Instance && !k.Started.Before(last.Time) {
+			return text + fmt.Sprintf("; %s started again at %s and had not logged a stop",
+				k.Instance, k.Started.UTC().Format("15:04:05.000Z"))
+		}
+	}
+	return text
+}
+
+func (s *story) endCause() string {
+	switch s.end.Message {
+	case messageRefused:
+		return s.refusalCause()
+	case messageTruncated:
+		return fmt.Sprintf("the answer of %s broke off after %s: %s%s", s.end.server(), millis(s.end.TookMS), s.end.Error, s.serverNews(s.end.Server))
+	default:
+		return s.answerCause()
+	}
+}
+
+func (s *story) answerCause() string {
+	total := millis(s.end.ElapsedMS + s.end.TookMS)
+	switch {
+	case s.end.Status >= 500:
+		return fmt.Sprintf("%s answered %d by itself after %s; the answer was passed on", s.end.server(), s.end.Status, millis(s.end.TookMS))
+	case s.end.Late:
+		return fmt.Sprintf("served late by %s: %s of an objective of %s; %s",
+			s.end.server(), total, millis(s.end.ObjectiveMS), strings.Join(s.delays(), "; "))
+	default:
+		return fmt.Sprintf("served in time by %s: status %d after %s", s.end.server(), s.end.Status, total)
+	}
+}
+
+// delays returns what made an answer late.
+func (s *story) delays() []string {
+	var causes []string
+	if s.end.ElapsedMS >= 1 && s.end.Attempt > 1 {
+		causes = append(causes, "earlier attempts took "+millis(s.end.ElapsedMS))
+	}
+	if s.end.KnowsObject != nil && !*s.end.KnowsObject {
+		causes = append(causes, "the server was not known to have the object warm")
+	}
+	if s.end.queued() {
+		causes = append(causes, "it had to wait there: "+s.end.load())
+	}
+	if s.end.Moved {
+		causes = append(causes, "it was sent to another region because the nearer candidate was full")
+	}
+	if len(causes) == 0 {
+		causes = append(causes, "the server had the object warm and a free slot by what was known, and took that long: "+s.end.load())
+	}
+	return causes
+}
+
+// refusalCauses maps causes whose meaning does not depend on other lines.
+var refusalCauses = map[model.Cause]string{
+	model.CauseNoConfiguration: "the instance had no configuration yet",
+	model.CauseStopping:        "the instance was stopping and took no new requests",
+	model.CauseOverload:        "the instance had reached its own limit of requests in flight",
+}
+
+func (s *story) refusalCause() string {
+	cause := model.Cause(s.end.Cause)
+	if text, ok := refusalCauses[cause]; ok {
+		return text + s.startNews()
+	}
+	switch cause {
+	case model.CauseNoRoute:
+		return s.noRouteCause()
+	case model.CauseInvalidRequest:
+		return "the request was malformed: " + s.end.Error
+	case model.CauseQueueFull, model.CauseNoBackend:
+		return s.noServerCause()
+	case model.CauseCallerGone:
+		return s.callerGoneCause()
+	default:
+		return s.attemptsCause()
+	}
+}
+
+func (s *story) noRouteCause() string {
+	what := "host " + s.end.Host
+	if s.end.HostKnown != nil && *s.end.HostKnown {
+		what = fmt.Sprintf("path %s of host %s", s.end.Path, s.end.Host)
+	}
+	text := fmt.Sprintf("no route of configuration %d matches %s", s.end.Configuration, what)
+	if s.end.ConfigurationAgeMS != nil {
+		text += fmt.Sprintf(" (confirmed %s before)", millis(*s.end.ConfigurationAgeMS))
+	}
+	for _, e := range s.events {
+		if e.Subject == subjectConfiguration && e.Instance == s.end.Instance && e.Time.After(s.end.Time) {
+			return text + fmt.Sprintf("; the next one was adopted %s later: %s", e.Time.Sub(s.end.Time).Round(time.Millisecond), e.Why)
+		}
+	}
+	return text
+}
+
+// noServerCause explains that no server was found, for the first attempt or for a retry.
+func (s *story) noServerCause() string {
+	text := ""
+	if failed := s.failedAttempts(); len(failed) > 0 {
+		text = s.describeAttempts(failed) + "; then "
+	}
+	if s.end.Servers == nil {
+		return text + fmt.Sprintf("no server could take it (%s); the line does not tell which were looked at", s.end.Cause)
+	}
+	if *s.end.Servers == 0 {
+		return text + fmt.Sprintf("the instance knew no server of service %s", s.end.Service) + s.startNews()
+	}
+	if s.end.Full > 0 {
+		text += fmt.Sprintf("%d of %d servers of service %s were its candidates and had no room (%s)",
+			s.end.Full, *s.end.Servers, s.end.Service, strings.Join(lo.Map(s.end.Candidates, describeCandidate), "; "))
+		if s.end.MayMove != nil && !*s.end.MayMove {
+			text += "; no more requests might move to another region"
+		}
+	} else {
+		text += fmt.Sprintf("none of the %d servers of service %s might be used", *s.end.Servers, s.end.Service)
+	}
+	if len(s.end.RuledOut) > 0 {
+		text += "; ruled out: " + describeCounts(s.end.RuledOut)
+	}
+	return text
+}
+
+func describeCandidate(c Candidate, _ int) string {
+	return fmt.Sprintf("%s in %s: %s, load %.1f on %d slots known for %s", c.Server, c.Zone, c.Reason, c.Load, c.Slots, millis(c.LoadAgeMS))
+}
+
+func describeCounts(counts map[string]int) string {
+	keys := lo.Keys(counts)
+	slices.Sort(keys)
+	return strings.Join(lo.Map(keys, func(k string, _ int) string { return fmt.Sprintf("%d %s", counts[k], k) }), ", ")
+}
+
+func (s *story) callerGoneCause() string {
+	failed := s.failedAttempts()
+	if len(failed) == 0 {
+		return "the caller closed its connection before it had an answer"
+	}
+	last := failed[len(failed)-1]
+	text := fmt.Sprintf("the caller closed its connection after %s, when %s had worked on it or let it wait for %s; %s",
+		millis(last.ElapsedMS+last.TookMS), last.server(), millis(last.TookMS), last.state())
+	if earlier := failed[:len(failed)-1]; len(earlier) > 0 {
+		text += "; before, " + s.describeAttempts(earlier)
+	}
+	return text + s.serverNews(last.Server)
+}
+
+// attemptsCause explains a refusal after failed attempts.
+func (s *story) attemptsCause() string {
+	failed := s.failedAttempts()
+	if len(failed) == 0 {
+		if s.end.Attempts > 0 {
+			return fmt.Sprintf("%s after %d attempts, whose lines are missing in the logs read", s.end.Cause, s.end.Attempts)
+		}
+		return fmt.Sprintf("%s, before any attempt", s.end.Cause)
+	}
+	return s.describeAttempts(failed) + "; " + s.noRetryReason(failed) + s.serverNews(failed[len(failed)-1].Server)
+}
+
+// noRetryReason returns why the request was not sent again.
+func (s *story) noRetryReason(failed []Line) string {
+	last := failed[len(failed)-1]
+	switch cause := model.Cause(s.end.Cause); {
+	case cause == model.CauseRetryBudget:
+		return fmt.Sprintf("the retry budget of service %s was used up", s.end.Service)
+	case cause == model.CauseDeadline, last.LeftMS > 0 && last.TookMS >= last.LeftMS:
+		return lo.Ternary(last.queued(), "its time was used up, and the server had a queue when it was chosen", "its time was used up")
+	case s.end.Outcome == model.Unknown.String() && s.end.Repeatable != nil && !*s.end.Repeatable:
+		return "it may have run and must not run twice"
+	case last.Sent != nil && !*last.Sent:
+		return "too many connections had failed for another attempt"
+	case s.end.MaxAttempts > 0 && s.end.Attempts >= s.end.MaxAttempts:
+		return fmt.Sprintf("its limit is %d attempts", s.end.MaxAttempts)
+	default:
+		return "it was not sent again"
+	}
+}
+
+// failedAttempts returns the failed attempts of the last try.
+func (s *story) failedAttempts() []Line {
+	var failed []Line
+	for _, l := range s.lines {
+		switch {
+		case l.same(s.end):
+			return failed
+		case l.Message == messageAnswered, l.Message == messageRefused:
+			failed = nil // of an earlier try
+		case l.Message == messageFailed, l.Message == messageTruncated:
+			failed = append(failed, l)
+		}
+	}
+	return failed
+}
+
+func (s *story) describeAttempts(failed []Line) string {
+	return strings.Join(lo.Map(failed, func(l Line, _ int) string {
+		return fmt.Sprintf("attempt %d at %s failed after %s: %s (%s)", l.Attempt, l.server(), millis(l.TookMS), l.failure(), l.state())
+	}), "; ")
+}
+
+// serverNews returns the nearest events about a server before and after the end of the
+// request, as a clause, or "".
+func (s *story) serverNews(server string) string {
+	var before, after *Line
+	for i := range s.events {
+		e := &s.events[i]
+		if e.Subject != server || server == "" || e.Instance != s.end.Instance || e.SubjectKind != "" {
+			continue
+		}
+		switch early := !e.Time.After(s.end.Time); {
+		case early && e.Message == messageUsedAgain:
+			before = nil
+		case !e.tellsHealth():
+		case early:
+			before = e
+		case after == nil:
+			after = e
+		}
+	}
+	text := ""
+	if before != nil {
+		text += fmt.Sprintf("; %s: %s %s before its end (%s)", server, before.Message, s.end.Time.Sub(before.Time).Round(time.Millisecond), before.Why)
+	}
+	if after != nil {
+		text += fmt.Sprintf("; %s: %s %s after its end (%s)", server, after.Message, after.Time.Sub(s.end.Time).Round(time.Millisecond), after.Why)
+	}
+	return text
+}
+
+// recentStart is how long after its start an instance may lack what it has to read first.
+const recentStart = 5 * time.Second
+
+// startNews returns how long before the end of the request its instance had started, as a
+// clause, or "" if that was long ago.
+func (s *story) startNews() string {
+	for _, e := range slices.Backward(s.events) {
+		age := s.end.Time.Sub(e.Time)
+		if e.Message == messageStarted && e.Instance == s.end.Instance && age >= 0 && age < recentStart {
+			return fmt.Sprintf("; it had started %s before", age.Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
+// tellsHealth reports whether an event about a server tells how it was.
+func (l *Line) tellsHealth() bool {
+	return l.rulesOut() || l.Message == messageRestarted || l.Message == messageRemoved
+}
