explain: count the lines that instances left out

Cause: lines_skipped was counted only in lines of the request itself, so that the hint about a request without a line could not say how many lines are missing. Change: it is summed over all lines about requests, with those about refusals and failures apart.

--- a/internal/cli/explain_log.go
+++ b/internal/cli/explain_log.go
@@ -38,8 +38,9 @@
 				return fmt.Sprintf("%s at %s", k.Instance, k.Started.UTC().Format(logTimeFormat))
 			}))))
 	}
-	if r.Stats.Dropped+r.Stats.Skipped > 0 {
-		hints = append(hints, fmt.Sprintf("instances left out %d lines", r.Stats.Dropped+r.Stats.Skipped))
+	if n := r.Stats.Dropped + r.Stats.Skipped; n > 0 {
+		hints = append(hints, fmt.Sprintf("the instances left out %d lines, %d of them because nobody read them fast enough and %d about refusals and failures beyond their rate",
+			n, r.Stats.Dropped, r.Stats.SkippedFailures))
 	}
 	hints = append(hints, "of requests served in time, only some have a line")
 	return strings.Join(hints, "; ")
--- a/internal/explain/collect.go
+++ b/internal/explain/collect.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -70,8 +71,11 @@
 	Lines        int64 `json:"lines"`
 	Unreadable   int64 `json:"unreadable"`
 	Dropped      int64 `json:"dropped"` // as the instances have logged
-	Skipped      int64 `json:"skipped"` // beyond the instances' rate limits
 	RequestLines int64 `json:"request_lines"`
+	// Skipped counts the lines about requests beyond the instances' rate limits, of which
+	// SkippedFailures were about refusals and failures.
+	Skipped         int64 `json:"skipped"`
+	SkippedFailures int64 `json:"skipped_failures"`
 }
 
 // NewCollector returns a Collector for a request.
@@ -119,6 +123,9 @@
 
 var (
 	requestKey  = []byte(`"request":`)
+	skippedKey  = []byte(`"lines_skipped":`)
+	answeredKey = []byte(`"msg":"answered"`)
+	infoKey     = []byte(`"level":"info"`)
 	instanceKey = `"instance":"`
 )
 
@@ -134,7 +141,7 @@
 		return
 	}
 	if bytes.Contains(object, requestKey) && !bytes.Contains(object, c.quoted) {
-		c.stats.RequestLines++
+		c.countRequestLine(object)
 		c.instance(string(stringField(object, instanceKey)))
 		return
 	}
@@ -145,15 +152,35 @@
 	}
 	switch line.Request {
 	case c.request:
+		c.countRequestLine(object)
 		c.addRequest(line)
 	case "":
 		c.addEvent(line)
 	default:
-		c.stats.RequestLines++
+		c.countRequestLine(object)
 		c.instance(line.Instance)
 	}
 }
 
+// countRequestLine counts a line about a request and those that were skipped before it.
+func (c *Collector) countRequestLine(object []byte) {
+	c.stats.RequestLines++
+	_, rest, found := bytes.Cut(object, skippedKey)
+	if !found {
+		return
+	}
+	end := bytes.IndexAny(rest, ",}")
+	skipped, err := strconv.ParseInt(string(rest[:max(end, 0)]), 10, 64)
+	if err != nil {
+		c.stats.Unreadable++
+		return
+	}
+	c.stats.Skipped += skipped
+	if !bytes.Contains(object, answeredKey) || !bytes.Contains(object, infoKey) {
+		c.stats.SkippedFailures += skipped
+	}
+}
+
 // instance returns what is held of an instance, or nil if there are too many instances.
 func (c *Collector) instance(name string) *instanceLog {
 	i := c.instances[name]
@@ -165,8 +192,6 @@
 }
 
 func (c *Collector) addRequest(line Line) {
-	c.stats.RequestLines++
-	c.stats.Skipped += line.LinesSkipped
 	if len(c.requests) < maxRequestLines {
 		c.requests = append(c.requests, line)
 	}
--- a/internal/explain/collect_test.go
+++ b/internal/explain/collect_test.go
@@ -70,6 +70,15 @@
 	require.Len(t, padded.Lines, 1)
 }
 
+func TestLeftOutLinesAreCounted(t *testing.T) {
+	r := read(t, logLine(0, "e-1", "answered", `"request":"id-2","lines_skipped":7,"status":200`)+
+		logLine(0, "e-1", "refused", `"request":"id-1","cause":"stopping","lines_skipped":2`)+
+		strings.Replace(logLine(0, "e-1", "answered", `"request":"id-2","status":500,"lines_skipped":1`), `"info"`, `"warning"`, 1)+
+		logLine(0, "e-1", "answered", `"request":"id-2","lines_skipped":"many"`)+
+		`{"level":"warning","msg":"log lines dropped","dropped":5}`+"\n")
+	require.Equal(t, Stats{Lines: 5, Unreadable: 1, Dropped: 5, RequestLines: 4, Skipped: 10, SkippedFailures: 3}, r.Stats)
+}
+
 func TestOtherRequestsAreNotTakenForTheRequest(t *testing.T) {
 	r := read(t,
 		logLine(0, "e-1", "answered", `"request":"id-10","status":200`)+
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -54,7 +54,6 @@
 	Service            string   `json:"service,omitempty"`
 	Configuration      int64    `json:"configuration,omitempty"` // version
 	ConfigurationAgeMS *float64 `json:"configuration_age_ms,omitempty"`
-	LinesSkipped       int64    `json:"lines_skipped,omitempty"`
 
 	// of an attempt
 	Server      string  `json:"server,omitempty"`
