--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,3 +103,22 @@
 	require.Greater(t, r.Inputs.Choice.Candidates, maxDescribedCandidates)
 	require.Len(t, r.Inputs.Choice.Fullest, maxDescribedCandidates)
 }
+
+// BenchmarkDescribeFailedChoice measures what a refusal costs beyond the choice itself, by
+// the size of the service.
+func BenchmarkDescribeFailedChoice(b *testing.B) {
+	for _, servers := range []int{50, 447, 4500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := unevenDispatcher(servers/6, servers-servers/6)
+			q := &request{
+				route: &d.config.Routes[0], service: "shop", sticky: true, objective: 500 * time.Millisecond,
+				runTimes: d.service("shop").runTimesOf(&d.config.Routes[0]),
+			}
+			d.choose(start, q)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.describeFailedChoice(start, q)
+			}
+		})
+	}
+}
