edge: count dropped log lines in a metric

Cause: dropped lines were told in the log only, which is what was not read in time. Change: primrosenotch_edge_dropped_log_lines_total. Measured: TestMetricsPageListsEveryMetric compares the page with it.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -134,9 +134,10 @@
 			Servers:   platform.TableServers,
 			Instances: platform.TableInstances,
 		},
-		Decode:        platform.Decode,
-		Log:           do.MustInvoke[*logrus.Entry](i),
-		RandomServers: s.Direct.Naive,
+		Decode:          platform.Decode,
+		Log:             do.MustInvoke[*logrus.Entry](i),
+		RandomServers:   s.Direct.Naive,
+		DroppedLogLines: do.MustInvoke[*logsink.Sink](i).Dropped,
 	}), nil
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -55,6 +55,9 @@
 		}, []string{"reason", "result"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
+	}, e.droppedLogLines))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -85,6 +88,13 @@
 	return m
 }
 
+func (e *Edge) droppedLogLines() float64 {
+	if e.options.DroppedLogLines == nil {
+		return 0
+	}
+	return float64(e.options.DroppedLogLines())
+}
+
 func (m *metrics) requestEnded(outcome model.Outcome, cause model.Cause) {
 	m.requests.WithLabelValues(outcome.String(), string(cause)).Inc()
 }
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -60,6 +60,9 @@
 	Decode        func(table string, row follow.Row) (catalog.Change, error)
 	Log           *logrus.Entry
 	RandomServers bool
+	// DroppedLogLines returns the number of log lines dropped since the start; nil means
+	// that none are.
+	DroppedLogLines func() int64
 }
 
 const (
