explain: name a pause of the instance itself

Change: a pause that the instance logs, or an attempt that outlasts its time by more than 500 ms, begins the cause. Lines about instances and their zones are marked fleet, as zones are cut off, too.

--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -94,7 +94,7 @@
 		e.links.Gossip(m.To, gossip)
 	}
 	for _, n := range out.Notes {
-		e.log.WithFields(logrus.Fields{"subject": n.Subject, "subject_kind": "instance", "why": n.Reason}).Info(n.Message)
+		e.log.WithFields(logrus.Fields{"subject": n.Subject, "subject_kind": "fleet", "why": n.Reason}).Info(n.Message)
 	}
 	e.publishLookups(false)
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -16,13 +16,45 @@
 	if s.end == nil {
 		return s.missingEnd()
 	}
-	text := s.endCause()
+	text := s.pause() + s.endCause()
 	if earlier := s.earlierEnds(); earlier > 0 {
 		text += fmt.Sprintf("; it was the caller's last of %d tries with this id", earlier+1)
 	}
 	return text
 }
 
+const (
+	// pausePrefix begins the reason of an event about an instance that did not run for a time.
+	pausePrefix = "paused for "
+	// pauseNotice is how long after a pause its event may be logged.
+	pauseNotice = 500 * time.Millisecond
+	// overrun is how much longer an attempt may last than its time before its instance is
+	// taken to have been paused.
+	overrun = 500 * time.Millisecond
+)
+
+// pause returns, as the beginning of a sentence, whether the instance itself stood still
+// while the request was in flight, or "".
+func (s *story) pause() string {
+	attempts := append(s.failedAttempts(), *s.end)
+	for _, e := range s.events {
+		paused, err := time.ParseDuration(strings.TrimPrefix(e.Why, pausePrefix))
+		if e.Message != messagePaused || err != nil || e.Instance != s.end.Instance {
+			continue
+		}
+		began := attempts[0].Time.Add(-milliseconds(attempts[0].TookMS))
+		if e.Time.Add(-paused).Before(s.end.Time) && e.Time.After(began) && !e.Time.After(s.end.Time.Add(pauseNotice)) {
+			return fmt.Sprintf("%s itself was paused for %s until then; ", s.end.Instance, paused)
+		}
+	}
+	for _, l := range attempts {
+		if over := milliseconds(l.TookMS - l.LeftMS); l.LeftMS > 0 && over > overrun {
+			return fmt.Sprintf("%s itself was paused or short of processor time: an attempt outlasted its time by %s; ", s.end.Instance, over.Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
 // earlierEnds counts the earlier tries of the caller. An answer that broke off before it
 // was forwarded belongs to the try that follows it.
 func (s *story) earlierEnds() int {
@@ -149,7 +181,7 @@
 		return text + fmt.Sprintf("the instance knew no server of service %s", s.end.Service) + s.startNews()
 	}
 	if s.end.Full > 0 {
-		text += fmt.Sprintf("%d of %d servers of service %s were its candidates and had no room (%s)",
+		text += fmt.Sprintf("its candidates, %d of the %d servers of service %s, had no room (%s)",
 			s.end.Full, *s.end.Servers, s.end.Service, strings.Join(lo.Map(s.end.Candidates, describeCandidate), "; "))
 		if s.end.MayMove != nil && !*s.end.MayMove {
 			text += "; no more requests might move to another region"
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -55,7 +55,7 @@
 		},
 		"full": {
 			refusedAt(0, `"cause":"queue-full","servers":9,"full":2,"may_move":false,"candidates":[{"server":"s-1","zone":"z","reason":"queue full","load":9.5,"load_age_ms":80,"slots":4,"wait_ms":679}]`),
-			"2 of 9 servers of service shop were its candidates and had no room (s-1 in z: queue full, load 9.5 on 4 slots known for 80ms); no more requests might move to another region",
+			"its candidates, 2 of the 9 servers of service shop, had no room (s-1 in z: queue full, load 9.5 on 4 slots known for 80ms); no more requests might move to another region",
 		},
 		"full on the retry": {
 			broken + refusedAt(time.Second, `"cause":"queue-full","servers":1,"full":0,"ruled_out":{"tried already":1}`),
@@ -119,6 +119,20 @@
 			logLine(0, "e-1", "answer broke off", `"request":"id-1","server":"s-1","zone":"z","took_ms":300,"error":"unexpected EOF"`),
 			"the answer of s-1 in z broke off after 300ms: unexpected EOF",
 		},
+		"instance paused": {
+			answeredAfter(`"status":504,"took_ms":5285,"left_ms":1720`) +
+				logLine(2004*time.Millisecond, "e-1", "suspended ownership", `"subject":"e-1","subject_kind":"fleet","why":"paused for 4.099s"`),
+			"e-1 itself was paused for 4.099s until then; s-1 in z answered 504 by itself after 5.285s; the answer was passed on",
+		},
+		"instance paused before the request": {
+			logLine(1200*time.Millisecond, "e-1", "suspended ownership", `"subject":"e-1","subject_kind":"fleet","why":"paused for 4.099s"`) +
+				answeredAfter(`"status":504`),
+			"s-1 in z answered 504 by itself after 700ms; the answer was passed on",
+		},
+		"attempt outlasts its time": {
+			answeredAfter(`"status":504,"took_ms":5285,"left_ms":1720`),
+			"e-1 itself was paused or short of processor time: an attempt outlasted its time by 3.565s; s-1 in z answered 504 by itself after 5.285s; the answer was passed on",
+		},
 		"killed": {
 			logLine(0, "e-1", "started", "") + broken + logLine(3*time.Second, "e-1", "started", ""),
 			"unknown: the logs read lack the line that tells what the caller got; the last line is of e-1 at 06:00:01.000Z; e-1 started again at 06:00:03.000Z and had not logged a stop",
--- a/internal/explain/collect_test.go
+++ b/internal/explain/collect_test.go
@@ -112,7 +112,7 @@
 		logLine(40*time.Second, "e-1", "ejected", about)+
 		logLine(41*time.Second, "e-2", "ejected", about)+ // another instance decides by itself
 		logLine(42*time.Second, "e-1", "ejected", `"subject":"s-2"`)+
-		logLine(43*time.Second, "e-1", "suspected", `"subject":"s-1","subject_kind":"instance"`)+
+		logLine(43*time.Second, "e-1", "suspected", `"subject":"s-1","subject_kind":"fleet"`)+
 		logLine(44*time.Second, "e-1", "store lost", `"table":"servers","error":"timed out"`)+
 		logLine(50*time.Second, "e-1", "attempt failed", attempt)+
 		logLine(51*time.Second, "e-1", "refused", `"request":"id-1","cause":"connect","outcome":"not-run"`)+
--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -151,5 +151,7 @@
 func (l *Line) queued() bool { return l.Slots > 0 && l.Load > float64(l.Slots) }
 
 func millis(ms float64) string {
-	return time.Duration(ms * float64(time.Millisecond)).Round(time.Millisecond).String()
+	return milliseconds(ms).Round(time.Millisecond).String()
 }
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -34,6 +34,7 @@
 	messageEvacuated = "evacuated"
 	messageUsedAgain = "used again"
 	messageEvacEnded = "evacuation ended"
+	messagePaused    = "suspended ownership"
 
 	subjectConfiguration = "configuration"
 )
@@ -89,7 +90,7 @@
 
 	// of other lines
 	Subject     string `json:"subject,omitempty"`
-	SubjectKind string `json:"subject_kind,omitempty"` // "instance", or "" for servers and zones
+	SubjectKind string `json:"subject_kind,omitempty"` // "fleet" for entry instances and their zones, "" for all else
 	Why         string `json:"why,omitempty"`
 	Table       string `json:"table,omitempty"`
 	Dropped     int64  `json:"dropped,omitempty"`
--- a/internal/explain/result.go
+++ b/internal/explain/result.go
@@ -133,7 +133,7 @@
 // concernsInstance reports whether an event concerns all requests of its instance.
 func (l *Line) concernsInstance() bool {
 	switch l.Message {
-	case messageStarted, messageStopping, messageStopped, messageAborted, messageDropped, messageStoreLost, messageStoreBack:
+	case messageStarted, messageStopping, messageStopped, messageAborted, messageDropped, messageStoreLost, messageStoreBack, messagePaused:
 		return true
 	default:
 		return l.Subject == subjectConfiguration
