explain: an answer that broke off before a retry is not the end

Cause: if the last lines of a request were missing, an answer that had broken off before it was forwarded was taken for what the caller got, though a later attempt was logged. Change: a later attempt shows that it was not. The type of a request's lines is called trace. Measured: the new case of TestCauses failed before.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -12,12 +12,12 @@
 )
 
 // cause returns in plain words why the request ended as it did.
-func (s *story) cause() string {
-	if s.end == nil {
-		return s.missingEnd()
+func (t *trace) cause() string {
+	if t.end == nil {
+		return t.missingEnd()
 	}
-	text := s.pause() + s.endCause()
-	if earlier := s.earlierEnds(); earlier > 0 {
+	text := t.pause() + t.endCause()
+	if earlier := t.earlierEnds(); earlier > 0 {
 		text += fmt.Sprintf("; it was the caller's last of %d tries with this id", earlier+1)
 	}
 	return text
@@ -35,21 +35,21 @@
 
 // pause returns, as the beginning of a sentence, whether the instance itself stood still
 // while the request was in flight, or "".
-func (s *story) pause() string {
-	attempts := append(s.failedAttempts(), *s.end)
-	for _, e := range s.events {
+func (t *trace) pause() string {
+	attempts := append(t.failedAttempts(), *t.end)
+	for _, e := range t.events {
 		paused, err := time.ParseDuration(strings.TrimPrefix(e.Why, pausePrefix))
-		if e.Message != messagePaused || err != nil || e.Instance != s.end.Instance {
+		if e.Message != messagePaused || err != nil || e.Instance != t.end.Instance {
 			continue
 		}
 		began := attempts[0].Time.Add(-milliseconds(attempts[0].TookMS))
-		if e.Time.Add(-paused).Before(s.end.Time) && e.Time.After(began) && !e.Time.After(s.end.Time.Add(pauseNotice)) {
-			return fmt.Sprintf("%s itself was paused for %s until then; ", s.end.Instance, paused)
+		if e.Time.Add(-paused).Before(t.end.Time) && e.Time.After(began) && !e.Time.After(t.end.Time.Add(pauseNotice)) {
+			return fmt.Sprintf("%s itself was paused for %s until then; ", t.end.Instance, paused)
 		}
 	}
 	for _, l := range attempts {
 		if over := milliseconds(l.TookMS - l.LeftMS); l.LeftMS > 0 && over > overrun {
-			return fmt.Sprintf("%s itself was paused or short of processor time: an attempt outlasted its time by %s; ", s.end.Instance, over.Round(time.Millisecond))
+			return fmt.Sprintf("%s itself was paused or short of processor time: an attempt outlasted its time by %s; ", t.end.Instance, over.Round(time.Millisecond))
 		}
 	}
 	return ""
@@ -57,9 +57,9 @@
 
 // earlierEnds counts the earlier tries of the caller. An answer that broke off before it
 // was forwarded belongs to the try that follows it.
-func (s *story) earlierEnds() int {
-	return lo.CountBy(s.lines, func(l Line) bool {
-		return (l.Message == messageAnswered || l.Message == messageRefused) && !l.same(s.end)
+func (t *trace) earlierEnds() int {
+	return lo.CountBy(t.lines, func(l Line) bool {
+		return (l.Message == messageAnswered || l.Message == messageRefused) && !l.same(t.end)
 	})
 }
 
@@ -67,11 +67,11 @@
 	return l.Time.Equal(other.Time) && l.Instance == other.Instance && l.Message == other.Message
 }
 
-func (s *story) missingEnd() string {
-	last := &s.lines[len(s.lines)-1]
+func (t *trace) missingEnd() string {
+	last := &t.lines[len(t.lines)-1]
 	text := fmt.Sprintf("unknown: the logs read lack the line that tells what the caller got; the last line is of %s at %s",
 		last.Instance, last.Time.UTC().Format("15:04:05.000Z"))
-	for _, k := range s.kills {
+	for _, k := range t.kills {
 		if k.Instance == last.Instance && !k.Started.Before(last.Time) {
 			return text + fmt.Sprintf("; %s started again at %s and had not logged a stop",
 				k.Instance, k.Started.UTC().Format("15:04:05.000Z"))
@@ -80,47 +80,47 @@
 	return text
 }
 
-func (s *story) endCause() string {
-	switch s.end.Message {
+func (t *trace) endCause() string {
+	switch t.end.Message {
 	case messageRefused:
-		return s.refusalCause()
+		return t.refusalCause()
 	case messageTruncated:
-		return fmt.Sprintf("the answer of %s broke off after %s: %s%s", s.end.server(), millis(s.end.TookMS), s.end.Error, s.serverNews(s.end.Server))
+		return fmt.Sprintf("the answer of %s broke off after %s: %s%s", t.end.server(), millis(t.end.TookMS), t.end.Error, t.serverEvents(t.end.Server))
 	default:
-		return s.answerCause()
+		return t.answerCause()
 	}
 }
 
-func (s *story) answerCause() string {
-	total := millis(s.end.ElapsedMS + s.end.TookMS)
+func (t *trace) answerCause() string {
+	total := millis(t.end.ElapsedMS + t.end.TookMS)
 	switch {
-	case s.end.Status >= 500:
-		return fmt.Sprintf("%s answered %d by itself after %s; the answer was passed on", s.end.server(), s.end.Status, millis(s.end.TookMS))
-	case s.end.Late:
+	case t.end.Status >= 500:
+		return fmt.Sprintf("%s answered %d by itself after %s; the answer was passed on", t.end.server(), t.end.Status, millis(t.end.TookMS))
+	case t.end.Late:
 		return fmt.Sprintf("served late by %s: %s of an objective of %s; %s",
-			s.end.server(), total, millis(s.end.ObjectiveMS), strings.Join(s.delays(), "; "))
+			t.end.server(), total, millis(t.end.ObjectiveMS), strings.Join(t.delays(), "; "))
 	default:
-		return fmt.Sprintf("served in time by %s: status %d after %s", s.end.server(), s.end.Status, total)
+		return fmt.Sprintf("served in time by %s: status %d after %s", t.end.server(), t.end.Status, total)
 	}
 }
 
 // delays returns what made an answer late.
-func (s *story) delays() []string {
+func (t *trace) delays() []string {
 	var causes []string
-	if s.end.ElapsedMS >= 1 && s.end.Attempt > 1 {
-		causes = append(causes, "earlier attempts took "+millis(s.end.ElapsedMS))
+	if t.end.ElapsedMS >= 1 && t.end.Attempt > 1 {
+		causes = append(causes, "earlier attempts took "+millis(t.end.ElapsedMS))
 	}
-	if s.end.KnowsObject != nil && !*s.end.KnowsObject {
+	if t.end.KnowsObject != nil && !*t.end.KnowsObject {
 		causes = append(causes, "the server was not known to have the object warm")
 	}
-	if s.end.queued() {
-		causes = append(causes, "it had to wait there: "+s.end.load())
+	if t.end.queued() {
+		causes = append(causes, "it had to wait there: "+t.end.load())
 	}
-	if s.end.Moved {
+	if t.end.Moved {
 		causes = append(causes, "it was sent to another region because the nearer candidate was full")
 	}
 	if len(causes) == 0 {
-		causes = append(causes, "the server had the object warm and a free slot by what was known, and took that long: "+s.end.load())
+		causes = append(causes, "the server had the object warm and a free slot by what was known, and took that long: "+t.end.load())
 	}
 	return causes
 }
@@ -132,65 +132,65 @@
 	model.CauseOverload:        "the instance had reached its own limit of requests in flight",
 }
 
-func (s *story) refusalCause() string {
-	cause := model.Cause(s.end.Cause)
+func (t *trace) refusalCause() string {
+	cause := model.Cause(t.end.Cause)
 	if text, ok := refusalCauses[cause]; ok {
-		return text + s.startNews()
+		return text + t.startedBefore()
 	}
 	switch cause {
 	case model.CauseNoRoute:
-		return s.noRouteCause()
+		return t.noRouteCause()
 	case model.CauseInvalidRequest:
-		return "the request was malformed: " + s.end.Error
+		return "the request was malformed: " + t.end.Error
 	case model.CauseQueueFull, model.CauseNoBackend:
-		return s.noServerCause()
+		return t.noServerCause()
 	case model.CauseCallerGone:
-		return s.callerGoneCause()
+		return t.callerGoneCause()
 	default:
-		return s.attemptsCause()
+		return t.attemptsCause()
 	}
 }
 
-func (s *story) noRouteCause() string {
-	what := "host " + s.end.Host
-	if s.end.HostKnown != nil && *s.end.HostKnown {
-		what = fmt.Sprintf("path %s of host %s", s.end.Path, s.end.Host)
+func (t *trace) noRouteCause() string {
+	what := "host " + t.end.Host
+	if t.end.HostKnown != nil && *t.end.HostKnown {
+		what = fmt.Sprintf("path %s of host %s", t.end.Path, t.end.Host)
 	}
-	text := fmt.Sprintf("no route of configuration %d matches %s", s.end.Configuration, what)
-	if s.end.ConfigurationAgeMS != nil {
-		text += fmt.Sprintf(" (confirmed %s before)", millis(*s.end.ConfigurationAgeMS))
+	text := fmt.Sprintf("no route of configuration %d matches %s", t.end.Configuration, what)
+	if t.end.ConfigurationAgeMS != nil {
+		text += fmt.Sprintf(" (confirmed %s before)", millis(*t.end.ConfigurationAgeMS))
 	}
-	for _, e := range s.events {
-		if e.Subject == subjectConfiguration && e.Instance == s.end.Instance && e.Time.After(s.end.Time) {
-			return text + fmt.Sprintf("; the next one was adopted %s later: %s", e.Time.Sub(s.end.Time).Round(time.Millisecond), e.Why)
+	for _, e := range t.events {
+		if e.Subject == subjectConfiguration && e.Instance == t.end.Instance && e.Time.After(t.end.Time) {
+			return text + fmt.Sprintf("; the next one was adopted %s later: %s", e.Time.Sub(t.end.Time).Round(time.Millisecond), e.Why)
 		}
 	}
 	return text
 }
 
 // noServerCause explains that no server was found, for the first attempt or for a retry.
-func (s *story) noServerCause() string {
+func (t *trace) noServerCause() string {
 	text := ""
-	if failed := s.failedAttempts(); len(failed) > 0 {
-		text = s.describeAttempts(failed) + "; then "
+	if failed := t.failedAttempts(); len(failed) > 0 {
+		text = t.describeAttempts(failed) + "; then "
 	}
-	if s.end.Servers == nil {
-		return text + fmt.Sprintf("no server could take it (%s); the line does not tell which were looked at", s.end.Cause)
+	if t.end.Servers == nil {
+		return text + fmt.Sprintf("no server could take it (%s); the line does not tell which were looked at", t.end.Cause)
 	}
-	if *s.end.Servers == 0 {
-		return text + fmt.Sprintf("the instance knew no server of service %s", s.end.Service) + s.startNews()
+	if *t.end.Servers == 0 {
+		return text + fmt.Sprintf("the instance knew no server of service %s", t.end.Service) + t.startedBefore()
 	}
-	if s.end.Full > 0 {
+	if t.end.Full > 0 {
 		text += fmt.Sprintf("its candidates, %d of the %d servers of service %s, had no room (%s)",
-			s.end.Full, *s.end.Servers, s.end.Service, strings.Join(lo.Map(s.end.Candidates, describeCandidate), "; "))
-		if s.end.MayMove != nil && !*s.end.MayMove {
+			t.end.Full, *t.end.Servers, t.end.Service, strings.Join(lo.Map(t.end.Candidates, describeCandidate), "; "))
+		if t.end.MayMove != nil && !*t.end.MayMove {
 			text += "; no more requests might move to another region"
 		}
 	} else {
-		text += fmt.Sprintf("none of the %d servers of service %s might be used", *s.end.Servers, s.end.Service)
+		text += fmt.Sprintf("none of the %d servers of service %s might be used", *t.end.Servers, t.end.Service)
 	}
-	if len(s.end.RuledOut) > 0 {
-		text += "; ruled out: " + describeCounts(s.end.RuledOut)
+	if len(t.end.RuledOut) > 0 {
+		text += "; ruled out: " + describeCounts(t.end.RuledOut)
 	}
 	return text
 }
@@ -205,8 +205,8 @@
 	return strings.Join(lo.Map(keys, func(k string, _ int) string { return fmt.Sprintf("%d %s", counts[k], k) }), ", ")
 }
 
-func (s *story) callerGoneCause() string {
-	failed := s.failedAttempts()
+func (t *trace) callerGoneCause() string {
+	failed := t.failedAttempts()
 	if len(failed) == 0 {
 		return "the caller closed its connection before it had an answer"
 	}
@@ -214,48 +214,48 @@
 	text := fmt.Sprintf("the caller closed its connection after %s, when %s had worked on it or let it wait for %s; %s",
 		millis(last.ElapsedMS+last.TookMS), last.server(), millis(last.TookMS), last.state())
 	if earlier := failed[:len(failed)-1]; len(earlier) > 0 {
-		text += "; before, " + s.describeAttempts(earlier)
+		text += "; before, " + t.describeAttempts(earlier)
 	}
-	return text + s.serverNews(last.Server)
+	return text + t.serverEvents(last.Server)
 }
 
 // attemptsCause explains a refusal after failed attempts.
-func (s *story) attemptsCause() string {
-	failed := s.failedAttempts()
+func (t *trace) attemptsCause() string {
+	failed := t.failedAttempts()
 	if len(failed) == 0 {
-		if s.end.Attempts > 0 {
-			return fmt.Sprintf("%s after %d attempts, whose lines are missing in the logs read", s.end.Cause, s.end.Attempts)
+		if t.end.Attempts > 0 {
+			return fmt.Sprintf("%s after %d attempts, whose lines are missing in the logs read", t.end.Cause, t.end.Attempts)
 		}
-		return fmt.Sprintf("%s, before any attempt", s.end.Cause)
+		return fmt.Sprintf("%s, before any attempt", t.end.Cause)
 	}
-	return s.describeAttempts(failed) + "; " + s.noRetryReason(failed) + s.serverNews(failed[len(failed)-1].Server)
+	return t.describeAttempts(failed) + "; " + t.noRetryReason(failed) + t.serverEvents(failed[len(failed)-1].Server)
 }
 
 // noRetryReason returns why the request was not sent again.
-func (s *story) noRetryReason(failed []Line) string {
+func (t *trace) noRetryReason(failed []Line) string {
 	last := failed[len(failed)-1]
-	switch cause := model.Cause(s.end.Cause); {
+	switch cause := model.Cause(t.end.Cause); {
 	case cause == model.CauseRetryBudget:
-		return fmt.Sprintf("the retry budget of service %s was used up", s.end.Service)
+		return fmt.Sprintf("the retry budget of service %s was used up", t.end.Service)
 	case cause == model.CauseDeadline, last.LeftMS > 0 && last.TookMS >= last.LeftMS:
 		return lo.Ternary(last.queued(), "its time was used up, and the server had a queue when it was chosen", "its time was used up")
-	case s.end.Outcome == model.Unknown.String() && s.end.Repeatable != nil && !*s.end.Repeatable:
+	case t.end.Outcome == model.Unknown.String() && t.end.Repeatable != nil && !*t.end.Repeatable:
 		return "it may have run and must not run twice"
 	case last.Sent != nil && !*last.Sent:
 		return "too many connections had failed for another attempt"
-	case s.end.MaxAttempts > 0 && s.end.Attempts >= s.end.MaxAttempts:
-		return fmt.Sprintf("its limit is %d attempts", s.end.MaxAttempts)
+	case t.end.MaxAttempts > 0 && t.end.Attempts >= t.end.MaxAttempts:
+		return fmt.Sprintf("its limit is %d attempts", t.end.MaxAttempts)
 	default:
 		return "it was not sent again"
 	}
 }
 
 // failedAttempts returns the failed attempts of the last try.
-func (s *story) failedAttempts() []Line {
+func (t *trace) failedAttempts() []Line {
 	var failed []Line
-	for _, l := range s.lines {
+	for _, l := range t.lines {
 		switch {
-		case l.same(s.end):
+		case l.same(t.end):
 			return failed
 		case l.Message == messageAnswered, l.Message == messageRefused:
 			failed = nil // of an earlier try
@@ -266,22 +266,22 @@
 	return failed
 }
 
-func (s *story) describeAttempts(failed []Line) string {
+func (t *trace) describeAttempts(failed []Line) string {
 	return strings.Join(lo.Map(failed, func(l Line, _ int) string {
 		return fmt.Sprintf("attempt %d at %s failed after %s: %s (%s)", l.Attempt, l.server(), millis(l.TookMS), l.failure(), l.state())
 	}), "; ")
 }
 
-// serverNews returns the nearest events about a server before and after the end of the
+// serverEvents returns the nearest events about a server before and after the end of the
 // request, as a clause, or "".
-func (s *story) serverNews(server string) string {
+func (t *trace) serverEvents(server string) string {
 	var before, after *Line
-	for i := range s.events {
-		e := &s.events[i]
-		if e.Subject != server || server == "" || e.Instance != s.end.Instance || e.SubjectKind != "" {
+	for i := range t.events {
+		e := &t.events[i]
+		if e.Subject != server || server == "" || e.Instance != t.end.Instance || e.SubjectKind != "" {
 			continue
 		}
-		switch early := !e.Time.After(s.end.Time); {
+		switch early := !e.Time.After(t.end.Time); {
 		case early && e.Message == messageUsedAgain:
 			before = nil
 		case !e.tellsHealth():
@@ -293,10 +293,10 @@
 	}
 	text := ""
 	if before != nil {
-		text += fmt.Sprintf("; %s: %s %s before its end (%s)", server, before.Message, s.end.Time.Sub(before.Time).Round(time.Millisecond), before.Why)
+		text += fmt.Sprintf("; %s: %s %s before its end (%s)", server, before.Message, t.end.Time.Sub(before.Time).Round(time.Millisecond), before.Why)
 	}
 	if after != nil {
-		text += fmt.Sprintf("; %s: %s %s after its end (%s)", server, after.Message, after.Time.Sub(s.end.Time).Round(time.Millisecond), after.Why)
+		text += fmt.Sprintf("; %s: %s %s after its end (%s)", server, after.Message, after.Time.Sub(t.end.Time).Round(time.Millisecond), after.Why)
 	}
 	return text
 }
@@ -304,12 +304,12 @@
 // recentStart is how long after its start an instance may lack what it has to read first.
 const recentStart = 5 * time.Second
 
-// startNews returns how long before the end of the request its instance had started, as a
+// startedBefore returns how long before the end of the request its instance had started, as a
 // clause, or "" if that was long ago.
-func (s *story) startNews() string {
-	for _, e := range slices.Backward(s.events) {
-		age := s.end.Time.Sub(e.Time)
-		if e.Message == messageStarted && e.Instance == s.end.Instance && age >= 0 && age < recentStart {
+func (t *trace) startedBefore() string {
+	for _, e := range slices.Backward(t.events) {
+		age := t.end.Time.Sub(e.Time)
+		if e.Message == messageStarted && e.Instance == t.end.Instance && age >= 0 && age < recentStart {
 			return fmt.Sprintf("; it had started %s before", age.Round(time.Millisecond))
 		}
 	}
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -137,6 +137,11 @@
 			logLine(0, "e-1", "started", "") + broken + logLine(3*time.Second, "e-1", "started", ""),
 			"unknown: the logs read lack the line that tells what the caller got; the last line is of e-1 at 06:00:01.000Z; e-1 started again at 06:00:03.000Z and had not logged a stop",
 		},
+		"answer broken off, end of the retry missing": {
+			logLine(0, "e-1", "answer broke off", `"request":"id-1","server":"s-2","zone":"z","attempt":1,"error":"unexpected EOF"`) +
+				failedAt(time.Second, `"attempt":2,"step":"dial","sent":false,"error":"timed out"`),
+			"unknown: the logs read lack the line that tells what the caller got; the last line is of e-1 at 06:00:01.000Z",
+		},
 		"end missing": {
 			broken,
 			"unknown: the logs read lack the line that tells what the caller got; the last line is of e-1 at 06:00:01.000Z",
--- a/internal/explain/result.go
+++ b/internal/explain/result.go
@@ -40,45 +40,48 @@
 	if len(c.requests) == 0 {
 		return r
 	}
-	s := newStory(c.requests, c.kept, c.kills)
-	shown := s.relevantEvents()
+	t := newTrace(c.requests, c.kept, c.kills)
+	shown := t.relevantEvents()
 	if extra := len(shown) - maxShownEvents; extra > 0 {
 		r.OmittedEvents = extra
 		shown = shown[extra:]
 	}
 	r.Lines = append(slices.Clone(c.requests), shown...)
 	slices.SortStableFunc(r.Lines, compareLines)
-	r.Complete = s.end != nil
-	r.Cause = s.cause()
+	r.Complete = t.end != nil
+	r.Cause = t.cause()
 	return r
 }
 
-// story is the lines of one request with the events around them.
-type story struct {
+// trace is the lines of one request with the events around them.
+type trace struct {
 	lines  []Line
 	events []Line
 	kills  []Kill
 	end    *Line // the last line that tells what the caller got
 }
 
-func newStory(lines, events []Line, kills []Kill) *story {
-	s := &story{lines: lines, events: events, kills: kills}
+func newTrace(lines, events []Line, kills []Kill) *trace {
+	t := &trace{lines: lines, events: events, kills: kills}
 	for i := range lines {
-		if lines[i].ends() {
-			s.end = &lines[i]
+		switch l := &lines[i]; {
+		case l.ends():
+			t.end = l
+		case t.end != nil && t.end.Message == messageTruncated && l.Attempt > t.end.Attempt:
+			t.end = nil // the answer broke off before it was forwarded
 		}
 	}
-	return s
+	return t
 }
 
 // relevantEvents returns the events about the servers and zones of the request, those that
 // had ruled out other servers when it was refused, and those about the whole instance
 // shortly before it.
-func (s *story) relevantEvents() []Line {
+func (t *trace) relevantEvents() []Line {
 	subjects := map[string]bool{}
 	var refused *Line // the last refusal for which servers were ruled out
-	for i := range s.lines {
-		l := &s.lines[i]
+	for i := range t.lines {
+		l := &t.lines[i]
 		subjects[l.Server], subjects[l.Zone] = true, true
 		for _, c := range l.Candidates {
 			subjects[c.Server], subjects[c.Zone] = true, true
@@ -88,11 +91,11 @@
 		}
 	}
 	delete(subjects, "")
-	first, last := s.lines[0].Time, s.lines[len(s.lines)-1].Time
-	ruledOut := s.ruledOutAt(refused)
+	first, last := t.lines[0].Time, t.lines[len(t.lines)-1].Time
+	ruledOut := t.ruledOutAt(refused)
 	var relevant []Line
-	for i := range s.events {
-		e := &s.events[i]
+	for i := range t.events {
+		e := &t.events[i]
 		recent := !e.Time.Before(first.Add(-fleetLookBack)) && !e.Time.After(last.Add(lookAfter))
 		switch {
 		case e.SubjectKind == "" && subjects[e.Subject], recent && e.concernsInstance(), ruledOut[i]:
@@ -104,10 +107,10 @@
 
 // ruledOutAt returns the indices of the events by which servers and zones were unusable for
 // the instance of a refusal, which may be nil. Servers that have been removed do not count.
-func (s *story) ruledOutAt(refused *Line) map[int]bool {
+func (t *trace) ruledOutAt(refused *Line) map[int]bool {
 	latest := map[string]int{} // by subject
-	for i := range s.events {
-		e := &s.events[i]
+	for i := range t.events {
+		e := &t.events[i]
 		if refused == nil || e.Time.After(refused.Time) {
 			break
 		}
