--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,6 +27,9 @@
 	failedDials int  // attempts that failed without a connection
 	mayHaveRun  bool // an earlier attempt may have run
 	answered    bool // an answer is being passed on to the caller
+	arrivedAt   model.Instant
+	// failedChoice is set if no server was found.
+	failedChoice *FailedChoice
 }
 
 // attempt is a running attempt of a request.
@@ -72,7 +75,7 @@
 	}
 	route := d.config.Match(ev.Host, ev.Path)
 	if route == nil {
-		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version})
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version, Inputs: &Inputs{HostKnown: d.config.KnowsHost(ev.Host)}})
 		return
 	}
 	q := &request{
@@ -84,6 +87,7 @@
 		objective:  objective(route),
 		deadline:   ev.At.Add(effectiveTimeout(ev.CallerTimeout, route.Timeout)),
 		replayable: ev.Replayable,
+		arrivedAt:  ev.At,
 	}
 	q.runTimes = d.service(q.service).runTimesOf(route)
 	d.requests[q.id] = q
@@ -119,6 +123,7 @@
 	}
 	c := d.choose(now, q)
 	if c.server == nil {
+		q.failedChoice = d.describeFailedChoice(now, q)
 		d.refuse(q, c.cause, c.wait)
 		return
 	}
@@ -158,7 +163,10 @@
 			ObjectKnown:   a.objectKnown,
 			Moved:         c.moved,
 			Load:          s.load(now),
-			LoadAge:       now.Sub(max(s.otherLoadAt, s.listedAt)),
+			LoadAge:       s.loadAge(now),
+			Slots:         s.entry.Slots,
+			Objective:     q.objective,
+			Elapsed:       now.Sub(q.arrivedAt),
 		},
 	}
 	if !q.route.Kind.Repeatable() {
@@ -181,6 +189,7 @@
 		RetryAfter:    retryAfter,
 		Route:         q.route.Name,
 		Configuration: d.config.Version,
+		Inputs:        d.inputsOf(q),
 	})
 	delete(d.requests, q.id)
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -86,11 +86,11 @@
 	c.hedges.Wait()
 }
 
-// hedge makes an attempt beside the running one.
+// hedge makes an attempt beside the running one. It does not block; the caller holds Edge.mu.
 func (c *call) hedge(f *dispatch.Send) {
-	c.edge.requests.hedged(c.x, f)
 	c.edge.metrics.hedges.Inc()
 	c.hedges.Go(func() {
+		c.edge.requests.hedged(c.x, f) // here, because it takes fleetMu
 		o := c.send(f)
 		if o.answer != nil {
 			o = c.receive(o.answer)
@@ -125,7 +125,7 @@
 		a.response.Body = io.NopCloser(bytes.NewReader(body))
 		return outcome{answer: a}
 	}
-	c.edge.requests.truncated(c.x, a.send, err)
+	c.edge.requests.truncated(c.x, a.send, err, c.edge.clock.now().Sub(a.started))
 	return outcome{next: c.endAttempt(a, c.brokenResult(a, err))}
 }
 
@@ -147,6 +147,7 @@
 // reject ends the attempt of an answer that is not passed on because of its status.
 func (c *call) reject(a *answer) dispatch.Effect {
 	_ = a.response.Body.Close() // only the status is used
+	c.edge.requests.notForwarded(c.x, a.send, a.response.Status, c.edge.clock.now().Sub(a.started))
 	return c.endAttempt(a, event.AttemptBroken)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -158,7 +158,7 @@
 		Zone:        string(o.Self.Zone),
 	}, link.DefaultSettings(), e, e)
 	e.metrics = newMetrics(e)
-	e.requests = newRequestLog(o.Log, e.metrics, e.stopping.Load)
+	e.requests = newRequestLog(o.Log, e.metrics, e.configurationAge, e.stopping.Load)
 	e.invalid = newInvalidInputs(o.Log, e.metrics.invalid)
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
@@ -166,6 +166,7 @@
 		Dialect:              o.Dialect,
 		NoLookups:            true,
 		FractionalRetryAfter: true,
+		OnReject:             e.rejected,
 	}, e)
 	return e
 }
@@ -316,7 +317,7 @@
 	case *dispatch.LimitsChanged:
 		e.applyLimits(f.Limits)
 	case *dispatch.Record:
-		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Reason}).Info(f.Message)
+		e.log.WithFields(logrus.Fields{"subject": f.Subject, "why": f.Reason}).Log(recordLevel(f), f.Message)
 	}
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// rejected logs and counts a request that was refused before Serve was called.
+func (e *Edge) rejected(r *ingress.Rejection) {
+	e.requests.rejected(r)
+	e.metrics.requestEnded(model.NotRun, r.Cause)
+}
+
 // send sends a request to a backend server and waits for the head of the answer.
 func (c *call) send(f *dispatch.Send) outcome {
 	e, x, started := c.edge, c.x, c.edge.clock.now()
@@ -157,6 +163,7 @@
 	if a.response.Status >= 500 {
 		result = event.AttemptFailed
 	}
+	var broken error // set before the result is sent to forwarded
 	forwarded := make(chan event.AttemptResult, 1)
 	err := x.Respond(&ingress.Response{
 		Status:    a.response.Status,
@@ -165,20 +172,20 @@
 		Body:      a.response.Body,
 		Done: func(_ int64, err error) {
 			if err != nil {
-				result = c.brokenResult(a, err)
+				result, broken = c.brokenResult(a, err), err
 			}
 			forwarded <- result
 		},
 	})
 	if err != nil {
-		e.requests.truncated(x, f, err)
+		e.requests.truncated(x, f, err, e.clock.now().Sub(a.started))
 		return c.endAttempt(a, c.brokenResult(a, err))
 	}
 	c.responded = true
 	done := func(result event.AttemptResult) {
 		c.endAttempt(a, result)
 		elapsed := e.clock.now().Sub(a.started)
-		e.requests.answered(x, f, a.response.Status, elapsed)
+		e.requests.answered(x, f, a.response.Status, broken, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
 		e.metrics.observeLatency(f.Kind, elapsed)
 		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: c.id})
