Accept failures no longer end the process

Seen: in a play with SIGTERMs beside a burst two primrosenotch-edge processes ended by themselves with "serve callers: accept tcp ...: accept4: too many open files"; with them everything that they had accepted.

Cause: fasthttp ends Serve at any accept error but a timeout, and edge.Run ends the process with it. The link server ended likewise, and the HTTP endpoints for control, lookups and readiness stopped for good, without the process ending. In primrosenotch-entry the callers' listener was gone while the process ran on.

Change: listener.Retry wraps every listener of both programs. Errors that concern one connection or a shortage (EMFILE, ENFILE, ENOBUFS, ECONNABORTED, ...) are retried after 5 to 200 ms, counted (accept_failures_total by listener) and logged at their start and end. Others, such as EBADF, still end the server, since a retry could never succeed.

Evidence: TestInstanceSurvivesLackOfFileDescriptors in platform and in internal/entry, with real sockets and a listener whose first three accepts return EMFILE, failed without the wrapper:

accept_test.go:37: Condition never satisfied (the instance becomes ready) accept_test.go:52: Condition never satisfied (the instance becomes ready)

Both pass now, as do the tests of the wrapper itself.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -77,9 +77,9 @@
 	defer signal.Stop(hangups)
 	reload := &reloader{file: s.file, text: s.text, current: s, log: log, setBounds: e.SetBounds}
 	go reload.run(ctx, hangups)
-	serveEndpoint(log, l.ready, platform.ReadyHandler(e))
-	serveEndpoint(log, l.lookups, platform.LookupHandler(e))
-	serveEndpoint(log, l.control, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{})))
+	serveEndpoint(log, e.Accepting("ready", l.ready), platform.ReadyHandler(e))
+	serveEndpoint(log, e.Accepting("lookups", l.lookups), platform.LookupHandler(e))
+	serveEndpoint(log, e.Accepting("control", l.control), fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{})))
 	log.WithField("callers", s.Listen.Callers).Info("started")
 	return e.Run(ctx, edge.Listeners{Callers: l.callers, Links: l.links})
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/listener"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/upstream"
@@ -199,9 +200,10 @@
 // Bounds.StopTimeout. It returns the error of serving callers, if any.
 func (e *Edge) Run(ctx context.Context, l Listeners) error {
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- e.callerServer.Serve(l.Callers) }()
+	callers, links := e.Accepting("callers", l.Callers), e.Accepting("links", l.Links)
+	go func() { serveErr <- e.callerServer.Serve(callers) }()
 	e.tasks.Go(func() {
-		if err := e.links.Serve(e.ctx, l.Links); err != nil {
+		if err := e.links.Serve(e.ctx, links); err != nil {
 			e.log.WithError(err).Error("link server failed")
 		}
 	})
@@ -221,6 +223,11 @@
 	return err
 }
 
+// Accepting returns l with retries of temporary failures to accept a connection.
+func (e *Edge) Accepting(name string, l net.Listener) net.Listener {
+	return listener.Retry(l, name, e.log, e.metrics.accepts)
+}
+
 // runPeriodically calls do once per period until the instance has left.
 func (e *Edge) runPeriodically(period time.Duration, do func(now model.Instant)) {
 	ticker := time.NewTicker(period)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,6 +20,7 @@
 	unlogged prometheus.Counter
 	invalid  *prometheus.CounterVec // by source
 	probes   *prometheus.CounterVec // by reason and result
+	accepts  *prometheus.CounterVec // failed ones, by listener
 }
 
 // latencyBuckets are upper bounds in seconds, the lowest for responses within a region.
@@ -53,8 +54,11 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_health_checks_total", Help: "Health checks of backend servers by reason and result.",
 		}, []string{"reason", "result"}),
+		accepts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_accept_failures_total", Help: "Failed accepts of connections, which were retried.",
+		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged, m.invalid, m.probes, m.accepts)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -23,6 +23,7 @@
 	e.metrics.reads.WithLabelValues("table", "read").Inc()
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
+	e.metrics.accepts.WithLabelValues("callers").Inc()
 	families, err := e.Metrics().Gather()
 	require.NoError(t, err)
 	exported := map[string]bool{}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
+	"github.com/primrosenotch/primrosenotch/internal/listener"
 	"github.com/primrosenotch/primrosenotch/internal/runtime"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
 )
@@ -74,13 +75,19 @@
 		return err
 	}
 	i.log.WithField("callers", i.settings.Listen.Callers).Info("started")
+	return i.serve(ctx, l)
+}
+
+// serve serves on the given listeners until ctx is done, then shuts the instance down.
+func (i *instance) serve(ctx context.Context, l listeners) error {
+	callers, links, control := i.accepting("callers", l.callers), i.accepting("links", l.links), i.accepting("control", l.control)
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group errgroup.Group
-	group.Go(func() error { return i.callers.Serve(l.callers) })
-	group.Go(func() error { return i.runtime.ServeLinks(serving, l.links) })
+	group.Go(func() error { return i.callers.Serve(callers) })
+	group.Go(func() error { return i.runtime.ServeLinks(serving, links) })
 	group.Go(func() error {
-		return i.control.Listener(l.control, fiber.ListenConfig{DisableStartupMessage: true})
+		return i.control.Listener(control, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 	stop := context.AfterFunc(ctx, func() {
 		i.callers.StartDraining()
@@ -91,6 +98,11 @@
 	return i.close(cancel, &group)
 }
 
+// accepting returns l with retries of temporary failures to accept a connection.
+func (i *instance) accepting(name string, l net.Listener) net.Listener {
+	return listener.Retry(l, name, i.log, i.runtime.AcceptFailures())
+}
+
 // close shuts down the servers. The runtime must have ended.
 func (i *instance) close(cancel context.CancelFunc, group *errgroup.Group) error {
 	ctx, stop := context.WithTimeout(context.Background(), i.settings.Serving.Drain)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -35,6 +35,7 @@
 	servers   map[string]*backend.Server
 	stop      []context.CancelFunc
 	ended     []chan error
+	store     string
 	transport *http.Transport
 }
 
@@ -43,7 +44,7 @@
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = store.Close() })
-	f := &fleet{t: t, servers: make(map[string]*backend.Server), transport: &http.Transport{}}
+	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), transport: &http.Transport{}}
 	text := "[service shop]\n" +
 		"[route order]\nservice = shop\nmatch = POST /orders\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
@@ -80,6 +81,12 @@
 }
 
 func (f *fleet) startInstance(id, zone, store string) {
+	f.t.Helper()
+	i := f.newInstance(id, zone, store)
+	f.run(i, i.run)
+}
+
+func (f *fleet) newInstance(id, zone, store string) *instance {
 	s := settings.Default()
 	s.Instance = settings.Instance{ID: id, Zone: zone}
 	s.Listen = settings.Listen{Callers: freeAddress(f.t), Links: freeAddress(f.t), Control: freeAddress(f.t)}
@@ -92,11 +99,15 @@
 	provide(injector, s)
 	i, err := do.Invoke[*instance](injector)
 	require.NoError(f.t, err)
+	return i
+}
+
+func (f *fleet) run(i *instance, run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- i.run(ctx) }()
-	f.callers = append(f.callers, s.Listen.Callers)
-	f.controls = append(f.controls, s.Listen.Control)
+	go func() { ended <- run(ctx) }()
+	f.callers = append(f.callers, i.settings.Listen.Callers)
+	f.controls = append(f.controls, i.settings.Listen.Control)
 	f.stop = append(f.stop, cancel)
 	f.ended = append(f.ended, ended)
 	f.t.Cleanup(cancel)
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -69,6 +69,7 @@
 	r.metrics.latency.WithLabelValues("shop", "normal").Observe(1)
 	r.metrics.claims.WithLabelValues("granted").Inc()
 	r.metrics.platformErrors.WithLabelValues("list instances").Inc()
+	r.AcceptFailures().WithLabelValues("callers").Inc()
 	r.mu.Lock()
 	r.recordDrainedStops(r.clock.now())
 	r.mu.Unlock()
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -19,6 +19,7 @@
 	latency        *prometheus.HistogramVec
 	claims         *prometheus.CounterVec
 	platformErrors *prometheus.CounterVec
+	acceptFailures *prometheus.CounterVec
 }
 
 const metricsNamespace = "primrosenotch"
@@ -43,8 +44,12 @@
 			Namespace: metricsNamespace, Name: "platform_errors_total",
 			Help: "Failed calls to the platform by step.",
 		}, []string{"step"}),
+		acceptFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "accept_failures_total",
+			Help: "Failed accepts of connections by listener, which were retried.",
+		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors,
+	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors, m.acceptFailures,
 		newStateCollector(r),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -181,5 +181,8 @@
 	return r.links.Serve(ctx, listener)
 }
 
+// AcceptFailures returns the counter of failed accepts by listener.
+func (r *Runtime) AcceptFailures() *prometheus.CounterVec { return r.metrics.acceptFailures }
+
 // Metrics returns the registry served by the metrics endpoint.
 func (r *Runtime) Metrics() prometheus.Gatherer { return r.metrics.registry }
