Connections share the file descriptors and leave a reserve

Seen: the same play as the accept failures: an instance ran out of descriptors (limit 20,000 there), after which it could neither accept callers nor dial servers.

Cause: callers may hold 16,384 connections, and idle connections to backend servers were bounded for each address (320) but not together: 110 servers allow 35,200.

Change: the process's limit, which is read and not changed, is divided: half for callers' connections, half for connections to backend servers, 256 kept for links, store, operators and logs. At the total for backend servers the longest idle connection is closed; if none is idle the attempt fails at the connection limit, as not sent.

Evidence: TestIdleConnectionsDoNotExhaustDescriptors without the check of the total: expected []int{0, 0, 1, 1}, actual []int{1, 1, 1, 1} connections with a total of 2; TestConnectionsInUseAreNotClosedAtLimit fails likewise. Both pass now.

--- /dev/null
+++ b/internal/descriptors/descriptors.go
@@ -0,0 +1,36 @@
+// Package descriptors divides the process's file descriptors among its uses.
+package descriptors
+
+import (
+	"math"
+	"syscall"
+)
+
+// Reserve is the number of descriptors kept for everything but callers' connections and
+// connections to backend servers: links, the store, operators, logs.
+const Reserve = 256
+
+// minConnections is the least number of connections that a use gets, whatever the limit.
+const minConnections = 16
+
+// Share holds the numbers of connections that a process may have open. Both are equal
+// because a request in flight needs one of each.
+type Share struct {
+	Callers        int
+	BackendServers int
+}
+
+// Available returns the division of the descriptors that this process may open.
+func Available() Share {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return divide(math.MaxInt32) // not limited as far as is known
+	}
+	return divide(limit.Cur)
+}
+
+func divide(limit uint64) Share {
+	total := int(min(limit, math.MaxInt32))
+	each := max((total-Reserve)/2, minConnections)
+	return Share{Callers: each, BackendServers: each}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -92,6 +93,7 @@
 		IdleTimeout:          poolIdleTimeout,
 		Dialect:              o.Dialect,
 		AcceptCloseDelimited: true,
+		MaxOpen:              min(upstream.DefaultMaxOpen, descriptors.Available().BackendServers),
 	}
 }
 
@@ -162,6 +164,7 @@
 		BufferBytes:          maxBufferedBodyBytes,
 		Dialect:              o.Dialect,
 		NoLookups:            true,
+		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
 	}, e)
 	return e
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
@@ -63,7 +64,7 @@
 		Reducer:       reducerSettings(s),
 		Links:         link.DefaultSettings(),
 		Ledger:        ledgerSettings,
-		Upstream:      upstream.Settings{},
+		Upstream:      upstream.Settings{MaxOpen: min(upstream.DefaultMaxOpen, descriptors.Available().BackendServers)},
 		Table:         client.Table(),
 		Objects:       client.Objects(),
 		Instances:     client.Instances(),
@@ -109,7 +110,10 @@
 func newIngress(i do.Injector) (*ingress.Server, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	r := do.MustInvoke[*runtime.Runtime](i)
-	server := ingress.New(ingress.Settings{MaxExchanges: s.Serving.MaxRequests}, r)
+	server := ingress.New(ingress.Settings{
+		MaxExchanges:   s.Serving.MaxRequests,
+		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
+	}, r)
 	server.SetDirectory(r)
 	return server, nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 type Client struct {
 	settings Settings
 	dialer   net.Dialer
+	open     atomic.Int64 // connections of all pools
 	mu       sync.RWMutex
 	pools    map[netip.AddrPort]*pool
 	stop     context.CancelFunc
@@ -81,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p = c.pools[address]; p == nil {
-		p = &pool{address: address}
+		p = &pool{address: address, total: &c.open}
 		c.pools[address] = p
 	}
 	return p
@@ -123,7 +125,7 @@
 			return cn, "", nil
 		}
 	}
-	if err := p.reserve(c.settings.MaxOpenPerAddress); err != nil {
+	if err := c.reserve(p); err != nil {
 		return nil, StepLimit, err
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", a.Address.String())
@@ -133,3 +135,33 @@
 	}
 	return newConn(raw, p, time.Now(), c.settings.ProgressTimeout), "", nil
 }
+
+// reserve counts a connection that is about to be opened. At the limit of all
+// connections it closes the longest idle one, or fails if there is none.
+func (c *Client) reserve(p *pool) error {
+	if err := p.reserve(c.settings.MaxOpenPerAddress); err != nil {
+		return err
+	}
+	if c.open.Load() <= int64(c.settings.MaxOpen) {
+		return nil
+	}
+	if oldest := c.longestIdlePool(); oldest != nil {
+		oldest.closeLongestIdle()
+		return nil
+	}
+	p.unreserve()
+	return errConnectionLimit
+}
+
+// longestIdlePool returns the pool with the longest idle connection, nil if no connection
+// is idle.
+func (c *Client) longestIdlePool() *pool {
+	var oldest *pool
+	var since time.Time
+	for _, p := range c.allPools() {
+		if idle, ok := p.longestIdle(); ok && (oldest == nil || idle.Before(since)) {
+			oldest, since = p, idle
+		}
+	}
+	return oldest
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/tcpstate"
@@ -14,6 +15,7 @@
 // pool holds the idle connections of one backend server.
 type pool struct {
 	address netip.AddrPort
+	total   *atomic.Int64 // open connections of all pools
 	mu      sync.Mutex
 	idle    []*conn // longest idle first
 	open    int     // idle connections and those in use
@@ -61,21 +63,46 @@
 	if p.open >= limit {
 		p.closeOldestLocked()
 	}
-	p.open++
+	p.addOpenLocked(1)
 	return nil
 }
 
+func (p *pool) addOpenLocked(n int) {
+	p.open += n
+	p.total.Add(int64(n))
+}
+
+// longestIdle returns since when the longest idle connection has been idle, and whether
+// there is one.
+func (p *pool) longestIdle() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
+	}
+	return p.idle[0].idleSince, true
+}
+
+// closeLongestIdle closes the longest idle connection, if there is one.
+func (p *pool) closeLongestIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) > 0 {
+		p.closeOldestLocked()
+	}
+}
+
 func (p *pool) closeOldestLocked() {
 	oldest := p.idle[0]
 	p.idle = append(p.idle[:0], p.idle[1:]...)
-	p.open--
+	p.addOpenLocked(-1)
 	_ = oldest.Conn.Close()
 }
 
 // unreserve undoes reserve after a failed dial.
 func (p *pool) unreserve() {
 	p.mu.Lock()
-	p.open--
+	p.addOpenLocked(-1)
 	p.mu.Unlock()
 }
 
@@ -95,7 +122,7 @@
 // discard closes a connection that is not in the idle list.
 func (p *pool) discard(c *conn) {
 	p.mu.Lock()
-	p.open--
+	p.addOpenLocked(-1)
 	p.mu.Unlock()
 	_ = c.Conn.Close()
 }
@@ -107,7 +134,7 @@
 	p.invalidatedAt = now
 	closing := p.idle
 	p.idle = nil
-	p.open -= len(closing)
+	p.addOpenLocked(-len(closing))
 	p.mu.Unlock()
 	for _, c := range closing {
 		_ = c.Conn.Close()
@@ -124,7 +151,7 @@
 	}
 	closing := append([]*conn(nil), p.idle[:n]...)
 	p.idle = append(p.idle[:0], p.idle[n:]...)
-	p.open -= n
+	p.addOpenLocked(-n)
 	p.mu.Unlock()
 	for _, c := range closing {
 		_ = c.Conn.Close()
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -313,6 +313,45 @@
 	require.Equal(t, Connections{}, c.Count(s.addr))
 }
 
+// TestIdleConnectionsDoNotExhaustDescriptors guards against idle connections to many
+// servers that together use up the process's file descriptors.
+func TestIdleConnectionsDoNotExhaustDescriptors(t *testing.T) {
+	const maxOpen = 2
+	c := newClient(t, Settings{MaxOpen: maxOpen})
+	var servers []*scriptedServer
+	for range 4 {
+		s := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		servers = append(servers, s)
+		response, sendErr := c.Send(testContext(t), newGet(s))
+		require.Equal(t, "ok", readBody(t, response, sendErr))
+	}
+	var open []int
+	for _, s := range servers {
+		open = append(open, c.Count(s.addr).Open)
+	}
+	require.Equal(t, []int{0, 0, 1, 1}, open, "the longest idle connections are closed")
+	require.EqualValues(t, maxOpen, c.open.Load())
+}
+
+func TestConnectionsInUseAreNotClosedAtLimit(t *testing.T) {
+	busy := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		_, _ = s.readHead(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab")
+		_, _ = br.ReadByte()
+	})
+	other := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	c := newClient(t, Settings{MaxOpen: 1})
+	response, sendErr := c.Send(testContext(t), newGet(busy))
+	require.Nil(t, sendErr)
+	_, sendErr = c.Send(testContext(t), newGet(other))
+	require.NotNil(t, sendErr)
+	require.Equal(t, event.AttemptNotSent, sendErr.Result)
+	require.Equal(t, StepLimit, sendErr.Step)
+	require.NoError(t, response.Body.Close())
+	response, sendErr = c.Send(testContext(t), newGet(other))
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
+
 func TestStatus(t *testing.T) {
 	body := `{"healthy":true,"draining":true,"cold":false,"in_use":2,"slots":3}`
 	s := startServer(t, respondAlways(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -24,6 +24,8 @@
 	// MaxOpenPerAddress bounds all connections to a backend server, which itself
 	// accepts only a limited number.
 	MaxOpenPerAddress int
+	// MaxOpen bounds all connections to all backend servers.
+	MaxOpen int
 	// StatusTimeout bounds a status request.
 	StatusTimeout time.Duration
 	// Dialect names the header fields that backend servers understand; nil means
@@ -43,6 +45,7 @@
 	DefaultIdleTimeout       = 30 * time.Second
 	DefaultMaxIdlePerAddress = 320
 	DefaultMaxOpenPerAddress = 320
+	DefaultMaxOpen           = 16384
 	DefaultStatusTimeout     = 500 * time.Millisecond
 	// DefaultMaxUndeclaredBodyBytes is far above any answer, and low enough to end one
 	// that does not end by itself.
@@ -55,6 +58,7 @@
 	s.IdleTimeout = orDefault(s.IdleTimeout, DefaultIdleTimeout)
 	s.MaxIdlePerAddress = orDefault(s.MaxIdlePerAddress, DefaultMaxIdlePerAddress)
 	s.MaxOpenPerAddress = orDefault(s.MaxOpenPerAddress, DefaultMaxOpenPerAddress)
+	s.MaxOpen = orDefault(s.MaxOpen, DefaultMaxOpen)
 	s.StatusTimeout = orDefault(s.StatusTimeout, DefaultStatusTimeout)
 	s.MaxUndeclaredBodyBytes = orDefault(s.MaxUndeclaredBodyBytes, DefaultMaxUndeclaredBodyBytes)
 	if s.Dialect == nil {
