upstream: a lack of own descriptors is not the server's failure

Cause: every dial error was the step "dial". Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL (no local port) are the step "connection limit", which primrosenotch-entry does not count against servers and which primrosenotch-edge's health checks do not take for a refused connection. The listener's retries use the same list.

Evidence: TestLackOfDescriptorsIsNotTheServersFailure, with a dialer that fails with EMFILE, before: expected "connection limit", actual "dial".

Remains: primrosenotch-edge ejects the server of an attempt that failed at the connection limit (internal/dispatch, not changed here).

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -2,6 +2,7 @@
 package descriptors
 
 import (
+	"errors"
 	"math"
 	"syscall"
 )
@@ -34,3 +35,18 @@
 	each := max((total-Reserve)/2, minConnections)
 	return Share{Callers: each, BackendServers: each}
 }
+
+// IsShortage reports whether an error of a socket call shows that this process or machine
+// lacks a resource. It says nothing about the peer.
+func IsShortage(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	switch errno {
+	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -10,6 +10,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 )
 
 const (
@@ -100,13 +102,15 @@
 // isTemporary reports whether a later accept may succeed. Linux also reports the errors
 // of a new connection from accept.
 func isTemporary(err error) bool {
+	if descriptors.IsShortage(err) {
+		return true
+	}
 	var errno syscall.Errno
 	if !errors.As(err, &errno) {
 		return false
 	}
 	switch errno {
-	case syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
-		syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EPERM, syscall.EPROTO,
+	case syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR, syscall.EPERM, syscall.EPROTO,
 		syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH,
 		syscall.ETIMEDOUT, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.ENONET:
 		return true
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 )
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -131,6 +133,9 @@
 	raw, err := c.dialer.DialContext(ctx, "tcp", a.Address.String())
 	if err != nil {
 		p.unreserve()
+		if descriptors.IsShortage(err) {
+			return nil, StepLimit, err
+		}
 		return nil, StepDial, err
 	}
 	return newConn(raw, p, time.Now(), c.settings.ProgressTimeout), "", nil
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -313,6 +315,21 @@
 	require.Equal(t, Connections{}, c.Count(s.addr))
 }
 
+// TestLackOfDescriptorsIsNotTheServersFailure guards against taking this process's own
+// shortage for a server that accepts no connection.
+func TestLackOfDescriptorsIsNotTheServersFailure(t *testing.T) {
+	s := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	c := newClient(t, Settings{})
+	c.dialer.Control = func(string, string, syscall.RawConn) error {
+		return os.NewSyscallError("socket", syscall.EMFILE)
+	}
+	_, sendErr := c.Send(testContext(t), newGet(s))
+	require.NotNil(t, sendErr)
+	require.Equal(t, event.AttemptNotSent, sendErr.Result)
+	require.Equal(t, StepLimit, sendErr.Step)
+	require.Equal(t, Connections{}, c.Count(s.addr))
+}
+
 // TestIdleConnectionsDoNotExhaustDescriptors guards against idle connections to many
 // servers that together use up the process's file descriptors.
 func TestIdleConnectionsDoNotExhaustDescriptors(t *testing.T) {
