upstream: silence before the deadline does not end an attempt

Seen by reading, then by test: an answer whose head had arrived was ended after 5 s without a byte, and an upload after 5 s in which the server took none, although the request had time left and its server was at work. The caller got a broken answer or one of the instance's own. Routes of the users' platform may run longer than that.

Both programs used the default progress timeout of 5 s, whatever the deadline.

Change: until the deadline that the attempt tells its server, a read or write has that deadline; the progress timeout counts from there on, where primrosenotch-entry lets an answer run late. In primrosenotch-edge the attempt's context ends it at the deadline as before.

Evidence: before, TestSilenceBeforeDeadlineDoesNotEndAnswer and TestSlowReaderOfUploadIsNotGivenUp failed with "no progress on the connection to the backend server within the timeout"; both pass now.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,7 @@
 	maxIdle         time.Duration // how long the server keeps the idle connection open, less a margin
 	requests        int           // requests carried so far
 	progressTimeout time.Duration
+	deadline        time.Time // of the current request, zero if it has none
 	// firstByteTimeout replaces progressTimeout until the first byte of a response.
 	firstByteTimeout time.Duration
 	written          atomic.Int64 // bytes of the current request
@@ -55,9 +56,13 @@
 }
 
 // begin prepares the connection for its next request.
-func (c *conn) begin(responseTimeout time.Duration) {
+func (c *conn) begin(a *Attempt) {
 	c.requests++
-	c.firstByteTimeout = responseTimeout
+	c.deadline = time.Time{}
+	if a.DeadlineLeft > 0 {
+		c.deadline = time.Now().Add(a.DeadlineLeft)
+	}
+	c.firstByteTimeout = a.ResponseTimeout
 	if c.firstByteTimeout <= 0 {
 		c.firstByteTimeout = c.progressTimeout
 	}
@@ -78,7 +83,7 @@
 
 // Write implements net.Conn with the progress timeout.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.progressTimeout)); err != nil {
+	if err := c.SetWriteDeadline(c.progressDeadline()); err != nil {
 		return 0, err
 	}
 	// responded is checked after the deadline is set, because this may have replaced the
@@ -111,7 +116,7 @@
 // setReadTimeout then cleared.
 func (c *conn) setReadTimeout() error {
 	if !c.uploading.Load() {
-		return c.SetReadDeadline(time.Now().Add(c.readTimeout()))
+		return c.SetReadDeadline(c.readDeadline())
 	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return err
@@ -119,14 +124,24 @@
 	if c.uploading.Load() {
 		return nil
 	}
-	return c.SetReadDeadline(time.Now().Add(c.readTimeout()))
+	return c.SetReadDeadline(c.readDeadline())
 }
 
-func (c *conn) readTimeout() time.Duration {
+func (c *conn) readDeadline() time.Time {
 	if c.received.Load() == 0 {
-		return c.firstByteTimeout
+		return time.Now().Add(c.firstByteTimeout)
+	}
+	return c.progressDeadline()
+}
+
+// progressDeadline returns when the next byte is due. Before the deadline of the request a
+// server that is silent may still be at work.
+func (c *conn) progressDeadline() time.Time {
+	due := time.Now().Add(c.progressTimeout)
+	if c.deadline.After(due) {
+		return c.deadline
 	}
-	return c.progressTimeout
+	return due
 }
 
 // abortUpload makes writing the request fail, since the response has arrived.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -27,7 +27,7 @@
 		return nil, newSendError(ctx, a, nil, step, err)
 	}
 	reused := cn.requests > 0
-	cn.begin(a.ResponseTimeout)
+	cn.begin(a)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -209,6 +210,48 @@
 	require.Equal(t, Connections{}, c.Count(s.addr))
 }
 
+// TestSilenceBeforeDeadlineDoesNotEndAnswer guards against giving up an answer whose server
+// pauses for longer than the progress timeout but is at work.
+func TestSilenceBeforeDeadlineDoesNotEndAnswer(t *testing.T) {
+	const progressTimeout = 100 * time.Millisecond
+	s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+		time.Sleep(5 * progressTimeout)
+		_, _ = io.WriteString(c, "def")
+	})
+	a := newGet(s)
+	a.DeadlineLeft = 50 * progressTimeout
+	response, sendErr := newClient(t, Settings{ProgressTimeout: progressTimeout}).Send(testContext(t), a)
+	require.Equal(t, "abcdef", readBody(t, response, sendErr))
+}
+
+// TestSlowReaderOfUploadIsNotGivenUp guards against giving up a request whose server takes
+// no byte of the body for longer than the progress timeout but is at work.
+func TestSlowReaderOfUploadIsNotGivenUp(t *testing.T) {
+	const (
+		progressTimeout = 100 * time.Millisecond
+		bodyBytes       = 32 << 20 // more than the buffers of both sockets hold
+	)
+	s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		time.Sleep(5 * progressTimeout)
+		_, _ = io.CopyN(io.Discard, br, bodyBytes)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	a := newGet(s)
+	a.Method = "POST"
+	a.DeadlineLeft = 10 * time.Second
+	a.ResponseTimeout = a.DeadlineLeft
+	a.BodyStream, a.BodyBytes = bytes.NewReader(make([]byte, bodyBytes)), bodyBytes
+	response, sendErr := newClient(t, Settings{ProgressTimeout: progressTimeout}).Send(testContext(t), a)
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
+
 // A response that arrives after the timeout must not be taken for the response to a later
 // request.
 func TestLateResponseReachesNoOtherRequest(t *testing.T) {
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -15,7 +15,7 @@
 	// DialTimeout bounds opening a connection.
 	DialTimeout time.Duration
 	// ProgressTimeout bounds the time without a byte sent or received on a connection
-	// while one is due.
+	// while one is due, from the deadline of the attempt on.
 	ProgressTimeout time.Duration
 	// IdleTimeout bounds how long an idle connection stays in the pool.
 	IdleTimeout time.Duration
