A slow run on a new connection is not given up

Seen by test: through primrosenotch-entry a read whose server needs 1.8 s of its 2 s got 502 owner-lost. Its attempt was cancelled after 1 s, half of the time left, and the replacement could not end in time.

An attempt without an answer was taken for one on a silent connection and cancelled in favour of a new connection, also where it already ran on a new one. Only a connection that has carried requests before may have become silent while new ones work (TestSilentConnections).

Change: the wait for a slow attempt starts only on a reused connection; upstream tells which one it is before it sends.

Evidence: TestSlowRunOnNewConnectionIsNotGivenUp before: expected 200, actual 502, owner-lost.

Remains: on a reused connection a run longer than half of its time left, on a route whose run times are not known, is still replaced: there, silence and work look alike.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -51,7 +51,10 @@
 		"[route browse]\nservice = shop\nmatch = GET /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
 		"[limits]\nshift cap = 100% of capacity per 1s\n"
 	for _, zone := range []string{"north-a", "north-b"} {
-		server := backend.New(backend.Config{Name: "shop-" + zone, Slots: 4, AnswerBytes: 100})
+		server := backend.New(backend.Config{
+			Name: "shop-" + zone, Slots: 4, AnswerBytes: 100,
+			PathTimes: []backend.PathTime{{Prefix: slowPath, Time: backend.ServiceTime{Mean: slowRunTime}}},
+		})
 		require.NoError(t, server.Start("127.0.0.1:0"))
 		t.Cleanup(func() { _ = server.Close() })
 		f.servers[server.Name()] = server
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -169,7 +169,7 @@
 }
 
 // AttemptSlow reports that an attempt's answer has not begun within
-// Dispatch.SlowAfter. The attempt continues unless it is cancelled.
+// Dispatch.SlowAfter on a reused connection. The attempt continues unless it is cancelled.
 type AttemptSlow struct {
 	At       model.Instant
 	Request  model.RequestID
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -173,7 +173,7 @@
 	o.setCancel(cancel)
 	a := o.upstreamAttempt(cmd)
 	a.Address = backend.Address
-	stop := o.startSlowTimer(cmd)
+	stop := o.startSlowTimer(cmd, a)
 	started := r.clock.now()
 	answer, err := r.upstream.Send(ctx, a)
 	stop()
@@ -198,20 +198,32 @@
 }
 
 // startSlowTimer posts AttemptSlow if the attempt has no answer after
-// cmd.slowAfter. The returned function stops the timer.
-func (o *offer) startSlowTimer(cmd offerCommand) func() {
-	if cmd.slowAfter <= 0 {
-		return func() {}
+// cmd.slowAfter on a reused connection. Only such a connection may have become silent
+// while new ones work; on a new one the server is at work. The returned function stops
+// the timer.
+func (o *offer) startSlowTimer(cmd offerCommand, a *upstream.Attempt) func() {
+	var timer *time.Timer
+	if cmd.slowAfter > 0 {
+		a.Connected = func(reused bool) {
+			if reused {
+				timer = time.AfterFunc(cmd.slowAfter, func() { o.attemptSlow(cmd.backend) })
+			}
+		}
 	}
-	timer := time.AfterFunc(cmd.slowAfter, func() {
-		o.runtime.post(&event.AttemptSlow{
-			At:       o.runtime.clock.now(),
-			Request:  o.id,
-			Backend:  cmd.backend,
-			BodyUsed: o.bodyUsed(),
-		})
+	return func() {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
+func (o *offer) attemptSlow(backend model.BackendName) {
+	o.runtime.post(&event.AttemptSlow{
+		At:       o.runtime.clock.now(),
+		Request:  o.id,
+		Backend:  backend,
+		BodyUsed: o.bodyUsed(),
 	})
-	return func() { timer.Stop() }
 }
 
 func (o *offer) bodyUsed() bool { return o.body != nil && o.body.used() }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -36,6 +36,9 @@
 	ResponseTimeout time.Duration
 	// FreshConnection requires a new connection instead of a pooled one.
 	FreshConnection bool
+	// Connected, if set, is called before the request is sent, with whether the
+	// connection has carried an earlier request.
+	Connected func(reused bool)
 	// MaxIdle bounds how long a pooled connection may have been idle; 0 means the
 	// client's idle timeout.
 	MaxIdle time.Duration
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -28,6 +28,9 @@
 	}
 	reused := cn.requests > 0
 	cn.begin(a)
+	if a.Connected != nil {
+		a.Connected(reused)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
