A stopping instance does not cancel slow attempts

Change: AttemptSlow has no effect once shutdown was requested.

Evidence: TestSlowReadIsNotCancelledDuringShutdown before: the effects contain CancelAttempt of the request.

--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -78,7 +78,7 @@
 // connection, within the retry budget: the old connection may be unresponsive.
 func (r *Reducer) attemptSlow(ev *event.AttemptSlow) {
 	o := r.offers[ev.Request]
-	if o == nil || !o.running || o.replaced || o.withdrawn {
+	if o == nil || !o.running || o.replaced || o.withdrawn || r.leavingAt != 0 {
 		return
 	}
 	if !o.meta.Kind.Repeatable() || o.attempts >= maxAttempts {
--- a/internal/reducer/slow_attempt_test.go
+++ b/internal/reducer/slow_attempt_test.go
@@ -68,6 +68,16 @@
 	require.Empty(t, s.step(&event.AttemptSlow{At: s.now, Request: 1, Backend: d.Backend}))
 }
 
+// A stopping instance must not break off work that may still be answered.
+func TestSlowReadIsNotCancelledDuringShutdown(t *testing.T) {
+	s := newSession(t, sessionText)
+	d := dispatchOf(t, s.offer(1, "browse"))
+	s.step(&event.ShutdownRequested{At: s.now})
+	s.now = s.now.Add(d.SlowAfter)
+	require.NotContains(t, s.step(&event.AttemptSlow{At: s.now, Request: 1, Backend: d.Backend}),
+		event.Effect(&event.CancelAttempt{Request: 1}))
+}
+
 // An instance that reaches its own connection limit must not eject servers, while
 // failed connections do eject them.
 func TestOwnConnectionLimitEjectsNoServer(t *testing.T) {
