A stopping edge instance accepts only what it can finish

Seen by reading, then by test: requests are accepted for 0.45 of the grace time and broken off at 0.93 of it. With a grace of 10 s a request accepted 3 to 4.5 s after SIGTERM that still runs at 9.3 s is broken off while its server is at work (LOST); the users' rule excuses that only for requests sent up to 3 s after SIGTERM.

Change: from 3 s after the start of a stop on, a request is accepted only if the shorter of its route's and its caller's timeout ends before the abort; any other is refused at once as not run, with Retry-After, so that its caller finds another instance. With a grace time of 6.6 s or less nothing changes, since requests are refused before 3 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,8 +57,9 @@
 	loaded        map[string]bool                      // tables received from the store or from a peer
 	applyMu       sync.Mutex                           // serializes batches from the store and from peers
 
-	stopping         atomic.Bool  // no longer returned by lookups
-	refusing         atomic.Bool  // refuses new requests
+	stopping         atomic.Bool // no longer returned by lookups
+	refusing         atomic.Bool // refuses new requests
+	stopWindow       atomic.Pointer[stopWindow]
 	loadedTables     atomic.Int32 // tables in loaded, without the instances table
 	fetching         atomic.Bool
 	registerRequests chan struct{} // requests to write this instance's entry again
@@ -166,7 +167,7 @@
 		NoLookups:            true,
 		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
-	}, e)
+	}, callerHandler{e})
 	return e
 }
 
@@ -251,8 +252,8 @@
 }
 
 const (
-	// drainShare is the fraction of Bounds.StopTimeout in which requests are still served
-	// while callers find another instance.
+	// drainShare is the fraction of Bounds.StopTimeout in which requests that can still
+	// end in time are accepted while callers find another instance.
 	drainShare = 0.45
 	// abortShare is the fraction of Bounds.StopTimeout after which requests in flight are
 	// aborted.
@@ -268,6 +269,10 @@
 	}
 	e.log.WithField("in_flight", e.callerServer.InFlight()).Info("stopping")
 	e.stopping.Store(true)
+	e.stopWindow.Store(&stopWindow{
+		acceptAll: earlier(started.Add(maxAcceptAll), deadline(drainShare)),
+		abort:     deadline(abortShare),
+	})
 	e.callerServer.StartDraining()
 	e.setState(membership.Leaving)
 	unregisterCtx, cancel := context.WithDeadline(context.Background(), deadline(drainShare))
@@ -291,6 +296,13 @@
 	e.log.Info("stopped")
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // post applies an event to the dispatcher and carries out the resulting effects, except a
 // Send or Refuse for the request, which it returns.
 func (e *Edge) post(ev dispatch.Event) dispatch.Effect {
--- /dev/null
+++ b/internal/edge/stopping_test.go
@@ -0,0 +1,28 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestStoppingInstanceAcceptsOnlyWhatItCanFinish guards against breaking off requests that
+// were accepted late in a stop, with the times of a stop of 10 s.
+func TestStoppingInstanceAcceptsOnlyWhatItCanFinish(t *testing.T) {
+	started := time.Now()
+	w := stopWindow{acceptAll: started.Add(3 * time.Second), abort: started.Add(9300 * time.Millisecond)}
+	for _, c := range []struct {
+		after, timeout time.Duration
+		accepted       bool
+	}{
+		{0, 30 * time.Second, true},
+		{2900 * time.Millisecond, 8 * time.Second, true},
+		{3 * time.Second, 6 * time.Second, true},
+		{3100 * time.Millisecond, 8 * time.Second, false},
+		{4400 * time.Millisecond, 4700 * time.Millisecond, true},
+		{4400 * time.Millisecond, 4900 * time.Millisecond, false},
+	} {
+		require.Equal(t, c.accepted, w.accepts(started.Add(c.after), c.timeout), "%+v", c)
+	}
+}
