A stopping entry instance comes to an end under load

Seen by test: primrosenotch-entry after SIGTERM waits until nothing is in flight, but goes on taking requests. With 12 callers that keep coming back it did not end within 15 s; at the end of the drain time (30 s) it leaves with requests in flight.

Change: once every lookup answer that names the instance has expired, new requests are refused as not run (cause stopping, with Retry-After), so that those in flight come to an end.

--- a/internal/reducer/call.go
+++ b/internal/reducer/call.go
@@ -46,6 +46,8 @@
 // asked, or CauseNone.
 func (r *Reducer) arrivalRefusal(now model.Instant, m *model.RequestMeta) model.Cause {
 	switch {
+	case r.lookupsExpired(now):
+		return model.CauseStopping
 	case r.text == nil:
 		return model.CauseNoConfiguration
 	case m.Kind == model.Once && m.IdempotencyKey == "":
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -348,13 +348,19 @@
 	r.publish()
 }
 
+// lookupsExpired reports whether every lookup answer that names this stopping instance has
+// expired. From then on it refuses requests, so that those in flight come to an end.
+func (r *Reducer) lookupsExpired(now model.Instant) bool {
+	return r.leavingAt != 0 && now.Sub(r.leavingAt) >= r.settings.LookupTTL
+}
+
 // stepShutdown exits once nothing is in flight and every lookup answer that names
 // this instance has expired.
 func (r *Reducer) stepShutdown(now model.Instant) {
 	if r.leavingAt == 0 || r.exiting {
 		return
 	}
-	if now.Sub(r.leavingAt) < r.settings.LookupTTL {
+	if !r.lookupsExpired(now) {
 		return
 	}
 	if len(r.calls) > 0 || len(r.offers) > 0 {
