--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -35,7 +35,8 @@
 	servers   map[string]*backend.Server
 	stop      []context.CancelFunc
 	ended     []chan error
-	store     string
+	store     string // address of platform
+	platform  *tablestore.Server
 	transport *http.Transport
 }
 
@@ -44,7 +45,7 @@
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = store.Close() })
-	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), transport: &http.Transport{}}
+	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), platform: store, transport: &http.Transport{}}
 	text := "[service shop]\n" +
 		"[route order]\nservice = shop\nmatch = POST /orders\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -1,16 +1,25 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/settings"
 )
 
 // stopOutcome is how a request that was sent during a stop ended.
@@ -129,3 +138,124 @@
 		require.NoError(t, <-f.ended[i])
 	}
 }
+
+// TestPlannedStopWithHalfReadRequests stops an instance while requests are in every stage of
+// being read: each is answered, or ends without having run.
+func TestPlannedStopWithHalfReadRequests(t *testing.T) {
+	const (
+		head = "POST /orders HTTP/1.1\r\nHost: shop\r\nX-Request-Id: %s\r\nIdempotency-Key: %s\r\n"
+		rest = "Content-Length: 10\r\n\r\n"
+	)
+	f := startFleet(t)
+	var finishing sync.WaitGroup
+	var mu sync.Mutex
+	var outcomes []stopOutcome
+	for name, halves := range map[string][2]string{
+		"nothing": {"", head + rest + "0123456789"},
+		"header":  {head, rest + "0123456789"},
+		"body":    {head + rest + "01234", "56789"},
+	} {
+		for _, after := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond} {
+			id := fmt.Sprint(name, "-", after)
+			fill := func(text string) string { return strings.ReplaceAll(text, "%s", id) }
+			c, err := net.Dial("tcp", f.callers[0])
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, fill(halves[0]))
+			require.NoError(t, err)
+			finishing.Go(func() {
+				o := finishRequest(c, fill(halves[1]), 100*time.Millisecond+after)
+				o.id = id
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, o)
+			})
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.stop[0]()
+	finishing.Wait()
+	require.NoError(t, <-f.ended[0])
+	for _, o := range outcomes {
+		if strings.HasSuffix(o.id, "-0s") || strings.HasSuffix(o.id, "-100ms") {
+			require.Equal(t, http.StatusOK, o.status, "%+v", o)
+		}
+		if o.status != http.StatusOK {
+			require.Zero(t, f.runsOf(o.id), "%+v", o)
+		}
+	}
+}
+
+// finishRequest sends the rest of a request after a delay and reads the answer.
+func finishRequest(c net.Conn, rest string, after time.Duration) stopOutcome {
+	time.Sleep(after)
+	if _, err := io.WriteString(c, rest); err != nil {
+		return stopOutcome{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return stopOutcome{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return stopOutcome{err: err}
+	}
+	return stopOutcome{status: resp.StatusCode, outcome: resp.Header.Get("X-Outcome"), cause: resp.Header.Get("X-Cause")}
+}
+
+// settingsVariable names the settings file of an instance that the test's own binary runs.
+const settingsVariable = "PRIMROSENOTCH_TEST_SETTINGS"
+
+// TestMain runs an instance instead of the tests if settingsVariable is set.
+func TestMain(m *testing.M) {
+	name := os.Getenv(settingsVariable)
+	if name == "" {
+		os.Exit(m.Run())
+	}
+	s, err := settings.Load(name)
+	if err == nil {
+		err = Run(s)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// TestSecondSIGTERMWhilePlatformIsDown signals a process several times while a read runs and
+// the platform is down: the read is answered and the process ends by itself.
+func TestSecondSIGTERMWhilePlatformIsDown(t *testing.T) {
+	f := startFleet(t)
+	i := len(f.callers)
+	callers, links, controls := freeAddress(t), freeAddress(t), freeAddress(t)
+	name := filepath.Join(t.TempDir(), "entry.ini")
+	text := fmt.Sprintf("[instance]\nid = entry-3\nzone = north-a\n[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n"+
+		"[advertise]\ncallers = %s\nlinks = %s\ncontrol = %s\n[platform]\naddress = %s\npoll every = 100ms\n[serving]\nlookup ttl = 200ms\n[log]\nlevel = error\n",
+		callers, links, controls, callers, links, controls, f.store)
+	require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	process := exec.Command(os.Args[0])
+	process.Env = append(os.Environ(), settingsVariable+"="+name)
+	process.Stdout, process.Stderr = os.Stderr, os.Stderr
+	require.NoError(t, process.Start())
+	t.Cleanup(func() { _ = process.Process.Kill() })
+	client := control.NewClient(time.Second)
+	defer client.Close()
+	require.Eventually(t, func() bool {
+		status, err := client.Status(t.Context(), controls)
+		return err == nil && status.State == "ready"
+	}, waitTimeout, 50*time.Millisecond)
+	f.callers = append(f.callers, callers)
+	got := make(chan answer, 1)
+	go func() { got <- f.send(i, http.MethodGet, "/shop/slow", nil, "X-Request-Id", "twice") }()
+	require.Eventually(t, func() bool { return f.runsOf("twice") == 1 }, waitTimeout, 20*time.Millisecond)
+	require.NoError(t, f.platform.Close())
+	for _, sig := range []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT} {
+		require.NoError(t, process.Process.Signal(sig))
+		time.Sleep(100 * time.Millisecond)
+	}
+	a := <-got
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusOK, a.status, a.header.Get("X-Cause"))
+	require.NoError(t, process.Wait())
+	require.Equal(t, 1, f.runsOf("twice"))
+}
