upstream: a late copy of a 204 is skipped

Seen by test: the second copy of an answer without a body (204) on a connection that is in use again made the next request fail with "response belongs to another request": its caller got a 502, or a once-only request an unknown end, though its own answer followed.

Cause: an answer without a declared length was taken for one that ends only with its connection, also where the status has no body.

Change: only an answer with a body can end with its connection.

Evidence: TestLateCopiesOfAnswers has a server send an answer again in 22 moments (whole, split over two segments, half buffered when the connection is put back, between the check of the connection and the request, behind and before a 103, pipelined behind the right answer) and 5 forms: before, 9 moments of the form "no content" failed; no other did. All pass now, three plays.

--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -61,10 +61,12 @@
 
 // skipResponse reads the rest of a response and the header of the next one.
 func skipResponse(cn *conn, resp *fasthttp.Response) error {
-	if resp.Header.ContentLength() == closeDelimitedLength || resp.ConnectionClose() {
+	stream := resp.BodyStream() // nil for a status without a body
+	closeDelimited := stream != nil && resp.Header.ContentLength() == closeDelimitedLength
+	if closeDelimited || resp.ConnectionClose() {
 		return errMismatchedResponses
 	}
-	if stream := resp.BodyStream(); stream != nil {
+	if stream != nil {
 		skipped, err := io.Copy(io.Discard, io.LimitReader(stream, maxSkippedBytes+1))
 		if err != nil {
 			return err
