--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,11 +13,13 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
+	"github.com/primrosenotch/primrosenotch/internal/listener"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/upstream"
@@ -55,8 +57,9 @@
 	loaded        map[string]bool                      // tables received from the store or from a peer
 	applyMu       sync.Mutex                           // serializes batches from the store and from peers
 
-	stopping         atomic.Bool  // no longer returned by lookups
-	refusing         atomic.Bool  // refuses new requests
+	stopping         atomic.Bool // no longer returned by lookups
+	refusing         atomic.Bool // refuses new requests
+	stopWindow       atomic.Pointer[stopWindow]
 	loadedTables     atomic.Int32 // tables in loaded, without the instances table
 	fetching         atomic.Bool
 	registerRequests chan struct{} // requests to write this instance's entry again
@@ -92,6 +95,7 @@
 		IdleTimeout:          poolIdleTimeout,
 		Dialect:              o.Dialect,
 		AcceptCloseDelimited: true,
+		MaxOpen:              min(upstream.DefaultMaxOpen, descriptors.Available().BackendServers),
 	}
 }
 
@@ -165,6 +169,7 @@
 		BufferBytes:          maxBufferedBodyBytes,
 		Dialect:              o.Dialect,
 		NoLookups:            true,
+		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
 		OnReject:             e.rejected,
 	}, e)
@@ -204,9 +209,10 @@
 // Bounds.StopTimeout. It returns the error of serving callers, if any.
 func (e *Edge) Run(ctx context.Context, l Listeners) error {
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- e.callerServer.Serve(l.Callers) }()
+	callers, links := e.Accepting("callers", l.Callers), e.Accepting("links", l.Links)
+	go func() { serveErr <- e.callerServer.Serve(callers) }()
 	e.tasks.Go(func() {
-		if err := e.links.Serve(e.ctx, l.Links); err != nil {
+		if err := e.links.Serve(e.ctx, links); err != nil {
 			e.log.WithError(err).Error("link server failed")
 		}
 	})
@@ -226,6 +232,11 @@
 	return err
 }
 
+// Accepting returns l with retries of temporary failures to accept a connection.
+func (e *Edge) Accepting(name string, l net.Listener) net.Listener {
+	return listener.Retry(l, name, e.log, e.metrics.accepts)
+}
+
 // runPeriodically calls do once per period until the instance has left.
 func (e *Edge) runPeriodically(period time.Duration, do func(now model.Instant)) {
 	ticker := time.NewTicker(period)
@@ -246,8 +257,8 @@
 }
 
 const (
-	// drainShare is the fraction of Bounds.StopTimeout in which requests are still served
-	// while callers find another instance.
+	// drainShare is the fraction of Bounds.StopTimeout in which requests that can still
+	// end in time are accepted while callers find another instance.
 	drainShare = 0.45
 	// abortShare is the fraction of Bounds.StopTimeout after which requests in flight are
 	// aborted.
@@ -263,6 +274,10 @@
 	}
 	e.log.WithField("in_flight", e.callerServer.InFlight()).Info("stopping")
 	e.stopping.Store(true)
+	e.stopWindow.Store(&stopWindow{
+		acceptAll: earlier(started.Add(maxAcceptAll), deadline(drainShare)),
+		abort:     deadline(abortShare),
+	})
 	e.callerServer.StartDraining()
 	e.setState(membership.Leaving)
 	unregisterCtx, cancel := context.WithDeadline(context.Background(), deadline(drainShare))
@@ -286,6 +301,13 @@
 	e.log.Info("stopped")
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // post applies an event to the dispatcher and carries out the resulting effects, except a
 // Send or Refuse for the request, which it returns.
 func (e *Edge) post(ev dispatch.Event) dispatch.Effect {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -18,7 +18,7 @@
 
 // Serve implements ingress.Handler.
 func (e *Edge) Serve(ctx context.Context, x *ingress.Exchange) {
-	if e.refusing.Load() {
+	if !e.accepts(x) {
 		e.refuse(x, &dispatch.Refuse{Outcome: model.NotRun, Cause: model.CauseStopping, RetryAfter: stoppingRetryAfter})
 		return
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -35,6 +35,8 @@
 	servers   map[string]*backend.Server
 	stop      []context.CancelFunc
 	ended     []chan error
+	store     string // address of platform
+	platform  *tablestore.Server
 	transport *http.Transport
 }
 
@@ -43,14 +45,17 @@
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = store.Close() })
-	f := &fleet{t: t, servers: make(map[string]*backend.Server), transport: &http.Transport{}}
+	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), platform: store, transport: &http.Transport{}}
 	text := "[service shop]\n" +
 		"[route order]\nservice = shop\nmatch = POST /orders\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
 		"[route browse]\nservice = shop\nmatch = GET /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
 		"[limits]\nshift cap = 100% of capacity per 1s\n"
 	for _, zone := range []string{"north-a", "north-b"} {
-		server := backend.New(backend.Config{Name: "shop-" + zone, Slots: 4, AnswerBytes: 100})
+		server := backend.New(backend.Config{
+			Name: "shop-" + zone, Slots: 4, AnswerBytes: 100,
+			PathTimes: []backend.PathTime{{Prefix: slowPath, Time: backend.ServiceTime{Mean: slowRunTime}}},
+		})
 		require.NoError(t, server.Start("127.0.0.1:0"))
 		t.Cleanup(func() { _ = server.Close() })
 		f.servers[server.Name()] = server
@@ -80,6 +85,12 @@
 }
 
 func (f *fleet) startInstance(id, zone, store string) {
+	f.t.Helper()
+	i := f.newInstance(id, zone, store)
+	f.run(i, i.run)
+}
+
+func (f *fleet) newInstance(id, zone, store string) *instance {
 	s := settings.Default()
 	s.Instance = settings.Instance{ID: id, Zone: zone}
 	s.Listen = settings.Listen{Callers: freeAddress(f.t), Links: freeAddress(f.t), Control: freeAddress(f.t)}
@@ -92,11 +103,15 @@
 	provide(injector, s)
 	i, err := do.Invoke[*instance](injector)
 	require.NoError(f.t, err)
+	return i
+}
+
+func (f *fleet) run(i *instance, run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- i.run(ctx) }()
-	f.callers = append(f.callers, s.Listen.Callers)
-	f.controls = append(f.controls, s.Listen.Control)
+	go func() { ended <- run(ctx) }()
+	f.callers = append(f.callers, i.settings.Listen.Callers)
+	f.controls = append(f.controls, i.settings.Listen.Control)
 	f.stop = append(f.stop, cancel)
 	f.ended = append(f.ended, ended)
 	f.t.Cleanup(cancel)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -30,7 +30,10 @@
 		return nil, newSendError(ctx, a, nil, step, err)
 	}
 	reused := cn.requests > 0
-	cn.begin(a.ResponseTimeout)
+	cn.begin(a)
+	if a.Connected != nil {
+		a.Connected(reused)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -207,6 +210,48 @@
 	require.Equal(t, Connections{}, c.Count(s.addr))
 }
 
+// TestSilenceBeforeDeadlineDoesNotEndAnswer guards against giving up an answer whose server
+// pauses for longer than the progress timeout but is at work.
+func TestSilenceBeforeDeadlineDoesNotEndAnswer(t *testing.T) {
+	const progressTimeout = 100 * time.Millisecond
+	s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc")
+		time.Sleep(5 * progressTimeout)
+		_, _ = io.WriteString(c, "def")
+	})
+	a := newGet(s)
+	a.DeadlineLeft = 50 * progressTimeout
+	response, sendErr := newClient(t, Settings{ProgressTimeout: progressTimeout}).Send(testContext(t), a)
+	require.Equal(t, "abcdef", readBody(t, response, sendErr))
+}
+
+// TestSlowReaderOfUploadIsNotGivenUp guards against giving up a request whose server takes
+// no byte of the body for longer than the progress timeout but is at work.
+func TestSlowReaderOfUploadIsNotGivenUp(t *testing.T) {
+	const (
+		progressTimeout = 100 * time.Millisecond
+		bodyBytes       = 32 << 20 // more than the buffers of both sockets hold
+	)
+	s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		time.Sleep(5 * progressTimeout)
+		_, _ = io.CopyN(io.Discard, br, bodyBytes)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	a := newGet(s)
+	a.Method = "POST"
+	a.DeadlineLeft = 10 * time.Second
+	a.ResponseTimeout = a.DeadlineLeft
+	a.BodyStream, a.BodyBytes = bytes.NewReader(make([]byte, bodyBytes)), bodyBytes
+	response, sendErr := newClient(t, Settings{ProgressTimeout: progressTimeout}).Send(testContext(t), a)
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
+
 // A response that arrives after the timeout must not be taken for the response to a later
 // request.
 func TestLateResponseReachesNoOtherRequest(t *testing.T) {
@@ -313,6 +358,60 @@
 	require.Equal(t, Connections{}, c.Count(s.addr))
 }
 
+// TestLackOfDescriptorsIsNotTheServersFailure guards against taking this process's own
+// shortage for a server that accepts no connection.
+func TestLackOfDescriptorsIsNotTheServersFailure(t *testing.T) {
+	s := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	c := newClient(t, Settings{})
+	c.dialer.Control = func(string, string, syscall.RawConn) error {
+		return os.NewSyscallError("socket", syscall.EMFILE)
+	}
+	_, sendErr := c.Send(testContext(t), newGet(s))
+	require.NotNil(t, sendErr)
+	require.Equal(t, event.AttemptNotSent, sendErr.Result)
+	require.Equal(t, StepLimit, sendErr.Step)
+	require.Equal(t, Connections{}, c.Count(s.addr))
+}
+
+// TestIdleConnectionsDoNotExhaustDescriptors guards against idle connections to many
+// servers that together use up the process's file descriptors.
+func TestIdleConnectionsDoNotExhaustDescriptors(t *testing.T) {
+	const maxOpen = 2
+	c := newClient(t, Settings{MaxOpen: maxOpen})
+	var servers []*scriptedServer
+	for range 4 {
+		s := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+		servers = append(servers, s)
+		response, sendErr := c.Send(testContext(t), newGet(s))
+		require.Equal(t, "ok", readBody(t, response, sendErr))
+	}
+	var open []int
+	for _, s := range servers {
+		open = append(open, c.Count(s.addr).Open)
+	}
+	require.Equal(t, []int{0, 0, 1, 1}, open, "the longest idle connections are closed")
+	require.EqualValues(t, maxOpen, c.open.Load())
+}
+
+func TestConnectionsInUseAreNotClosedAtLimit(t *testing.T) {
+	busy := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		_, _ = s.readHead(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab")
+		_, _ = br.ReadByte()
+	})
+	other := startServer(t, respondAlways("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	c := newClient(t, Settings{MaxOpen: 1})
+	response, sendErr := c.Send(testContext(t), newGet(busy))
+	require.Nil(t, sendErr)
+	_, sendErr = c.Send(testContext(t), newGet(other))
+	require.NotNil(t, sendErr)
+	require.Equal(t, event.AttemptNotSent, sendErr.Result)
+	require.Equal(t, StepLimit, sendErr.Step)
+	require.NoError(t, response.Body.Close())
+	response, sendErr = c.Send(testContext(t), newGet(other))
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
+
 func TestStatus(t *testing.T) {
 	body := `{"healthy":true,"draining":true,"cold":false,"in_use":2,"slots":3}`
 	s := startServer(t, respondAlways(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)))
