--- /dev/null
+++ b/internal/ingress/connections_test.go
@@ -0,0 +1,36 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestConnectionsBeyondLimitAreRefused opens more connections than allowed: a caller on one
+// of the others is told at once, and its request does not run.
+func TestConnectionsBeyondLimitAreRefused(t *testing.T) {
+	const limit = 2
+	_, address := startServer(t, Settings{MaxConnections: limit}, func(_ context.Context, x *Exchange) {
+		_ = respondText(x, "ok")
+	})
+	for i := range limit {
+		c := dial(t, address)
+		c.send(fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i))
+		resp, _, err := c.readResponse(http.MethodGet)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	for range 20 {
+		c := dial(t, address)
+		started := time.Now()
+		_, _ = c.c.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
+		resp, _, err := c.readResponse(http.MethodGet)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Less(t, time.Since(started), time.Second)
+	}
+}
