dispatch: an instance's own shortage is not its servers' failure

An instance without file descriptors, ports or free connections ejected every server that it tried, and then refused its callers with no-backend: attempts that were not sent for want of its own resources counted like servers that accept no connection, and so did health checks.

TestOwnShortageDoesNotEjectServers failed before: ejectedUntil was set.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -84,6 +84,9 @@
 	Request model.RequestID
 	Attempt int // as in Send
 	Result  event.AttemptResult
+	// OwnShortage reports that the attempt was not sent because this instance lacked a
+	// connection, file descriptor or port, which says nothing about the server.
+	OwnShortage bool
 	// Misdirected reports that a different server answered at the address.
 	Misdirected bool
 	// Draining reports that the server announced that it is leaving.
@@ -110,6 +113,8 @@
 	Healthy bool
 	// Reached reports that the server accepted a connection.
 	Reached bool
+	// OwnShortage reports that the check was not sent, as in AttemptEnded.
+	OwnShortage bool
 	Report  ServerReport
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -27,6 +27,7 @@
 		s.misdirected = true
 		d.warn(ev.At, string(s.entry.ID), "not used", "another server answers at its address")
 		d.add(&ClosePooledConnections{Server: &s.entry})
+	case ev.OwnShortage:
 	case ev.Result == event.AttemptNotSent:
 		d.eject(ev.At, s, "connection failed")
 	case ev.Result == event.AttemptShed:
@@ -101,6 +102,10 @@
 		return
 	}
 	s.probing = false
+	if ev.OwnShortage {
+		s.ejectedUntil = ev.At.Add(minEjection) // checked again then
+		return
+	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
 	s.suspected = false
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -105,3 +105,22 @@
 		require.Zero(t, s.inFlight, s.entry.ID)
 	}
 }
+
+// TestOwnShortageDoesNotEjectServers guards against an instance without file descriptors or
+// free connections that takes every server out of use.
+func TestOwnShortageDoesNotEjectServers(t *testing.T) {
+	d := newDispatcher(testRoute())
+	first := requireSend(t, arrive(d, start, 1, "k"))
+	next := requireSend(t, requestEffect(d.Step(&AttemptEnded{
+		At: start, Request: 1, Attempt: first.Attempt, Result: event.AttemptNotSent, OwnShortage: true,
+	})))
+	require.NotEqual(t, first.Server.ID, next.Server.ID)
+	s := d.servers[first.Server.ID]
+	require.Zero(t, s.ejectedUntil)
+
+	s.ejectedUntil, s.failures, s.probing = at(time.Second), 1, true
+	require.Empty(t, d.Step(&ServerProbed{At: at(time.Second), Server: first.Server.ID, OwnShortage: true}))
+	require.Equal(t, at(time.Second+minEjection), s.ejectedUntil, "checked again soon")
+	require.Equal(t, 1, s.failures)
+	require.False(t, s.probing)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -110,6 +110,7 @@
 		Request:           c.id,
 		Attempt:           f.Attempt,
 		Result:            failed.Result,
+		OwnShortage:       failed.Step == upstream.StepLimit,
 		Misdirected:       failed.Misdirected,
 		Draining:          failed.Draining,
 		BodyNotReplayable: !x.Replayable,
@@ -243,6 +244,13 @@
 	return !errors.As(err, &failed) || failed.Step != upstream.StepDial
 }
 
+// ownShortage reports whether a health check was not sent for want of a connection, file
+// descriptor or port of this instance.
+func ownShortage(err error) bool {
+	var failed *upstream.SendError
+	return errors.As(err, &failed) && failed.Step == upstream.StepLimit
+}
+
 // probeTimeout is the timeout of a health check, which waits for a slot like a request.
 const probeTimeout = time.Second
 
@@ -259,7 +267,7 @@
 			URI:             []byte(f.Path),
 			FreshConnection: true,
 		})
-		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err)}
+		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err)}
 		if err == nil {
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Report = e.serverReport(server.ID, &answer.Report)
@@ -272,6 +280,8 @@
 
 func probeResult(p *dispatch.ServerProbed) string {
 	switch {
+	case p.OwnShortage:
+		return "not sent"
 	case p.Healthy:
 		return "passed"
 	case p.Reached:
