--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -115,7 +115,7 @@
 	Reached bool
 	// OwnShortage reports that the check was not sent, as in AttemptEnded.
 	OwnShortage bool
-	Report  ServerReport
+	Report      ServerReport
 }
 
 func (*Tick) event()               {}
