edge: log and count what a restored store does

The store's answers carry an epoch; an instance now logs when it rises, with the versions before and after, exports it as primrosenotch_edge_store_epoch, and counts the rows and whole tables that it ignores as older.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,10 +16,12 @@
 	latency  *prometheus.HistogramVec // by kind
 	attempts *prometheus.CounterVec   // by result
 	reads    *prometheus.CounterVec   // by table and result
-	lookups  prometheus.Counter
-	unlogged prometheus.Counter
-	invalid  *prometheus.CounterVec // by source
-	probes   *prometheus.CounterVec // by reason and result
+	// olderRows counts rows read from the store that are older than the copy, by table.
+	olderRows *prometheus.CounterVec
+	lookups   prometheus.Counter
+	unlogged  prometheus.Counter
+	invalid   *prometheus.CounterVec // by source
+	probes    *prometheus.CounterVec // by reason and result
 }
 
 // latencyBuckets are upper bounds in seconds, the lowest for responses within a region.
@@ -41,6 +43,9 @@
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_store_reads_total", Help: "Reads of the platform's store by table and result.",
 		}, []string{"table", "result"}),
+		olderRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_older_rows_total", Help: "Rows and whole tables read from the store that are older than what is known.",
+		}, []string{"table"}),
 		lookups: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_lookups_total", Help: "Look-ups answered.",
 		}),
@@ -54,7 +59,7 @@
 			Name: "primrosenotch_edge_health_checks_total", Help: "Health checks of backend servers by reason and result.",
 		}, []string{"reason", "result"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.lookups, m.unlogged, m.invalid, m.probes)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.reads, m.olderRows, m.lookups, m.unlogged, m.invalid, m.probes)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -64,6 +69,11 @@
 		defer e.fleetMu.Unlock()
 		return e.replica.OldestAge(e.clock.now()).Seconds()
 	})
+	gauge("primrosenotch_edge_store_epoch", "How often the store had been restored from a copy when it was last read.", func() float64 {
+		e.fleetMu.Lock()
+		defer e.fleetMu.Unlock()
+		return float64(e.storeEpoch)
+	})
 	gauge("primrosenotch_edge_servers", "Backend servers listed.", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -21,6 +21,7 @@
 	e.metrics.observeLatency(0, 0)
 	e.metrics.attempts.WithLabelValues("answered").Inc()
 	e.metrics.reads.WithLabelValues("table", "read").Inc()
+	e.metrics.olderRows.WithLabelValues("table").Inc()
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
 	families, err := e.Metrics().Gather()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -58,12 +59,30 @@
 // Apply implements follow.Sink. It applies a batch that was read from the store.
 func (e *Edge) Apply(freshAt time.Time, b follow.Batch) {
 	at := e.clock.at(freshAt)
+	e.noteStoreBatch(b)
 	e.applyBatch(e.clock.now(), b.Table, func() []follow.Row {
 		e.group.ScheduleMessages() // tells peers how recent this copy is
 		return e.replica.ApplyStoreBatch(at, b)
 	})
 }
 
+// noteStoreBatch counts the rows that this copy ignores, and logs when the store has been
+// restored since the first read.
+func (e *Edge) noteStoreBatch(b follow.Batch) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if n := e.replica.Older(b); n > 0 {
+		e.metrics.olderRows.WithLabelValues(b.Table).Add(float64(n))
+	}
+	if b.Epoch > e.storeEpoch && len(e.loaded) > 0 {
+		e.log.WithFields(logrus.Fields{
+			"table": b.Table, "epoch": b.Epoch, "previous_epoch": e.storeEpoch,
+			"version": b.Version, "known_version": e.replica.Version(b.Table),
+		}).Warn("store restored from a copy")
+	}
+	e.storeEpoch = max(e.storeEpoch, b.Epoch)
+}
+
 // applyBatch calls update to change the replica and applies the rows that it returns.
 func (e *Edge) applyBatch(now model.Instant, table string, update func() []follow.Row) {
 	e.applyMu.Lock()
--- a/internal/follow/cache.go
+++ b/internal/follow/cache.go
@@ -20,6 +20,8 @@
 type Batch struct {
 	Table   string
 	Version int64
+	// Epoch counts how often the store had been restored from a copy when it was read.
+	Epoch int64
 	// Full reports that Rows is the whole table and all other rows have been deleted.
 	Full bool
 	Rows []Row
@@ -78,6 +80,25 @@
 	}
 }
 
+// Older returns the number of rows of a batch that are older than the stored ones. It counts
+// one more if the batch is a whole table that is older than the stored table.
+func (c *Cache) Older(b Batch) int {
+	t := c.tables[b.Table]
+	if t == nil {
+		return 0
+	}
+	n := 0
+	for _, row := range b.Rows {
+		if old, ok := t.rows[row.Key]; ok && old.Version > row.Version {
+			n++
+		}
+	}
+	if b.Full && b.Version < t.version {
+		n++
+	}
+	return n
+}
+
 // Apply applies a batch and returns the rows that it changed, in key order.
 func (c *Cache) Apply(b Batch) []Row {
 	t := c.tables[b.Table]
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -52,6 +52,9 @@
 	return changed
 }
 
+// Older returns the number of rows in a batch from the store that are older than this copy.
+func (r *Replica) Older(b Batch) int { return r.all.Older(b) }
+
 // ApplyPeerBatch applies a batch from a peer and returns the rows that changed. The peer's
 // copy was up to date at freshAt.
 func (r *Replica) ApplyPeerBatch(freshAt model.Instant, b Batch) []Row {
--- a/internal/platform/retrying_client.go
+++ b/internal/platform/retrying_client.go
@@ -27,11 +27,14 @@
 	ContentType string
 	// ReadOnly marks a call without side effects, for which a lost reply is harmless.
 	ReadOnly bool
+	// ReplyHeader names the header field that Reply.Header holds; empty for none.
+	ReplyHeader string
 }
 
 // Reply is an HTTP response of the class Answered.
 type Reply struct {
 	Status int
+	Header string // value of Call.ReplyHeader, empty if missing
 	Body   []byte
 }
 
@@ -52,17 +55,18 @@
 // Call sends a call. It fails with *UnavailableError or *UncertainError.
 func (c *RetryingClient) Call(ctx context.Context, call Call) (*Reply, error) {
 	got, err := c.policy.call(ctx, request{
-		step:        call.Step,
-		method:      call.Method,
-		path:        call.Target,
-		body:        call.Body,
-		contentType: call.ContentType,
-		readOnly:    call.ReadOnly,
+		step:         call.Step,
+		method:       call.Method,
+		path:         call.Target,
+		body:         call.Body,
+		contentType:  call.ContentType,
+		readOnly:     call.ReadOnly,
+		answerHeader: call.ReplyHeader,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return &Reply{Status: got.status, Body: got.body}, nil
+	return &Reply{Status: got.status, Header: got.header, Body: got.body}, nil
 }
 
 // DecodeError returns the error for a reply that cannot be decoded. err is the cause.
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -36,12 +36,15 @@
 	contentType string
 	// readOnly marks a call without side effects, for which a lost reply is harmless.
 	readOnly bool
+	// answerHeader names the header field of the response to keep; empty for none.
+	answerHeader string
 }
 
 // answer is a copy of an HTTP response of the class Answered.
 type answer struct {
 	status   int
 	notFound bool
+	header   string // value of request.answerHeader
 	body     []byte
 }
 
@@ -147,7 +150,11 @@
 	class, notFound := t.classify(httpResponse)
 	switch class {
 	case Answered:
-		return &answer{status: status, notFound: notFound, body: append([]byte(nil), httpResponse.Body()...)}, nil
+		got := &answer{status: status, notFound: notFound, body: append([]byte(nil), httpResponse.Body()...)}
+		if req.answerHeader != "" {
+			got.header = string(httpResponse.Header.Peek(req.answerHeader))
+		}
+		return got, nil
 	case Throttled:
 		return nil, t.unavailableError(req, ErrThrottled)
 	case Rejected:
