Order what is read from the store by its epoch first

Cause: a restored store gives versions out again, and the copies compared them with those of its earlier life. Rows at or below the known version were dropped; a whole table below it was ignored; and where the counter had already passed it, rows written below it were missed without any error. Peers compare the same numbers.

A version is now the store's epoch and its version number in one integer, the epoch first. An answer of an earlier epoch than one seen before fails the read and is counted as outdated.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -72,7 +72,7 @@
 	gauge("primrosenotch_edge_store_epoch", "How often the store had been restored from a copy when it was last read.", func() float64 {
 		e.fleetMu.Lock()
 		defer e.fleetMu.Unlock()
-		return float64(e.storeEpoch)
+		return float64(e.replica.Epoch())
 	})
 	gauge("primrosenotch_edge_servers", "Backend servers listed.", func() float64 {
 		e.mu.Lock()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
 	"github.com/samber/lo"
@@ -42,7 +43,10 @@
 	e.readFailed[table] = err != nil
 	e.fleetMu.Unlock()
 	result := "read"
-	if err != nil {
+	switch {
+	case errors.Is(err, follow.ErrOutdated):
+		result = "outdated"
+	case err != nil:
 		result = "failed"
 	}
 	e.metrics.reads.WithLabelValues(table, result).Inc()
@@ -59,28 +63,29 @@
 // Apply implements follow.Sink. It applies a batch that was read from the store.
 func (e *Edge) Apply(freshAt time.Time, b follow.Batch) {
 	at := e.clock.at(freshAt)
-	e.noteStoreBatch(b)
+	e.noteOlderRows(b)
 	e.applyBatch(e.clock.now(), b.Table, func() []follow.Row {
 		e.group.ScheduleMessages() // tells peers how recent this copy is
 		return e.replica.ApplyStoreBatch(at, b)
 	})
 }
 
-// noteStoreBatch counts the rows that this copy ignores, and logs when the store has been
-// restored since the first read.
-func (e *Edge) noteStoreBatch(b follow.Batch) {
+// noteOlderRows counts the rows of a batch from the store that this copy ignores.
+func (e *Edge) noteOlderRows(b follow.Batch) {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	if n := e.replica.Older(b); n > 0 {
 		e.metrics.olderRows.WithLabelValues(b.Table).Add(float64(n))
 	}
-	if b.Epoch > e.storeEpoch && len(e.loaded) > 0 {
-		e.log.WithFields(logrus.Fields{
-			"table": b.Table, "epoch": b.Epoch, "previous_epoch": e.storeEpoch,
-			"version": b.Version, "known_version": e.replica.Version(b.Table),
-		}).Warn("store restored from a copy")
-	}
-	e.storeEpoch = max(e.storeEpoch, b.Epoch)
+}
+
+// logRestore logs that a table has changed from a version of one epoch to one of another.
+func (e *Edge) logRestore(table string, from, to int64) {
+	previous, known := follow.SplitVersion(from)
+	epoch, number := follow.SplitVersion(to)
+	e.log.WithFields(logrus.Fields{
+		"table": table, "epoch": epoch, "previous_epoch": previous, "version": number, "known_version": known,
+	}).Warn("store restored from a copy")
 }
 
 // applyBatch calls update to change the replica and applies the rows that it returns.
@@ -88,13 +93,18 @@
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
 	e.fleetMu.Lock()
+	previous := e.replica.Version(table)
 	changed := update()
+	version := e.replica.Version(table)
 	firstBatch := !e.loaded[table]
 	e.loaded[table] = true
 	if len(changed) > 0 {
 		e.group.ScheduleMessages()
 	}
 	e.fleetMu.Unlock()
+	if previous > 0 && follow.Epoch(version) > follow.Epoch(previous) {
+		e.logRestore(table, previous, version)
+	}
 	for _, row := range changed {
 		e.applyRow(now, table, row)
 	}
--- a/internal/follow/cache.go
+++ b/internal/follow/cache.go
@@ -20,8 +20,6 @@
 type Batch struct {
 	Table   string
 	Version int64
-	// Epoch counts how often the store had been restored from a copy when it was read.
-	Epoch int64
 	// Full reports that Rows is the whole table and all other rows have been deleted.
 	Full bool
 	Rows []Row
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,12 +10,16 @@
 // the changes since the requested version.
 var ErrHistoryCompacted = errors.New("change history is no longer available")
 
+// ErrOutdated is wrapped by the error of a read whose answer is from an earlier epoch of the
+// store than one that was seen before.
+var ErrOutdated = errors.New("answer is outdated")
+
 // Store reads tables of the platform's store.
 type Store interface {
 	// Snapshot returns a whole table.
 	Snapshot(ctx context.Context, table string) (Batch, error)
 	// Changes returns the changes of a table after a version as soon as there are any, or
-	// an empty batch after wait.
+	// an empty batch after wait. All of them are from the epoch of that version.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
 }
 
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -35,8 +35,12 @@
 func (r *Replica) Version(table string) int64 { return r.shared.Version(table) }
 
 // ApplyStoreBatch applies a batch that was read from the store and returns the rows that
-// changed. The batch was up to date at freshAt or later.
+// changed. The batch was up to date at freshAt or later. Changes from another epoch than that
+// of the copy are ignored.
 func (r *Replica) ApplyStoreBatch(freshAt model.Instant, b Batch) []Row {
+	if !r.continues(b) {
+		return nil
+	}
 	changed := r.all.Apply(b)
 	r.refresh(b.Table, freshAt)
 	update := Batch{Table: b.Table, Version: b.Version}
@@ -61,6 +65,9 @@
 	if b.Version == 0 {
 		return nil // the peer does not know the table
 	}
+	if !r.continues(b) {
+		return nil
+	}
 	changed := r.shared.Apply(b)
 	r.all.Apply(Batch{Table: b.Table, Version: b.Version, Rows: changed})
 	if r.shared.Version(b.Table) >= b.Version {
@@ -69,6 +76,13 @@
 	return changed
 }
 
+// continues reports whether a batch can be applied to this copy: it is a whole table, or its
+// changes are from the same epoch.
+func (r *Replica) continues(b Batch) bool {
+	known := r.shared.Version(b.Table)
+	return b.Full || known == 0 || Epoch(b.Version) == Epoch(known)
+}
+
 // Digest summarizes an instance's copy of one table.
 type Digest struct {
 	Table    string
@@ -139,5 +153,14 @@
 	return known
 }
 
+// Epoch returns the latest epoch of the store that is known.
+func (r *Replica) Epoch() int64 {
+	var latest int64
+	for _, table := range r.tables {
+		latest = max(latest, Epoch(r.shared.Version(table)))
+	}
+	return latest
+}
+
 // Since returns the significant rows for a peer that knows a table up to version after.
 func (r *Replica) Since(table string, after int64) Batch { return r.shared.Since(table, after) }
