follow: pace the reads of a store that refuses every version

Every such call is priced and counts against the store's rate for all instances.

A whole table is still read at once after the first refusal. While no changes have been read in between, further ones wait for the retry interval.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -61,6 +61,7 @@
 // Follow keeps a table up to date until ctx is canceled.
 func Follow(ctx context.Context, store Store, t Table, sink Sink) {
 	snapshot := sink.Version(t.Name) == 0
+	compacted := false // since the last changes were read
 	for ctx.Err() == nil {
 		if !snapshot && !sink.ShouldRead(t.Name) {
 			sleep(ctx, shouldReadInterval)
@@ -73,12 +74,17 @@
 		switch {
 		case errors.Is(err, ErrHistoryCompacted):
 			snapshot = true
-			continue
+			if !compacted {
+				compacted = true
+				continue
+			}
+			pause = retryInterval
 		case err != nil:
 			pause = retryInterval
 		default:
 			sink.Apply(freshness(t, started, b), b)
 			snapshot = false
+			compacted = compacted && b.Full
 		}
 		sleep(ctx, pause-time.Since(started))
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -67,3 +67,25 @@
 	require.EqualValues(t, 9, s.cache.Version("t"))
 	require.Equal(t, []bool{true, true, false, true, true, false}, s.succeeded)
 }
+
+// TestFollowPacesReadsOfStoreWithoutHistory guards against a follower that takes up the
+// store's whole rate because none of the versions that it asks for has a history.
+func TestFollowPacesReadsOfStoreWithoutHistory(t *testing.T) {
+	const retries = 2
+	ctx, cancel := context.WithTimeout(t.Context(), retries*retryInterval+retryInterval/2)
+	defer cancel()
+	store := &storeWithoutHistory{}
+	Follow(ctx, store, Table{Name: "t"}, &cacheSink{cache: NewCache()})
+	require.LessOrEqual(t, store.snapshots, 2+retries, "one at the start, one at once after the first refusal, one per retry")
+}
+
+type storeWithoutHistory struct{ snapshots int }
+
+func (s *storeWithoutHistory) Snapshot(context.Context, string) (Batch, error) {
+	s.snapshots++
+	return Batch{Table: "t", Version: 5, Full: true}, nil
+}
+
+func (s *storeWithoutHistory) Changes(context.Context, string, int64, time.Duration) (Batch, error) {
+	return Batch{}, ErrHistoryCompacted
+}
