dispatch: keep servers whose entries a restore of the store has lost

A server that registered after the copy has no entry in the restored store until it writes it again. The whole table of the new epoch names it no more, so instances that had seen no failed read, or heard of reads of peers, would drop it and its connections at once, and a fleet whose servers are young would answer 503.

Instances now tell the dispatcher when a table changes its epoch, also when they learn of it from a peer only.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -92,6 +92,8 @@
 		d.store.confirmRead(ev.At)
 	case *StoreReadSuspect:
 		d.store.suspectRead(ev.At)
+	case *StoreRestored:
+		d.store.restored(ev.At)
 	case *BoundsChanged:
 		d.boundsChanged(ev)
 	case *InstancesCounted:
@@ -235,7 +237,7 @@
 		d.removeServer(at, s, "its entry was removed")
 		return
 	}
-	d.record(at, string(id), "kept", "its entry may have expired during a store outage")
+	d.record(at, string(id), "kept", d.store.reasonToKeep(at))
 }
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, reason string) {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -36,6 +36,10 @@
 // instance for which the store had failed recently.
 type StoreReadSuspect struct{ At model.Instant }
 
+// StoreRestored reports that the following changes come from a store that was restored from
+// a copy: entries that are missing or older may only have been lost.
+type StoreRestored struct{ At model.Instant }
+
 // BoundsChanged reports new limits set by the platform.
 type BoundsChanged struct {
 	At       model.Instant
@@ -113,6 +117,7 @@
 func (*StoreRead) event()          {}
 func (*StoreReadConfirmed) event() {}
 func (*StoreReadSuspect) event()   {}
+func (*StoreRestored) event()      {}
 func (*BoundsChanged) event()      {}
 func (*InstancesCounted) event()   {}
 func (*RequestArrived) event()     {}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -79,13 +79,17 @@
 	}
 }
 
-// logRestore logs that a table has changed from a version of one epoch to one of another.
-func (e *Edge) logRestore(table string, from, to int64) {
+// storeRestored logs that a table has changed from a version of one epoch to one of another,
+// and reports it to the dispatcher.
+func (e *Edge) storeRestored(now model.Instant, table string, from, to int64) {
 	previous, known := follow.SplitVersion(from)
 	epoch, number := follow.SplitVersion(to)
 	e.log.WithFields(logrus.Fields{
 		"table": table, "epoch": epoch, "previous_epoch": previous, "version": number, "known_version": known,
 	}).Warn("store restored from a copy")
+	if table != e.options.Tables.Instances {
+		e.post(&dispatch.StoreRestored{At: now})
+	}
 }
 
 // applyBatch calls update to change the replica and applies the rows that it returns.
@@ -103,7 +107,7 @@
 	}
 	e.fleetMu.Unlock()
 	if previous > 0 && follow.Epoch(version) > follow.Epoch(previous) {
-		e.logRestore(table, previous, version)
+		e.storeRestored(now, table, previous, version)
 	}
 	for _, row := range changed {
 		e.applyRow(now, table, row)
