dispatch: do not use servers again that a restored store lists from before they left

The copy lists servers that left after it was made, as ready. With the new epoch these entries are newer than their removal, so instances would send requests to servers that are gone or leaving (DRAIN), or to another service's server at the same address.

Incarnations that were removed are remembered with their last sequence number, for the age of the oldest copy (5 minutes) and at most 1024 of them. An entry that is not later than that is not used; a live server's next heartbeat is. Peers know only the entries that were passed on, not each heartbeat: so the instance that reads the store passes on no entry that is older than what it knows, and the older row never replaces the newer one there.

What remains: an instance that becomes its region's reader in the very moment of the restore knows no heartbeats, and may use such an entry.

--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -27,6 +28,12 @@
 	return s.ID == other.ID && s.StartedMillis == other.StartedMillis && s.Address == other.Address
 }
 
+// Incarnation identifies an incarnation of a server. It is the same for all entries for which
+// SameIncarnation holds.
+func (s *Server) Incarnation() string {
+	return fmt.Sprintf("%s %d %s", s.ID, s.StartedMillis, s.Address)
+}
+
 // DiffersBeyondHeartbeat reports whether an entry differs from an earlier one of the
 // server in more than its heartbeat. The remaining cold time counts only if the server has
 // turned cold.
--- /dev/null
+++ b/internal/dispatch/departed_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// TestRemovedServersStayRemovedAfterStoreRestore guards against sending requests to a server
+// that has left because an older entry of it is in a restored store.
+func TestRemovedServersStayRemovedAfterStoreRestore(t *testing.T) {
+	entry := func(sequence, started int64) *catalog.ServerChange {
+		s := testServer("shop-north-a", "north-a", "shop")
+		s.Sequence, s.StartedMillis = sequence, started
+		return &catalog.ServerChange{Server: s}
+	}
+	leave := &catalog.ServerRemoved{ID: "shop-north-a"}
+	for name, c := range map[string]struct {
+		before []catalog.Change
+		after  *catalog.ServerChange
+		used   int64 // start time of the incarnation that is used, 0 for none
+	}{
+		"older entry":       {[]catalog.Change{entry(7, 1), leave}, entry(5, 1), 0},
+		"last entry":        {[]catalog.Change{entry(7, 1), leave}, entry(7, 1), 0},
+		"later entry":       {[]catalog.Change{entry(7, 1), leave}, entry(8, 1), 1},
+		"later incarnation": {[]catalog.Change{entry(7, 1), leave}, entry(0, 2), 2},
+		"entry of an incarnation before the last": {[]catalog.Change{entry(7, 1), entry(0, 2)}, entry(5, 1), 2},
+		"older entry of a server in use":          {[]catalog.Change{entry(7, 1)}, entry(5, 1), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(testRoute())
+			for _, change := range c.before {
+				d.Step(&CatalogChanged{At: start, Change: change})
+			}
+			d.Step(&StoreRestored{At: at(time.Second)})
+			d.Step(&CatalogChanged{At: at(time.Second), Change: c.after})
+			if c.used == 0 {
+				require.NotContains(t, d.servers, model.BackendName("shop-north-a"))
+			} else {
+				require.Equal(t, c.used, d.servers["shop-north-a"].entry.StartedMillis)
+			}
+		})
+	}
+}
+
+func TestRemovedServersAreForgotten(t *testing.T) {
+	r := newRecent[string, int64]()
+	r.add(start, "old", 1)
+	_, known := r.get(at(maxCopyAge-1), "old")
+	require.True(t, known)
+	_, known = r.get(at(maxCopyAge), "old")
+	require.False(t, known)
+	for i := range 2 * maxRecent {
+		r.add(at(maxCopyAge), string(rune(i+1)), 1)
+		require.LessOrEqual(t, len(r.entries), maxRecent)
+	}
+	_, known = r.get(at(maxCopyAge), string(rune(2*maxRecent)))
+	require.True(t, known)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,7 @@
 	config      *catalog.Configuration
 	servers     map[model.BackendName]*server
 	byService   map[model.ServiceName][]*server // sorted by identifier
+	departed    recent[string, int64]           // latest sequence numbers of incarnations that were removed
 	evacuations evacuations
 	services    map[model.ServiceName]*service
 	splits      map[model.RouteName]*split
@@ -69,6 +70,7 @@
 		settings:    s,
 		servers:     map[model.BackendName]*server{},
 		byService:   map[model.ServiceName][]*server{},
+		departed:    newRecent[string, int64](),
 		evacuations: newEvacuations(),
 		services:    map[model.ServiceName]*service{},
 		splits:      map[model.RouteName]*split{},
@@ -186,6 +188,10 @@
 		d.serverUpdated(at, old, entry)
 		return
 	}
+	if d.HasLeft(at, entry) {
+		d.record(at, string(entry.ID), "not used", "its entry is older than its removal")
+		return
+	}
 	s := &server{
 		entry:     *entry,
 		region:    d.settings.Regions[entry.Zone],
@@ -197,7 +203,7 @@
 	s.coldUntil = at.Add(entry.ColdLeft)
 	s.regionLoad = d.service(entry.Service).loadOf(s.region)
 	if old != nil {
-		d.dropServer(old)
+		d.dropServer(at, old)
 		d.record(at, string(entry.ID), "restarted", "newer incarnation")
 	}
 	d.servers[entry.ID] = s
@@ -242,12 +248,20 @@
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, reason string) {
 	d.noteServerLoss(at, s)
-	d.dropServer(s)
+	d.dropServer(at, s)
 	delete(d.servers, s.entry.ID)
 	d.record(at, string(s.entry.ID), "removed", reason)
 }
 
-func (d *Dispatcher) dropServer(s *server) {
+// HasLeft reports whether an entry is not newer than the last one of an incarnation that was
+// removed. Such an entry reappears if the store is restored from a copy.
+func (d *Dispatcher) HasLeft(now model.Instant, entry *catalog.Server) bool {
+	sequence, ok := d.departed.get(now, entry.Incarnation())
+	return ok && entry.Sequence <= sequence
+}
+
+func (d *Dispatcher) dropServer(at model.Instant, s *server) {
+	d.departed.add(at, s.entry.Incarnation(), s.entry.Sequence)
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.capacityStale = true
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -124,8 +124,9 @@
 }
 
 // forwardedToPeers reports whether a row is sent to peers: every row except heartbeats of
-// backend servers that change nothing else. It removes the known entry of a server whose
-// row was deleted or cannot be decoded. The caller must hold fleetMu.
+// backend servers that change nothing else, and entries that are older than what is known of
+// the server. It removes the known entry of a server whose row was deleted or cannot be
+// decoded. The caller must hold fleetMu.
 func (e *Edge) forwardedToPeers(table string, row follow.Row) bool {
 	if table != e.options.Tables.Servers {
 		return true
@@ -138,7 +139,18 @@
 		return true
 	}
 	old, known := e.serverEntries[id]
-	return !known || listed.Server.DiffersBeyondHeartbeat(&old)
+	return !e.outdated(&listed.Server) && (!known || listed.Server.DiffersBeyondHeartbeat(&old))
+}
+
+// outdated reports whether a restored store lists a server with an entry that is older than
+// the known one or than the server's removal. The caller must hold fleetMu.
+func (e *Edge) outdated(entry *catalog.Server) bool {
+	if old, known := e.serverEntries[entry.ID]; known && old.SameIncarnation(entry) {
+		return entry.Sequence < old.Sequence
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.HasLeft(e.clock.now(), entry)
 }
 
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
@@ -160,7 +172,9 @@
 	default:
 		if listed, ok := change.(*catalog.ServerChange); ok {
 			e.fleetMu.Lock()
-			e.serverEntries[listed.Server.ID] = listed.Server
+			if !e.outdated(&listed.Server) {
+				e.serverEntries[listed.Server.ID] = listed.Server
+			}
 			e.fleetMu.Unlock()
 		}
 		e.post(&dispatch.CatalogChanged{At: now, Change: change})
