dispatch: take a server for cold only by a later entry

A restored store lists each server with an entry that it wrote before the copy. If the server was cold then, the remaining time in that entry would count from now, and the server would be spared as cold although it is warm. Entries with the sequence number that is already known no longer change the cold time; lower ones never did.

TestRepeatedEntryIsNotColdAgain failed before.

--- a/internal/dispatch/departed_test.go
+++ b/internal/dispatch/departed_test.go
@@ -61,3 +61,18 @@
 	_, known = r.get(at(maxCopyAge), string(rune(2*maxRecent)))
 	require.True(t, known)
 }
+
+// TestRepeatedEntryIsNotColdAgain guards against servers that are spared as cold because a
+// restored store lists the entries that they wrote when they were.
+func TestRepeatedEntryIsNotColdAgain(t *testing.T) {
+	s := testServer("shop-north-a", "north-a", "shop")
+	s.Sequence, s.ColdLeft, s.StartedMillis = 3, 2*time.Second, 2
+	d := newDispatcher(testRoute())
+	d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: s}})
+	require.True(t, d.servers[s.ID].cold(at(time.Second)))
+	d.Step(&CatalogChanged{At: at(9 * time.Second), Change: &catalog.ServerChange{Server: s}})
+	require.False(t, d.servers[s.ID].cold(at(9*time.Second)))
+	s.Sequence++
+	d.Step(&CatalogChanged{At: at(10 * time.Second), Change: &catalog.ServerChange{Server: s}})
+	require.True(t, d.servers[s.ID].cold(at(10*time.Second)))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -227,8 +227,9 @@
 		d.record(at, string(entry.ID), "leaves", "its entry is marked as draining")
 	}
 	d.capacityStale = d.capacityStale || entry.Draining != s.entry.Draining
+	repeated := entry.Sequence == s.entry.Sequence
 	s.entry = *entry
-	if entry.ColdLeft > 0 {
+	if entry.ColdLeft > 0 && !repeated {
 		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
 	}
 }
