edge: count instances whose entries a restore of the store has lost

Instances that registered after the copy are missing from the restored store until they have noticed it and written their entries again. Until then the others would count fewer instances, and each would take a larger share of limits that hold for all together: requests to cold servers, retries, connections to a server.

Its own missing entry is written again at once. Look-ups follow the links and do not change.

TestInstancesStayListedAfterStoreRestore fails without it (reverted by hand: one instance instead of three).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,6 +70,7 @@
 type listedInstance struct {
 	entry   catalog.Instance
 	version int64
+	lostAt  model.Instant // when a restore of the store lost the entry, 0 if it did not
 }
 
 // clock returns Instants that never go backwards.
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
@@ -40,7 +41,41 @@
 	e.publishLookups(true)
 }
 
-// instancesChanged passes the instances that the store lists to the membership group. It
+// relistTime is how long an instance counts as listed whose entry was lost in a restore of
+// the store. It covers the time until every live instance has learned that its own entry is
+// missing and has written it again.
+const relistTime = instancesMaxAge + instancesInterval
+
+// instanceUnlisted records that the store no longer lists an instance, as of a version. If
+// the version is from a later epoch than the entry, the entry may only have been lost. The
+// caller must hold fleetMu.
+func (e *Edge) instanceUnlisted(now model.Instant, id model.InstanceID, version int64) {
+	l, ok := e.listed[id]
+	if !ok || follow.Epoch(version) == follow.Epoch(l.version) {
+		delete(e.listed, id)
+		return
+	}
+	l.lostAt = now
+	e.listed[id] = l
+}
+
+// removeLostInstances removes the instances that have not written their lost entries again.
+func (e *Edge) removeLostInstances(now model.Instant) {
+	e.fleetMu.Lock()
+	removed := false
+	for id, l := range e.listed {
+		if l.lostAt != 0 && now.Sub(l.lostAt) >= relistTime {
+			delete(e.listed, id)
+			removed = true
+		}
+	}
+	e.fleetMu.Unlock()
+	if removed {
+		e.instancesChanged(now)
+	}
+}
+
+// instancesChanged passes the instances that count as listed to the membership group. It
 // requests registration if this process has no entry.
 func (e *Edge) instancesChanged(now model.Instant) {
 	e.fleetMu.Lock()
@@ -60,7 +95,7 @@
 		}
 		return 1
 	})
-	if l, ok := e.listed[e.options.Self.ID]; !ok || l.entry.StartedNanos != e.options.Self.StartedNanos {
+	if l, ok := e.listed[e.options.Self.ID]; !ok || l.lostAt != 0 || l.entry.StartedNanos != e.options.Self.StartedNanos {
 		e.requestRegistration()
 	}
 	e.applyOutput(e.group.SetListed(now, list))
@@ -150,6 +185,7 @@
 // one instance of the fleet removes them. An entry that was rewritten in the meantime has
 // another version and stays.
 func (e *Edge) sweep(now model.Instant) {
+	e.removeLostInstances(now)
 	for id, version := range e.goneInstances(now) {
 		ctx, cancel := context.WithTimeout(e.ctx, sweepTimeout)
 		err := e.options.Registry.Unregister(ctx, id, version)
@@ -176,7 +212,7 @@
 	}
 	gone := map[model.InstanceID]int64{}
 	for id, l := range e.listed {
-		if usable[id] || id == e.options.Self.ID {
+		if usable[id] || id == e.options.Self.ID || l.lostAt != 0 {
 			delete(e.missingSince, id)
 			continue
 		}
--- /dev/null
+++ b/internal/edge/fleet_test.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/follow"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// TestInstancesStayListedAfterStoreRestore guards against instances that each take a larger
+// share of fleet-wide limits because a restored store lists fewer of them.
+func TestInstancesStayListedAfterStoreRestore(t *testing.T) {
+	const table = "instances"
+	e := newEdgeWithPeers(t, 3)
+	e.options.Tables = Tables{Instances: table}
+	e.options.Decode = func(_ string, row follow.Row) (catalog.Change, error) {
+		if row.Deleted {
+			return &catalog.InstanceRemoved{ID: model.InstanceID(row.Key)}, nil
+		}
+		entry := catalog.Instance{ID: model.InstanceID(row.Key), Zone: "zone-1", StartedNanos: e.options.Self.StartedNanos}
+		return &catalog.InstanceChange{Instance: entry}, nil
+	}
+	e.replica = follow.NewReplica([]string{table}, func(string, follow.Row) bool { return true })
+	apply := func(now model.Instant, epoch, number int64, keys ...string) {
+		version, err := follow.JoinVersion(epoch, number)
+		require.NoError(t, err)
+		b := follow.Batch{Table: table, Version: version, Full: true}
+		for _, key := range keys {
+			b.Rows = append(b.Rows, follow.Row{Key: key, Version: version})
+		}
+		e.applyBatch(now, table, func() []follow.Row { return e.replica.ApplyStoreBatch(now, b) })
+	}
+	registers := func() bool {
+		select {
+		case <-e.registerRequests:
+			return true
+		default:
+			return false
+		}
+	}
+	now := e.clock.now()
+	apply(now, 0, 9, "e-0", "e-1", "e-self")
+	require.False(t, registers())
+	apply(now, 1, 2, "e-0")
+	require.True(t, registers(), "its own entry is missing")
+	require.Len(t, e.listed, 3)
+	all, _ := e.Lookup(Lookup{Region: "elsewhere"})
+	require.Len(t, all, 3, "links, not entries, show which instances are alive")
+	require.Empty(t, e.goneInstances(now))
+
+	apply(now.Add(1), 1, 4, "e-0", "e-self")
+	require.Contains(t, e.listed, model.InstanceID("e-1"), "not written again yet")
+	e.removeLostInstances(now.Add(relistTime - 1))
+	require.Len(t, e.listed, 3)
+	e.removeLostInstances(now.Add(relistTime))
+	require.NotContains(t, e.listed, model.InstanceID("e-1"))
+	require.Contains(t, e.listed, e.options.Self.ID)
+
+	apply(now.Add(relistTime), 1, 7, "e-self")
+	require.Len(t, e.listed, 1, "removed in the same epoch")
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -167,7 +167,7 @@
 		e.fleetMu.Unlock()
 	case *catalog.InstanceRemoved:
 		e.fleetMu.Lock()
-		delete(e.listed, c.ID)
+		e.instanceUnlisted(now, c.ID, row.Version)
 		e.fleetMu.Unlock()
 	default:
 		if listed, ok := change.(*catalog.ServerChange); ok {
