edge: starting instances learn the newest configuration that peers know

An instance that starts while the restored store still holds an older configuration reads that one, and peers could not correct it: their copies of the operator's table hold the restored row too, and only their dispatchers keep the newer configuration in force. The new instance would route by the older one until the operator writes again.

Instances keep the row of the newest configuration apart from the copy of the table. While the table lists an older one, digests name its version, which the operator gives and the store does not change, and peers that lack it fetch it with the next state request. While nothing was lost, nothing is sent.

What remains: a copy from before the first configuration lists none, and then nothing is passed on.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,7 +43,7 @@
 	lastID         model.RequestID
 	attemptCancels map[model.RequestID]context.CancelFunc // of attempts that wait for a response
 
-	// fleetMu guards the state of other instances and of the store, from group to loaded.
+	// fleetMu guards the state of other instances and of the store, from group to configuration.
 	fleetMu       sync.Mutex
 	group         *membership.Group
 	listed        map[model.InstanceID]listedInstance
@@ -53,7 +53,8 @@
 	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
 	readFailed    map[string]bool                      // tables whose last read failed
 	loaded        map[string]bool                      // tables received from the store or from a peer
-	applyMu       sync.Mutex                           // serializes batches from the store and from peers
+	configuration newestConfiguration
+	applyMu       sync.Mutex // serializes batches from the store and from peers
 
 	stopping         atomic.Bool  // no longer returned by lookups
 	refusing         atomic.Bool  // refuses new requests
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -169,6 +169,11 @@
 		e.fleetMu.Lock()
 		e.instanceUnlisted(now, c.ID, row.Version)
 		e.fleetMu.Unlock()
+	case *catalog.ConfigurationChange:
+		e.fleetMu.Lock()
+		e.configuration.listed = c.Configuration.Version
+		e.fleetMu.Unlock()
+		e.applyConfiguration(now, row, c)
 	default:
 		if listed, ok := change.(*catalog.ServerChange); ok {
 			e.fleetMu.Lock()
@@ -181,6 +186,13 @@
 	}
 }
 
+func (e *Edge) applyConfiguration(now model.Instant, row follow.Row, c *catalog.ConfigurationChange) {
+	e.fleetMu.Lock()
+	e.configuration.observe(row, c.Configuration)
+	e.fleetMu.Unlock()
+	e.post(&dispatch.CatalogChanged{At: now, Change: c})
+}
+
 // stateTimeout is the timeout of one state request to a peer.
 const stateTimeout = time.Second
 
@@ -197,6 +209,7 @@
 	for table, version := range e.replica.Versions() {
 		request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
 	}
+	request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
 	e.fleetMu.Unlock()
 	state, err := e.links.State(peer, request, stateTimeout)
 	if err != nil {
@@ -205,6 +218,10 @@
 	}
 	e.notePeerReads(asked, state)
 	for _, t := range state.GetTables() {
+		if t.GetTable() == configurationTable {
+			e.applyPeerConfiguration(e.clock.now(), t)
+			continue
+		}
 		b := batchFromProto(t)
 		freshAt := asked.Add(-time.Duration(t.GetAgeNs()))
 		e.applyBatch(e.clock.now(), b.Table, func() []follow.Row { return e.replica.ApplyPeerBatch(freshAt, b) })
@@ -259,6 +276,10 @@
 	now := e.clock.now()
 	state := &linkpb.State{SettledAgeNs: int64(e.reliableReadAge(now))}
 	for _, known := range request.GetKnown() {
+		if known.GetTable() == configurationTable {
+			state.Tables = append(state.Tables, e.configuration.since(known.GetVersion()))
+			continue
+		}
 		b := e.replica.Since(known.GetTable(), known.GetVersion())
 		state.Tables = append(state.Tables, &linkpb.TableState{
 			Table:   b.Table,
@@ -276,7 +297,7 @@
 // digestFor returns the digest of this instance's copy of the store for a peer.
 func (e *Edge) digestFor(now model.Instant, peer model.InstanceID) *linkpb.StateDigest {
 	echo, held := e.echoes.Echo(now, peer)
-	return &linkpb.StateDigest{
+	digest := &linkpb.StateDigest{
 		SentNs:       int64(now),
 		EchoNs:       echo,
 		HeldNs:       int64(held),
@@ -285,6 +306,10 @@
 			return &linkpb.TableDigest{Table: d.Table, Complete: d.Complete, Changed: d.Changed, AgeNs: int64(now.Sub(d.FreshAt))}
 		}),
 	}
+	if newest := e.configuration.digest(); newest != nil {
+		digest.Tables = append(digest.Tables, newest)
+	}
+	return digest
 }
 
 // forwardThreshold is how much more recent a confirmed copy must have become for peers to
@@ -307,6 +332,10 @@
 	}
 	incomplete := false
 	for _, t := range digest.GetTables() {
+		if t.GetTable() == configurationTable {
+			incomplete = incomplete || t.GetChanged() > e.configuration.version
+			continue
+		}
 		previous := e.replica.FreshAt(t.GetTable())
 		confirmed := e.replica.Confirm(follow.Digest{
 			Table:    t.GetTable(),
