edge: do not count tables as loaded that a peer does not know

A state answer names all tables that were asked for, those that the peer does not know with version 0. Each counted as loaded, so an instance that started beside another starting one could report itself ready without a configuration and answer 503 to every request.

Found while reading how peers pass on a restored table.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -216,12 +216,20 @@
 		e.log.WithField("peer", peer).WithError(err).Debug("failed to fetch state from peer")
 		return
 	}
+	e.applyPeerState(asked, state)
+}
+
+// applyPeerState applies a peer's answer to a state request that was sent at the given time.
+func (e *Edge) applyPeerState(asked model.Instant, state *linkpb.State) {
 	e.notePeerReads(asked, state)
 	for _, t := range state.GetTables() {
 		if t.GetTable() == configurationTable {
 			e.applyPeerConfiguration(e.clock.now(), t)
 			continue
 		}
+		if t.GetVersion() == 0 {
+			continue // the peer does not know the table
+		}
 		b := batchFromProto(t)
 		freshAt := asked.Add(-time.Duration(t.GetAgeNs()))
 		e.applyBatch(e.clock.now(), b.Table, func() []follow.Row { return e.replica.ApplyPeerBatch(freshAt, b) })
