dispatch: hold entries of servers that had left before a restore until they are confirmed

After an outage all instances of a region read the store by themselves, also those that relied on a reader before and know of each server only the entries that were passed on. To them the entry of a server that had left may look later than its removal, although the copy holds an older heartbeat, and they would use the server until the store expires the entry.

TestRemovedServersAreHeldAfterStoreRestore fails without it (reverted by hand) in two of five cases. The case of a single later entry in the test beside it now expects that it is not used yet, which is stricter.

--- a/internal/dispatch/departed_test.go
+++ b/internal/dispatch/departure_test.go
@@ -24,10 +24,10 @@
 		after  *catalog.ServerChange
 		used   int64 // start time of the incarnation that is used, 0 for none
 	}{
-		"older entry":       {[]catalog.Change{entry(7, 1), leave}, entry(5, 1), 0},
-		"last entry":        {[]catalog.Change{entry(7, 1), leave}, entry(7, 1), 0},
-		"later entry":       {[]catalog.Change{entry(7, 1), leave}, entry(8, 1), 1},
-		"later incarnation": {[]catalog.Change{entry(7, 1), leave}, entry(0, 2), 2},
+		"older entry":        {[]catalog.Change{entry(7, 1), leave}, entry(5, 1), 0},
+		"last entry":         {[]catalog.Change{entry(7, 1), leave}, entry(7, 1), 0},
+		"single later entry": {[]catalog.Change{entry(7, 1), leave}, entry(8, 1), 0},
+		"later incarnation":  {[]catalog.Change{entry(7, 1), leave}, entry(0, 2), 2},
 		"entry of an incarnation before the last": {[]catalog.Change{entry(7, 1), entry(0, 2)}, entry(5, 1), 2},
 		"older entry of a server in use":          {[]catalog.Change{entry(7, 1)}, entry(5, 1), 1},
 	} {
@@ -76,3 +76,37 @@
 	d.Step(&CatalogChanged{At: at(10 * time.Second), Change: &catalog.ServerChange{Server: s}})
 	require.True(t, d.servers[s.ID].cold(at(10*time.Second)))
 }
+
+// TestRemovedServersAreHeldAfterStoreRestore guards against using a server that has left where
+// not all of its heartbeats are known, so that an old entry looks like a later one.
+func TestRemovedServersAreHeldAfterStoreRestore(t *testing.T) {
+	entry := func(sequence int64) *CatalogChanged {
+		s := testServer("shop-north-a", "north-a", "shop")
+		s.Sequence = sequence
+		return &CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: s}}
+	}
+	leave := func(after time.Duration) *CatalogChanged {
+		return &CatalogChanged{At: at(after), Change: &catalog.ServerRemoved{ID: "shop-north-a"}}
+	}
+	for name, c := range map[string]struct {
+		then []Event
+		used bool
+	}{
+		"entry that looks later":            {nil, false},
+		"then its removal":                  {[]Event{leave(5 * time.Second), &Tick{At: at(time.Second + staleEntryTTL)}}, false},
+		"then a heartbeat":                  {[]Event{entry(45)}, true},
+		"still listed for a while":          {[]Event{&Tick{At: at(time.Second + staleEntryTTL - 1)}}, false},
+		"still listed after entries expire": {[]Event{&Tick{At: at(time.Second + staleEntryTTL)}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(testRoute())
+			d.Step(leave(0))
+			d.Step(&StoreRestored{At: at(time.Second)})
+			d.Step(entry(44))
+			for _, ev := range c.then {
+				d.Step(ev)
+			}
+			require.Equal(t, c.used, d.servers["shop-north-a"] != nil)
+		})
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,7 +37,7 @@
 	config      *catalog.Configuration
 	servers     map[model.BackendName]*server
 	byService   map[model.ServiceName][]*server // sorted by identifier
-	departed    recent[string, int64]           // latest sequence numbers of incarnations that were removed
+	departures  departures
 	evacuations evacuations
 	services    map[model.ServiceName]*service
 	splits      map[model.RouteName]*split
@@ -70,7 +70,7 @@
 		settings:    s,
 		servers:     map[model.BackendName]*server{},
 		byService:   map[model.ServiceName][]*server{},
-		departed:    newRecent[string, int64](),
+		departures:  newDepartures(),
 		evacuations: newEvacuations(),
 		services:    map[model.ServiceName]*service{},
 		splits:      map[model.RouteName]*split{},
@@ -188,8 +188,8 @@
 		d.serverUpdated(at, old, entry)
 		return
 	}
-	if d.HasLeft(at, entry) {
-		d.record(at, string(entry.ID), "not used", "its entry is older than its removal")
+	if reason := d.reasonToIgnore(at, entry); reason != "" {
+		d.record(at, string(entry.ID), "not used", reason)
 		return
 	}
 	s := &server{
@@ -235,6 +235,7 @@
 }
 
 func (d *Dispatcher) serverUnlisted(at model.Instant, id model.BackendName) {
+	delete(d.departures.held, id)
 	s := d.servers[id]
 	if s == nil {
 		return
@@ -254,15 +255,8 @@
 	d.record(at, string(s.entry.ID), "removed", reason)
 }
 
-// HasLeft reports whether an entry is not newer than the last one of an incarnation that was
-// removed. Such an entry reappears if the store is restored from a copy.
-func (d *Dispatcher) HasLeft(now model.Instant, entry *catalog.Server) bool {
-	sequence, ok := d.departed.get(now, entry.Incarnation())
-	return ok && entry.Sequence <= sequence
-}
-
 func (d *Dispatcher) dropServer(at model.Instant, s *server) {
-	d.departed.add(at, s.entry.Incarnation(), s.entry.Sequence)
+	d.departures.sequences.add(at, s.entry.Incarnation(), s.entry.Sequence)
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.capacityStale = true
@@ -271,6 +265,7 @@
 
 func (d *Dispatcher) tick(now model.Instant) {
 	d.removeExpired(now)
+	d.releaseHeld(now)
 	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
--- a/internal/dispatch/recent.go
+++ b/internal/dispatch/recent.go
@@ -51,10 +51,11 @@
 	return key
 }
 
-// get returns what was last known of a key that was removed within maxCopyAge.
-func (r *recent[K, V]) get(now model.Instant, key K) (V, bool) {
+// get returns when a key was removed and what was last known of it, if that was within
+// maxCopyAge.
+func (r *recent[K, V]) get(now model.Instant, key K) (removed[V], bool) {
 	e, ok := r.entries[key]
-	return e.value, ok && now.Sub(e.at) < maxCopyAge
+	return e, ok && now.Sub(e.at) < maxCopyAge
 }
 
 func (r *recent[K, V]) remove(key K) { delete(r.entries, key) }
