--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -212,7 +212,7 @@
 		return excludedMisdirected
 	case s.entry.Draining:
 		return excludedDraining
-	case d.evacuated[s.entry.Zone]:
+	case d.evacuations.active[s.entry.Zone]:
 		return excludedEvacuated
 	case s.ejectedUntil != 0:
 		return excludedEjected
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,7 +37,8 @@
 	config      *catalog.Configuration
 	servers     map[model.BackendName]*server
 	byService   map[model.ServiceName][]*server // sorted by identifier
-	evacuated   map[model.ZoneName]bool
+	departures  departures
+	evacuations evacuations
 	services    map[model.ServiceName]*service
 	splits      map[model.RouteName]*split
 	requests    map[model.RequestID]*request
@@ -69,7 +70,8 @@
 		settings:    s,
 		servers:     map[model.BackendName]*server{},
 		byService:   map[model.ServiceName][]*server{},
-		evacuated:   map[model.ZoneName]bool{},
+		departures:  newDepartures(),
+		evacuations: newEvacuations(),
 		services:    map[model.ServiceName]*service{},
 		splits:      map[model.RouteName]*split{},
 		requests:    map[model.RequestID]*request{},
@@ -92,6 +94,8 @@
 		d.store.confirmRead(ev.At)
 	case *StoreReadSuspect:
 		d.store.suspectRead(ev.At)
+	case *StoreRestored:
+		d.store.restored(ev.At)
 	case *BoundsChanged:
 		d.boundsChanged(ev)
 	case *InstancesCounted:
@@ -188,6 +192,10 @@
 		d.serverUpdated(at, old, entry)
 		return
 	}
+	if reason := d.reasonToIgnore(at, entry); reason != "" {
+		d.record(at, string(entry.ID), "not used", reason)
+		return
+	}
 	s := &server{
 		entry:     *entry,
 		region:    d.settings.Regions[entry.Zone],
@@ -199,7 +207,7 @@
 	s.coldUntil = at.Add(entry.ColdLeft)
 	s.regionLoad = d.service(entry.Service).loadOf(s.region)
 	if old != nil {
-		d.dropServer(old)
+		d.dropServer(at, old)
 		d.record(at, string(entry.ID), "restarted", "newer incarnation")
 	}
 	d.servers[entry.ID] = s
@@ -223,13 +231,15 @@
 		d.record(at, string(entry.ID), "leaves", "its entry is marked as draining")
 	}
 	d.capacityStale = d.capacityStale || entry.Draining != s.entry.Draining
+	repeated := entry.Sequence == s.entry.Sequence
 	s.entry = *entry
-	if entry.ColdLeft > 0 {
+	if entry.ColdLeft > 0 && !repeated {
 		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
 	}
 }
 
 func (d *Dispatcher) serverUnlisted(at model.Instant, id model.BackendName) {
+	delete(d.departures.held, id)
 	s := d.servers[id]
 	if s == nil {
 		return
@@ -239,59 +249,28 @@
 		d.removeServer(at, s, "its entry was removed")
 		return
 	}
-	d.record(at, string(id), "kept", "its entry may have expired during a store outage")
+	d.record(at, string(id), "kept", d.store.reasonToKeep(at))
 }
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, reason string) {
 	d.noteServerLoss(at, s)
-	d.dropServer(s)
+	d.dropServer(at, s)
 	delete(d.servers, s.entry.ID)
 	d.record(at, string(s.entry.ID), "removed", reason)
 }
 
-func (d *Dispatcher) dropServer(s *server) {
+func (d *Dispatcher) dropServer(at model.Instant, s *server) {
+	d.departures.sequences.add(at, s.entry.Incarnation(), s.entry.Sequence)
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.capacityStale = true
 	d.add(&CloseConnections{Server: &s.entry})
 }
 
-func (d *Dispatcher) evacuate(at model.Instant, c *catalog.EvacuationChange) {
-	if d.evacuated[c.Zone] == c.Active {
-		return
-	}
-	d.capacityStale = true
-	for _, s := range d.servers {
-		if s.entry.Zone == c.Zone {
-			d.noteServerLoss(at, s)
-		}
-	}
-	message := "evacuation ended"
-	if c.Active {
-		d.evacuated[c.Zone] = true
-		message = "evacuated"
-	} else {
-		delete(d.evacuated, c.Zone)
-		d.markZoneCold(at, c.Zone)
-	}
-	d.record(at, string(c.Zone), message, "set by the operator")
-}
-
-// markZoneCold marks every server of a zone as cold, because idle servers lose their
-// warm objects. The next report from a server corrects the estimate.
-func (d *Dispatcher) markZoneCold(at model.Instant, zone model.ZoneName) {
-	for _, s := range d.servers {
-		if s.entry.Zone != zone {
-			continue
-		}
-		if svc := d.config.Service(s.entry.Service); svc != nil {
-			s.coldUntil = max(s.coldUntil, at.Add(svc.ColdFor))
-		}
-	}
-}
-
 func (d *Dispatcher) tick(now model.Instant) {
 	d.removeExpired(now)
+	d.releaseHeld(now)
+	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
 	d.probeEjected(now)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,7 +45,7 @@
 	lastID     model.RequestID
 	calls      map[model.RequestID]*call
 
-	// fleetMu guards the state of other instances and of the store, from group to loaded.
+	// fleetMu guards the state of other instances and of the store, from group to configuration.
 	fleetMu       sync.Mutex
 	group         *membership.Group
 	listed        map[model.InstanceID]listedInstance
@@ -55,7 +55,8 @@
 	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
 	readFailed    map[string]bool                      // tables whose last read failed
 	loaded        map[string]bool                      // tables received from the store or from a peer
-	applyMu       sync.Mutex                           // serializes batches from the store and from peers
+	configuration newestConfiguration
+	applyMu       sync.Mutex // serializes batches from the store and from peers
 
 	stopping         atomic.Bool // no longer returned by lookups
 	refusing         atomic.Bool // refuses new requests
@@ -73,6 +74,7 @@
 type listedInstance struct {
 	entry   catalog.Instance
 	version int64
+	lostAt  model.Instant // when a restore of the store lost the entry, 0 if it did not
 }
 
 // clock returns Instants that never go backwards.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -18,11 +18,13 @@
 	givenUp  *prometheus.CounterVec   // by reason
 	hedges   prometheus.Counter
 	reads    *prometheus.CounterVec // by table and result
-	lookups  prometheus.Counter
-	unlogged prometheus.Counter
-	invalid  *prometheus.CounterVec // by source
-	probes   *prometheus.CounterVec // by reason and result
-	accepts  *prometheus.CounterVec // failed ones, by listener
+	// olderRows counts rows read from the store that are older than the copy, by table.
+	olderRows *prometheus.CounterVec
+	lookups   prometheus.Counter
+	unlogged  prometheus.Counter
+	invalid   *prometheus.CounterVec // by source
+	probes    *prometheus.CounterVec // by reason and result
+	accepts   *prometheus.CounterVec // failed ones, by listener
 }
 
 // latencyBuckets are upper bounds in seconds, the lowest for responses within a region.
@@ -50,6 +52,9 @@
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_store_reads_total", Help: "Reads of the platform's store by table and result.",
 		}, []string{"table", "result"}),
+		olderRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_older_rows_total", Help: "Rows and whole tables read from the store that are older than what is known.",
+		}, []string{"table"}),
 		lookups: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_lookups_total", Help: "Look-ups answered.",
 		}),
@@ -66,7 +71,8 @@
 			Name: "primrosenotch_edge_accept_failures_total", Help: "Failed accepts of connections, which were retried.",
 		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.lookups, m.unlogged, m.invalid, m.probes, m.accepts)
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.olderRows, m.lookups,
+		m.unlogged, m.invalid, m.probes, m.accepts)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
 	}, e.droppedLogLines))
@@ -79,6 +85,11 @@
 		defer e.fleetMu.Unlock()
 		return e.replica.OldestAge(e.clock.now()).Seconds()
 	})
+	gauge("primrosenotch_edge_store_epoch", "How often the store had been restored from a copy when it was last read.", func() float64 {
+		e.fleetMu.Lock()
+		defer e.fleetMu.Unlock()
+		return float64(e.replica.Epoch())
+	})
 	gauge("primrosenotch_edge_servers", "Backend servers listed.", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -22,6 +22,7 @@
 	e.metrics.attempts.WithLabelValues("answered").Inc()
 	e.metrics.givenUp.WithLabelValues("other").Inc()
 	e.metrics.reads.WithLabelValues("table", "read").Inc()
+	e.metrics.olderRows.WithLabelValues("table").Inc()
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
 	e.metrics.accepts.WithLabelValues("callers").Inc()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
@@ -41,7 +43,10 @@
 	e.readFailed[table] = err != nil
 	e.fleetMu.Unlock()
 	result := "read"
-	if err != nil {
+	switch {
+	case errors.Is(err, follow.ErrOutdated):
+		result = "outdated"
+	case err != nil:
 		result = "failed"
 	}
 	e.metrics.reads.WithLabelValues(table, result).Inc()
@@ -58,24 +63,52 @@
 // Apply implements follow.Sink. It applies a batch that was read from the store.
 func (e *Edge) Apply(freshAt time.Time, b follow.Batch) {
 	at := e.clock.at(freshAt)
+	e.noteOlderRows(b)
 	e.applyBatch(e.clock.now(), b.Table, func() []follow.Row {
 		e.group.ScheduleMessages() // tells peers how recent this copy is
 		return e.replica.ApplyStoreBatch(at, b)
 	})
 }
 
+// noteOlderRows counts the rows of a batch from the store that this copy ignores.
+func (e *Edge) noteOlderRows(b follow.Batch) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if n := e.replica.Older(b); n > 0 {
+		e.metrics.olderRows.WithLabelValues(b.Table).Add(float64(n))
+	}
+}
+
+// storeRestored logs that a table has changed from a version of one epoch to one of another,
+// and reports it to the dispatcher.
+func (e *Edge) storeRestored(now model.Instant, table string, from, to int64) {
+	previous, known := follow.SplitVersion(from)
+	epoch, number := follow.SplitVersion(to)
+	e.log.WithFields(logrus.Fields{
+		"table": table, "epoch": epoch, "previous_epoch": previous, "version": number, "known_version": known,
+	}).Warn("store restored from a copy")
+	if table != e.options.Tables.Instances {
+		e.post(&dispatch.StoreRestored{At: now})
+	}
+}
+
 // applyBatch calls update to change the replica and applies the rows that it returns.
 func (e *Edge) applyBatch(now model.Instant, table string, update func() []follow.Row) {
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
 	e.fleetMu.Lock()
+	previous := e.replica.Version(table)
 	changed := update()
+	version := e.replica.Version(table)
 	firstBatch := !e.loaded[table]
 	e.loaded[table] = true
 	if len(changed) > 0 {
 		e.group.ScheduleMessages()
 	}
 	e.fleetMu.Unlock()
+	if previous > 0 && follow.Epoch(version) > follow.Epoch(previous) {
+		e.storeRestored(now, table, previous, version)
+	}
 	for _, row := range changed {
 		e.applyRow(now, table, row)
 	}
@@ -91,8 +124,9 @@
 }
 
 // forwardedToPeers reports whether a row is sent to peers: every row except heartbeats of
-// backend servers that change nothing else. It removes the known entry of a server whose
-// row was deleted or cannot be decoded. The caller must hold fleetMu.
+// backend servers that change nothing else, and entries that are older than what is known of
+// the server. It removes the known entry of a server whose row was deleted or cannot be
+// decoded. The caller must hold fleetMu.
 func (e *Edge) forwardedToPeers(table string, row follow.Row) bool {
 	if table != e.options.Tables.Servers {
 		return true
@@ -105,7 +139,18 @@
 		return true
 	}
 	old, known := e.serverEntries[id]
-	return !known || listed.Server.DiffersBeyondHeartbeat(&old)
+	return !e.outdated(&listed.Server) && (!known || listed.Server.DiffersBeyondHeartbeat(&old))
+}
+
+// outdated reports whether a restored store lists a server with an entry that is older than
+// the known one or than the server's removal. The caller must hold fleetMu.
+func (e *Edge) outdated(entry *catalog.Server) bool {
+	if old, known := e.serverEntries[entry.ID]; known && old.SameIncarnation(entry) {
+		return entry.Sequence < old.Sequence
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.HasLeft(e.clock.now(), entry)
 }
 
 // configurationAge returns the time since this instance's copy of the operator's table was
@@ -130,18 +175,32 @@
 		e.fleetMu.Unlock()
 	case *catalog.InstanceRemoved:
 		e.fleetMu.Lock()
-		delete(e.listed, c.ID)
+		e.instanceUnlisted(now, c.ID, row.Version)
 		e.fleetMu.Unlock()
+	case *catalog.ConfigurationChange:
+		e.fleetMu.Lock()
+		e.configuration.listed = c.Configuration.Version
+		e.fleetMu.Unlock()
+		e.applyConfiguration(now, row, c)
 	default:
 		if listed, ok := change.(*catalog.ServerChange); ok {
 			e.fleetMu.Lock()
-			e.serverEntries[listed.Server.ID] = listed.Server
+			if !e.outdated(&listed.Server) {
+				e.serverEntries[listed.Server.ID] = listed.Server
+			}
 			e.fleetMu.Unlock()
 		}
 		e.post(&dispatch.CatalogChanged{At: now, Change: change})
 	}
 }
 
+func (e *Edge) applyConfiguration(now model.Instant, row follow.Row, c *catalog.ConfigurationChange) {
+	e.fleetMu.Lock()
+	e.configuration.observe(row, c.Configuration)
+	e.fleetMu.Unlock()
+	e.post(&dispatch.CatalogChanged{At: now, Change: c})
+}
+
 // stateTimeout is the timeout of one state request to a peer.
 const stateTimeout = time.Second
 
@@ -158,14 +217,27 @@
 	for table, version := range e.replica.Versions() {
 		request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
 	}
+	request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
 	e.fleetMu.Unlock()
 	state, err := e.links.State(peer, request, stateTimeout)
 	if err != nil {
 		e.log.WithField("peer", peer).WithError(err).Debug("failed to fetch state from peer")
 		return
 	}
+	e.applyPeerState(asked, state)
+}
+
+// applyPeerState applies a peer's answer to a state request that was sent at the given time.
+func (e *Edge) applyPeerState(asked model.Instant, state *linkpb.State) {
 	e.notePeerReads(asked, state)
 	for _, t := range state.GetTables() {
+		if t.GetTable() == configurationTable {
+			e.applyPeerConfiguration(e.clock.now(), t)
+			continue
+		}
+		if t.GetVersion() == 0 {
+			continue // the peer does not know the table
+		}
 		b := batchFromProto(t)
 		freshAt := asked.Add(-time.Duration(t.GetAgeNs()))
 		e.applyBatch(e.clock.now(), b.Table, func() []follow.Row { return e.replica.ApplyPeerBatch(freshAt, b) })
@@ -220,6 +292,10 @@
 	now := e.clock.now()
 	state := &linkpb.State{SettledAgeNs: int64(e.reliableReadAge(now))}
 	for _, known := range request.GetKnown() {
+		if known.GetTable() == configurationTable {
+			state.Tables = append(state.Tables, e.configuration.since(known.GetVersion()))
+			continue
+		}
 		b := e.replica.Since(known.GetTable(), known.GetVersion())
 		state.Tables = append(state.Tables, &linkpb.TableState{
 			Table:   b.Table,
@@ -237,7 +313,7 @@
 // digestFor returns the digest of this instance's copy of the store for a peer.
 func (e *Edge) digestFor(now model.Instant, peer model.InstanceID) *linkpb.StateDigest {
 	echo, held := e.echoes.Echo(now, peer)
-	return &linkpb.StateDigest{
+	digest := &linkpb.StateDigest{
 		SentNs:       int64(now),
 		EchoNs:       echo,
 		HeldNs:       int64(held),
@@ -246,6 +322,10 @@
 			return &linkpb.TableDigest{Table: d.Table, Complete: d.Complete, Changed: d.Changed, AgeNs: int64(now.Sub(d.FreshAt))}
 		}),
 	}
+	if newest := e.configuration.digest(); newest != nil {
+		digest.Tables = append(digest.Tables, newest)
+	}
+	return digest
 }
 
 // forwardThreshold is how much more recent a confirmed copy must have become for peers to
@@ -268,6 +348,10 @@
 	}
 	incomplete := false
 	for _, t := range digest.GetTables() {
+		if t.GetTable() == configurationTable {
+			incomplete = incomplete || t.GetChanged() > e.configuration.version
+			continue
+		}
 		previous := e.replica.FreshAt(t.GetTable())
 		confirmed := e.replica.Confirm(follow.Digest{
 			Table:    t.GetTable(),
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,12 +10,16 @@
 // the changes since the requested version.
 var ErrHistoryCompacted = errors.New("change history is no longer available")
 
+// ErrOutdated is wrapped by the error of a read whose answer is from an earlier epoch of the
+// store than one that was seen before.
+var ErrOutdated = errors.New("answer is outdated")
+
 // Store reads tables of the platform's store.
 type Store interface {
 	// Snapshot returns a whole table.
 	Snapshot(ctx context.Context, table string) (Batch, error)
 	// Changes returns the changes of a table after a version as soon as there are any, or
-	// an empty batch after wait.
+	// an empty batch after wait. All of them are from the epoch of that version.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
 }
 
@@ -57,6 +61,7 @@
 // Follow keeps a table up to date until ctx is canceled.
 func Follow(ctx context.Context, store Store, t Table, sink Sink) {
 	snapshot := sink.Version(t.Name) == 0
+	compacted := false // since the last changes were read
 	for ctx.Err() == nil {
 		if !snapshot && !sink.ShouldRead(t.Name) {
 			sleep(ctx, shouldReadInterval)
@@ -69,12 +74,17 @@
 		switch {
 		case errors.Is(err, ErrHistoryCompacted):
 			snapshot = true
-			continue
+			if !compacted {
+				compacted = true
+				continue
+			}
+			pause = retryInterval
 		case err != nil:
 			pause = retryInterval
 		default:
 			sink.Apply(freshness(t, started, b), b)
 			snapshot = false
+			compacted = compacted && b.Full
 		}
 		sleep(ctx, pause-time.Since(started))
 	}
