--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -37,6 +37,7 @@
 	ended     []chan error
 	store     string // address of platform
 	platform  *tablestore.Server
+	text      string // of the first configuration
 	transport *http.Transport
 }
 
@@ -47,14 +48,17 @@
 	t.Cleanup(func() { _ = store.Close() })
 	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), platform: store, transport: &http.Transport{}}
 	text := "[service shop]\n" +
-		"[route order]\nservice = shop\nmatch = POST /orders\nrank = urgent\nkind = once\ndeadline = 5s\n" +
+		"[route order]\nservice = shop\nmatch = POST /orders*\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
 		"[route browse]\nservice = shop\nmatch = GET /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
 		"[limits]\nshift cap = 100% of capacity per 1s\n"
 	for _, zone := range []string{"north-a", "north-b"} {
 		server := backend.New(backend.Config{
 			Name: "shop-" + zone, Slots: 4, AnswerBytes: 100,
-			PathTimes: []backend.PathTime{{Prefix: slowPath, Time: backend.ServiceTime{Mean: slowRunTime}}},
+			PathTimes: []backend.PathTime{
+				{Prefix: slowPath, Time: backend.ServiceTime{Mean: slowRunTime}},
+				{Prefix: "/orders/slow", Time: backend.ServiceTime{Mean: slowRunTime}},
+			},
 		})
 		require.NoError(t, server.Start("127.0.0.1:0"))
 		t.Cleanup(func() { _ = server.Close() })
@@ -62,6 +66,7 @@
 		text += fmt.Sprintf("[zone %s]\nregion = north\n[backend %s]\nservice = shop\nzone = %s\naddress = %s\nslots = 4\n",
 			zone, server.Name(), zone, server.Addr())
 	}
+	f.text = text
 	client := platform.NewClient(platform.DefaultSettings(store.Addr()))
 	t.Cleanup(client.Close)
 	_, err := confstore.New(client.Table()).Apply(t.Context(), confstore.Change{
