dispatch: a held entry does not replace a later incarnation of its server

What callers would see: eight seconds after a restore of the store, an instance drops a live server that had restarted under its identifier and sends requests to its earlier incarnation, at the address that this one had. Where no heartbeats are received, it lasts until the server changes more than its sequence number.

Cause: an entry of a replaced incarnation whose sequence number looks later is held. The entries that the later incarnation writes update the server in use without touching the held entry, and releaseHeld lists it without a look at what is in use.

Evidence: all three cases of TestEarlierIncarnationStaysReplacedAfterStoreRestore failed before (start time 1 in use instead of 2 or 3).

Held entries are now released only while no incarnation of the server is in use. One that is in use has replaced the held one; if it is gone, its entry's removal drops both.

--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// releaseHeld uses the servers whose entries are still listed after staleEntryTTL.
+// releaseHeld uses the servers whose entries are still listed after staleEntryTTL, unless
+// another incarnation is in use: the held one was replaced by it.
 func (d *Dispatcher) releaseHeld(now model.Instant) {
 	if len(d.departures.held) == 0 || now.Sub(d.store.restoredAt) < staleEntryTTL {
 		return
@@ -65,6 +66,9 @@
 	for _, id := range ids {
 		entry := d.departures.held[id]
 		delete(d.departures.held, id)
+		if d.servers[id] != nil {
+			continue
+		}
 		d.departures.sequences.remove(entry.Incarnation())
 		d.serverListed(now, &entry)
 	}
--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -110,3 +110,34 @@
 		})
 	}
 }
+
+// TestEarlierIncarnationStaysReplacedAfterStoreRestore guards against requests to an earlier
+// incarnation of a server, whose entry in a restored store looks later than the last known one.
+func TestEarlierIncarnationStaysReplacedAfterStoreRestore(t *testing.T) {
+	entry := func(after time.Duration, sequence, started int64) *CatalogChanged {
+		s := testServer("shop-north-a", "north-a", "shop")
+		s.Sequence, s.StartedMillis = sequence, started
+		return &CatalogChanged{At: at(after), Change: &catalog.ServerChange{Server: s}}
+	}
+	expired := &Tick{At: at(time.Second + staleEntryTTL)}
+	for name, c := range map[string]struct {
+		then []Event
+		used int64 // start time of the incarnation that is used
+	}{
+		"still listed":                      {[]Event{expired}, 2},
+		"then a heartbeat of the later one": {[]Event{entry(2*time.Second, 3, 2), expired}, 2},
+		"then a third incarnation":          {[]Event{entry(2*time.Second, 0, 3), expired}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(testRoute())
+			d.Step(entry(0, 3, 1))
+			d.Step(entry(0, 2, 2))
+			d.Step(&StoreRestored{At: at(time.Second)})
+			d.Step(entry(time.Second, 44, 1))
+			for _, ev := range c.then {
+				d.Step(ev)
+			}
+			require.Equal(t, c.used, d.servers["shop-north-a"].entry.StartedMillis)
+		})
+	}
+}
