dispatch: a restored store does not replace a server by its earlier incarnation

An instance that never knew the earlier incarnation takes the copy's entry for a restart.

Evidence: TestUnknownEarlierIncarnationAfterStoreRestore failed before (1 in use, not 2).

While the restore settles, an entry that started before the one in use is not used. It assumes that a server's clock does not go back between two starts in that time.

--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -36,11 +36,13 @@
 	return ok && entry.Sequence <= left.value
 }
 
-// reasonToIgnore returns why an entry of a server that is not in use does not make it usable,
-// or "" if it does.
-func (d *Dispatcher) reasonToIgnore(now model.Instant, entry *catalog.Server) string {
+// reasonToIgnore returns why an entry of an incarnation that is not in use does not make it
+// usable, or "" if it does. The incarnation of the server that is in use is nil if there is none.
+func (d *Dispatcher) reasonToIgnore(now model.Instant, inUse *server, entry *catalog.Server) string {
 	left, ok := d.departures.sequences.get(now, entry.Incarnation())
 	switch {
+	case !ok && inUse != nil && entry.StartedMillis < inUse.entry.StartedMillis && d.store.settling(now):
+		return "a later incarnation is in use"
 	case !ok:
 		return ""
 	case entry.Sequence <= left.value:
--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -141,3 +141,21 @@
 		})
 	}
 }
+
+// TestUnknownEarlierIncarnationAfterStoreRestore guards against too many requests to a cold
+// server whose earlier, warm incarnation is listed by a restored store.
+func TestUnknownEarlierIncarnationAfterStoreRestore(t *testing.T) {
+	entry := func(after time.Duration, started int64, cold time.Duration) *CatalogChanged {
+		s := testServer("shop-north-a", "north-a", "shop")
+		s.StartedMillis, s.ColdLeft, s.Sequence = started, cold, 1
+		return &CatalogChanged{At: at(after), Change: &catalog.ServerChange{Server: s}}
+	}
+	d := New(testSettings("north"))
+	d.Step(entry(0, 2, 5*time.Second))
+	d.Step(&StoreRestored{At: at(time.Second)})
+	d.Step(entry(time.Second, 1, 0))
+	require.EqualValues(t, 2, d.servers["shop-north-a"].entry.StartedMillis)
+	require.True(t, d.servers["shop-north-a"].cold(at(time.Second)))
+	d.Step(entry(time.Second+restoreSettleTime, 1, 0))
+	require.EqualValues(t, 1, d.servers["shop-north-a"].entry.StartedMillis, "written when what was lost is listed again")
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -192,7 +192,7 @@
 		d.serverUpdated(at, old, entry)
 		return
 	}
-	if reason := d.reasonToIgnore(at, entry); reason != "" {
+	if reason := d.reasonToIgnore(at, old, entry); reason != "" {
 		d.record(at, string(entry.ID), "not used", reason)
 		return
 	}
