--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -36,11 +36,13 @@
 	return ok && entry.Sequence <= left.value
 }
 
-// reasonToIgnore returns why an entry of a server that is not in use does not make it usable,
-// or "" if it does.
-func (d *Dispatcher) reasonToIgnore(now model.Instant, entry *catalog.Server) string {
+// reasonToIgnore returns why an entry of an incarnation that is not in use does not make it
+// usable, or "" if it does. The incarnation of the server that is in use is nil if there is none.
+func (d *Dispatcher) reasonToIgnore(now model.Instant, inUse *server, entry *catalog.Server) string {
 	left, ok := d.departures.sequences.get(now, entry.Incarnation())
 	switch {
+	case !ok && inUse != nil && entry.StartedMillis < inUse.entry.StartedMillis && d.store.settling(now):
+		return "a later incarnation is in use"
 	case !ok:
 		return ""
 	case entry.Sequence <= left.value:
@@ -55,7 +57,8 @@
 	}
 }
 
-// releaseHeld uses the servers whose entries are still listed after staleEntryTTL.
+// releaseHeld uses the servers whose entries are still listed after staleEntryTTL, unless
+// another incarnation is in use: the held one was replaced by it.
 func (d *Dispatcher) releaseHeld(now model.Instant) {
 	if len(d.departures.held) == 0 || now.Sub(d.store.restoredAt) < staleEntryTTL {
 		return
@@ -65,6 +68,9 @@
 	for _, id := range ids {
 		entry := d.departures.held[id]
 		delete(d.departures.held, id)
+		if d.servers[id] != nil {
+			continue
+		}
 		d.departures.sequences.remove(entry.Incarnation())
 		d.serverListed(now, &entry)
 	}
