platform: a route of an unknown kind does not disable the configuration

Cause: decodeConfiguration rejected the whole text for one unknown value.

Change: such a route gets the strictest kind, at most once, so that nothing is repeated that must not be; it is counted as an invalid value and the first one is logged.

--- a/internal/catalog/configuration.go
+++ b/internal/catalog/configuration.go
@@ -62,6 +62,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Unknown holds the parts that were not understood and have been replaced by the
+	// strictest reading.
+	Unknown []error
 
 	byHost   map[string][]*Route // longest prefix first
 	services map[model.ServiceName]*Service
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -198,6 +198,9 @@
 	e.fleetMu.Lock()
 	e.configuration.observe(row, c.Configuration)
 	e.fleetMu.Unlock()
+	for _, unknown := range c.Configuration.Unknown {
+		e.invalid.row(e.options.Tables.Operator, row.Key, unknown)
+	}
 	e.post(&dispatch.CatalogChanged{At: now, Change: c})
 }
 
