dispatch, edge: requests that crash servers are refused by the fleet

What callers saw: a request that crashes whichever server runs it, sent again by its caller, was passed on each time and twice for each repeatable one: 20 servers of the 40 sends of TestRequestThatCrashesServersIsRefusedByTheFleet.

Cause: only primrosenotch-entry had the detection; the dispatcher of primrosenotch-edge retried without asking what a request had done to its first server.

Change: the tracker of internal/health is used here, too. A connection that breaks before its answer starts a health check on a new connection; only a refused one counts as a crash. Strikes travel with the membership messages. A strike within 500 ms of the last is not counted, and the request is not sent in that time. The fingerprint moves from internal/runtime to internal/ingress.

Evidence: with the two checks taken out, both new tests fail (20 crashes of at most 4, and no server left).

--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// strikeSpacing is the time within which failures of several servers may have one cause.
+const strikeSpacing = 500 * time.Millisecond
+
+// recordCrashEvidence updates the detection of requests that crash servers. The load
+// pattern is a request that crashes whichever server runs it and that its caller sends
+// again and again, to any instance.
+func (d *Dispatcher) recordCrashEvidence(ev *AttemptEnded, q *request, a *attempt) {
+	switch ev.Result {
+	case event.AttemptComplete, event.AttemptFailed:
+		d.suspects.Completed(ev.At, q.fingerprint)
+	case event.AttemptBroken, event.AttemptStaleBroken:
+		if d.suspects.RecentlyCompleted(q.fingerprint) {
+			return
+		}
+		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.entry.ID, a.startedAt))
+		d.probeBroken(a.server)
+	case event.AttemptNotSent:
+		if ev.Refused {
+			d.serverCrashed(ev.At, a.server)
+		}
+	}
+}
+
+// probeBroken starts a health check of a server at which a connection broke. A refused
+// connection shows that the server crashed.
+func (d *Dispatcher) probeBroken(s *server) {
+	svc := d.config.Service(s.entry.Service)
+	if svc == nil || s.probing || s.misdirected || s.ejectedUntil != 0 || s.unlistedAt != 0 {
+		return
+	}
+	s.probing, s.probedBroken = true, true
+	d.add(&Probe{Server: &s.entry, Path: svc.HealthPath, Reason: ProbeBroken})
+}
+
+// brokenServerProbed applies the health check of a server that is not ejected.
+func (d *Dispatcher) brokenServerProbed(ev *ServerProbed, s *server) {
+	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	if ev.Refused {
+		d.serverCrashed(ev.At, s)
+		d.eject(ev.At, s, "connection refused")
+	}
+}
+
+// serverCrashed records a strike against each request that may have crashed a server.
+func (d *Dispatcher) serverCrashed(now model.Instant, s *server) {
+	d.logStrikes(now, s, d.suspects.ServerFailed(now, s.entry.ID))
+}
+
+func (d *Dispatcher) logStrikes(now model.Instant, s *server, fingerprints []uint64) {
+	for _, fingerprint := range fingerprints {
+		message := "suspected of crashing servers"
+		if d.suspects.Blocked(now, fingerprint) {
+			message = "refused from now on"
+		}
+		d.warn(now, fmt.Sprintf("request %016x", fingerprint), message, fmt.Sprintf("its connection to %s broke, and the server failed", s.entry.ID))
+	}
+}
+
+// Suspects returns the requests that are suspected of crashing servers, for peers.
+func (d *Dispatcher) Suspects(now model.Instant) []membership.Suspect {
+	return d.suspects.Snapshot(now)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
@@ -48,6 +49,7 @@
 	capacityStale bool
 	store         storeHealth
 	overflow      overflow
+	suspects      *health.SuspectTracker
 	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
 	ranked     []rankedServer
@@ -77,6 +79,7 @@
 		requests:    map[model.RequestID]*request{},
 		randomState: 1,
 		overflow:    newOverflow(),
+		suspects:    health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
 }
 
@@ -114,6 +117,8 @@
 		d.requestEnded(ev.Request)
 	case *ServerProbed:
 		d.serverProbed(ev)
+	case *SuspectsReceived:
+		d.suspects.Merge(ev.At, ev.Suspects)
 	}
 	return d.effects
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
@@ -67,6 +68,8 @@
 	// CallerTimeout is how long the caller waits, 0 if unknown.
 	CallerTimeout time.Duration
 	Replayable    bool // the whole body is buffered
+	// Fingerprint identifies repetitions of the same request, under any request identifier.
+	Fingerprint uint64
 }
 
 // ServerReport is the load and cold state that a backend server reports with an answer.
@@ -91,6 +94,8 @@
 	// OwnShortage reports that the attempt was not sent because this instance lacked a
 	// connection, file descriptor or port, which says nothing about the server.
 	OwnShortage bool
+	// Refused reports that the server's address refused the connection.
+	Refused bool
 	// Misdirected reports that a different server answered at the address.
 	Misdirected bool
 	// Draining reports that the server announced that it is leaving.
@@ -117,11 +122,19 @@
 	Healthy bool
 	// Reached reports that the server accepted a connection.
 	Reached bool
+	// Refused reports that the server's address refused the connection.
+	Refused bool
 	// OwnShortage reports that the check was not sent, as in AttemptEnded.
 	OwnShortage bool
 	Report      ServerReport
 }
 
+// SuspectsReceived reports requests that crashed servers, as known by a peer.
+type SuspectsReceived struct {
+	At       model.Instant
+	Suspects []membership.Suspect
+}
+
 func (*Tick) event()               {}
 func (*CatalogChanged) event()     {}
 func (*StoreRead) event()          {}
@@ -135,6 +148,7 @@
 func (*AnswerStarted) event()      {}
 func (*RequestEnded) event()       {}
 func (*ServerProbed) event()       {}
+func (*SuspectsReceived) event()   {}
 
 // Effect is an action that the caller of Step must carry out.
 type Effect interface{ effect() }
@@ -194,6 +208,7 @@
 const (
 	ProbeSuspected ProbeReason = "suspected" // the server is silent
 	ProbeEjected   ProbeReason = "ejected"   // the server failed
+	ProbeBroken    ProbeReason = "broken"    // a connection broke; the request may have crashed the server
 )
 
 // CloseConnections closes the connections to a backend server that has been removed.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -102,10 +102,19 @@
 		return
 	}
 	s.probing = false
+	broken := s.probedBroken
+	s.probedBroken = false
+	if broken && s.ejectedUntil == 0 {
+		d.brokenServerProbed(ev, s)
+		return
+	}
 	if ev.OwnShortage {
 		s.ejectedUntil = ev.At.Add(minEjection) // checked again then
 		return
 	}
+	if ev.Refused {
+		d.serverCrashed(ev.At, s)
+	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
 	s.suspected = false
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -21,6 +21,7 @@
 	distance    time.Duration // placement cost of a server in another region
 	deadline    model.Instant
 	replayable  bool
+	fingerprint uint64
 	running     []*attempt // oldest first; a second one only while the first is in doubt
 	tried       []*server
 	sends       int  // attempts that may have reached a server
@@ -78,16 +79,21 @@
 		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version, Inputs: &Inputs{HostKnown: d.config.KnowsHost(ev.Host)}})
 		return
 	}
+	if left := d.suspects.SpacingLeft(ev.At, ev.Fingerprint); left > 0 || d.suspects.Blocked(ev.At, ev.Fingerprint) {
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseCrashSuspect, RetryAfter: left, Route: route.Name, Configuration: d.config.Version})
+		return
+	}
 	q := &request{
-		id:         ev.Request,
-		route:      route,
-		service:    d.splits[route.Name].next(),
-		object:     objectHash(route, ev.Affinity, ev.Path),
-		sticky:     route.Sticky && ev.Affinity != "",
-		objective:  objective(route),
-		deadline:   ev.At.Add(effectiveTimeout(ev.CallerTimeout, route.Timeout)),
-		replayable: ev.Replayable,
-		arrivedAt:  ev.At,
+		id:          ev.Request,
+		route:       route,
+		service:     d.splits[route.Name].next(),
+		object:      objectHash(route, ev.Affinity, ev.Path),
+		sticky:      route.Sticky && ev.Affinity != "",
+		objective:   objective(route),
+		deadline:    ev.At.Add(effectiveTimeout(ev.CallerTimeout, route.Timeout)),
+		replayable:  ev.Replayable,
+		fingerprint: ev.Fingerprint,
+		arrivedAt:   ev.At,
 	}
 	q.runTimes = d.service(q.service).runTimesOf(route)
 	d.requests[q.id] = q
@@ -210,6 +216,7 @@
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	d.updateHealth(ev, s)
+	d.recordCrashEvidence(ev, q, a)
 	switch ev.Result {
 	case event.AttemptComplete:
 		d.recordRunTime(ev.At, q, a)
@@ -240,7 +247,7 @@
 	case event.AttemptCancelled:
 		d.refuse(q, model.CauseCallerGone, 0)
 	default:
-		if !q.route.Kind.Repeatable() {
+		if !q.route.Kind.Repeatable() || d.suspects.HasStrike(ev.At, q.fingerprint) {
 			d.refuse(q, causeOf(ev.Result), 0)
 			return
 		}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -28,6 +28,7 @@
 	failures     int  // consecutive failures
 	ejectedUntil model.Instant
 	probing      bool
+	probedBroken bool          // the health check in progress was started by probeBroken
 	suspected    bool          // ejected only because it is silent; not known to have failed
 	busySince    model.Instant // when inFlight last left 0
 	answeredAt   model.Instant // last answer of any kind
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -37,10 +37,17 @@
 func (e *Edge) tickFleet(now model.Instant) {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	e.group.SetSuspects(e.suspects(now))
 	e.applyOutput(e.group.Tick(now))
 	e.publishLookups(true)
 }
 
+func (e *Edge) suspects(now model.Instant) []membership.Suspect {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.Suspects(now)
+}
+
 // relistTime is how long an instance counts as listed whose entry was lost in a restore of
 // the store. It covers the time until every live instance has learned that its own entry is
 // missing and has written it again.
@@ -131,6 +138,9 @@
 	for _, n := range out.Notes {
 		e.log.WithFields(logrus.Fields{"subject": n.Subject, "subject_kind": "fleet", "why": n.Reason}).Info(n.Message)
 	}
+	if len(out.Suspects) > 0 {
+		e.post(&dispatch.SuspectsReceived{At: now, Suspects: out.Suspects})
+	}
 	e.publishLookups(false)
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -32,6 +35,7 @@
 		Affinity:      x.AffinityKey,
 		CallerTimeout: x.DeadlineHint,
 		Replayable:    x.Replayable,
+		Fingerprint:   fingerprint(x),
 	})
 	for !c.responded {
 		var o outcome
@@ -51,6 +55,11 @@
 	}
 }
 
+// fingerprint identifies repetitions of the same request. Two hosts may use the same path.
+func fingerprint(x *ingress.Exchange) uint64 {
+	return xxh3.HashStringSeed(x.Host, x.Fingerprint())
+}
+
 func (e *Edge) refuse(x *ingress.Exchange, f *dispatch.Refuse) {
 	e.requests.refused(x, f)
 	e.metrics.requestEnded(f.Outcome, f.Cause)
@@ -111,6 +120,7 @@
 		Attempt:           f.Attempt,
 		Result:            failed.Result,
 		OwnShortage:       failed.Step == upstream.StepLimit,
+		Refused:           errors.Is(failed, syscall.ECONNREFUSED),
 		Misdirected:       failed.Misdirected,
 		Draining:          failed.Draining,
 		BodyNotReplayable: !x.Replayable,
@@ -267,7 +277,7 @@
 			URI:             []byte(f.Path),
 			FreshConnection: true,
 		})
-		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err)}
+		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 		if err == nil {
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Report = e.serverReport(server.ID, &answer.Report)
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -33,6 +33,10 @@
 	// Window is the time after a broken connection within which its server must fail
 	// for the broken connection to count as a strike.
 	Window time.Duration
+	// Spacing is the time after the connection of a strike broke within which a new attempt
+	// gets no strike. It is for instances that retry at once: servers that lose their power
+	// together may break an attempt and its retry.
+	Spacing time.Duration
 	// MaxSuspects bounds the number of fingerprints. Beyond it the one that expires
 	// first is evicted.
 	MaxSuspects int
@@ -103,6 +107,15 @@
 	return entry != nil && now < entry.expires && len(entry.servers) >= blockThreshold
 }
 
+// SpacingLeft returns how long a request with a strike should not be sent, because no strike
+// would count, 0 if it may be sent.
+func (s *SuspectTracker) SpacingLeft(now model.Instant, fingerprint uint64) time.Duration {
+	if !s.HasStrike(now, fingerprint) {
+		return 0
+	}
+	return max(0, s.byFingerprint[fingerprint].lastStrikeAt.Add(s.settings.Spacing).Sub(now))
+}
+
 // HasStrike reports whether the request has a strike. The entry instance should then
 // not retry it by itself.
 func (s *SuspectTracker) HasStrike(now model.Instant, fingerprint uint64) bool {
@@ -113,6 +126,12 @@
 	return entry != nil && now < entry.expires && len(entry.servers) > 0
 }
 
+// RecentlyCompleted reports whether a server has recently answered the request in full, so
+// that a broken connection is no evidence against it.
+func (s *SuspectTracker) RecentlyCompleted(fingerprint uint64) bool {
+	return s.completed.has(fingerprint)
+}
+
 // Completed records that a server answered the request in full. This clears its
 // strikes, since something else broke the servers, but does not lift a block.
 func (s *SuspectTracker) Completed(now model.Instant, fingerprint uint64) {
--- a/internal/runtime/classify.go
+++ b/internal/runtime/classify.go
@@ -38,7 +38,7 @@
 	if group, ok := v.index.CallerGroup(x.Remote); ok {
 		m.CallerGroup = group.Name
 	}
-	m.Fingerprint = fingerprint(x)
+	m.Fingerprint = x.Fingerprint()
 	if m.Kind == model.Once {
 		m.Digest = digest(m.Fingerprint, x)
 	}
@@ -54,31 +54,6 @@
 	return route
 }
 
-// hashers pools the hashers, each of which is over 1 KB.
-var hashers = sync.Pool{New: func() any { return xxh3.New() }}
-
-// fingerprint hashes the parts of a request by which a repetition of it is
-// recognised: method, URI and body. Only the declared length of a streamed body is
-// known, so it stands for the body.
-func fingerprint(x *ingress.Exchange) uint64 {
-	h := hashers.Get().(*xxh3.Hasher)
-	defer hashers.Put(h)
-	h.Reset()
-	_, _ = h.WriteString(x.Method)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(x.URI)
-	_, _ = h.Write([]byte{0})
-	if x.BodyStream == nil {
-		_, _ = h.Write(x.Body)
-		return h.Sum64()
-	}
-	n := uint64(x.BodyBytes)
-	for shift := 0; shift < 64; shift += 8 {
-		_, _ = h.Write([]byte{byte(n >> shift)})
-	}
-	return h.Sum64()
-}
-
 // digest combines a request's fingerprint with its Authorization and Content-Digest
 // fields, so that a caller never receives an answer that was stored for another
 // caller's request with the same idempotency key.
