edge: an instance that was paused does not remove the entries of others

What others saw: an instance that is frozen for 10 s or more and wakes took the whole pause for the silence of an instance that had been unusable when the pause began, and removed its entry from the store at once, though it may have come back meanwhile. Until that one writes its entry again, lookups and shares of fleet-wide bounds leave it out.

Cause: the time since an instance was first missed was compared with the clock, not with the time in which this instance looked for it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,7 @@
 	group         *membership.Group
 	listed        map[model.InstanceID]listedInstance
 	missingSince  map[model.InstanceID]model.Instant // when listed instances stopped being usable
+	sweptAt       model.Instant                      // when missingSince was last checked
 	replica       *follow.Replica
 	echoes        *follow.Echoes
 	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -189,6 +189,9 @@
 	goneAfter = 10 * time.Second
 	// sweepTimeout is the timeout for removing one entry.
 	sweepTimeout = time.Second
+	// maxSweepGap is the time between two searches from which on this instance counts as
+	// paused meanwhile. What it has not seen is no evidence that others are gone.
+	maxSweepGap = 2 * sweepInterval
 )
 
 // sweep removes the entries of instances that have been gone for at least goneAfter. Only
@@ -214,6 +217,10 @@
 func (e *Edge) goneInstances(now model.Instant) map[model.InstanceID]int64 {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	if now.Sub(e.sweptAt) > maxSweepGap {
+		clear(e.missingSince)
+	}
+	e.sweptAt = now
 	usable := map[model.InstanceID]bool{}
 	hasLowestID := e.Ready()
 	for _, record := range e.usableInstances() {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -62,3 +62,21 @@
 	apply(now.Add(relistTime), 1, 7, "e-self")
 	require.Len(t, e.listed, 1, "removed in the same epoch")
 }
+
+// TestPausedInstanceDoesNotRemoveEntries guards against an instance that wakes from a pause,
+// counts the pause as another instance's silence, and removes the entry of one that lives.
+func TestPausedInstanceDoesNotRemoveEntries(t *testing.T) {
+	e := newEdgeWithPeers(t, 0)
+	e.loadedTables.Store(requiredTables)
+	e.publishLookups(true)
+	require.True(t, e.Ready())
+	e.listed["e-silent"] = listedInstance{entry: catalog.Instance{ID: "e-silent"}, version: 7}
+	now := e.clock.now()
+	require.Empty(t, e.goneInstances(now))
+	now = now.Add(goneAfter + sweepInterval) // nothing ran here meanwhile
+	require.Empty(t, e.goneInstances(now))
+	for waited := sweepInterval; waited < goneAfter; waited += sweepInterval {
+		require.Empty(t, e.goneInstances(now.Add(waited)), "after %s", waited)
+	}
+	require.Equal(t, map[model.InstanceID]int64{"e-silent": 7}, e.goneInstances(now.Add(goneAfter)))
+}
