ingress: a caller that sends its next request and leaves is noticed

What callers' servers saw: where a caller sends further requests before the first is answered and then leaves, its request ran on to the end, and the next one was passed on to a server although nobody waits for it.

Cause: the check for callers that have left peeks at the socket; unread data hides the end of the connection. After a caller had left, the connection was read on.

Change: with unread data, the kernel is asked whether the peer has hung up; the connection of a caller that has left is closed with its exchange.

Evidence: TestCallerThatPipelinesAndLeavesIsNoticed fails before in both forms (one segment, two segments). TestPipelinedRequestsAreAnsweredInOrder passes before and after.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -197,6 +197,9 @@
 	x.cancel = cancel
 	s.watcher.add(x)
 	s.handler.Serve(ctx, x)
+	if errors.Is(context.Cause(ctx), ErrCallerGone) {
+		x.ctx.SetConnectionClose() // its further requests may have been received already
+	}
 	if !x.responded {
 		_ = x.ctx.Conn().Close()
 	}
--- a/internal/tcpstate/peer.go
+++ b/internal/tcpstate/peer.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection's receive side.
@@ -15,7 +17,7 @@
 const (
 	Idle     State = iota // open, nothing received
 	Readable              // open, unread data received
-	Closed                // the peer closed or reset the connection
+	Closed                // the peer closed or reset the connection, with or without unread data
 )
 
 // Probe peeks repeatedly at the receive side of one connection. It is not safe for
@@ -53,6 +55,8 @@
 func (p *Probe) peekSocket(fd uintptr) {
 	n, _, err := syscall.Recvfrom(int(fd), p.b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
+	case n > 0 && hungUp(fd):
+		p.state = Closed
 	case n > 0:
 		p.state = Readable
 	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
@@ -61,3 +65,11 @@
 		p.state = Closed
 	}
 }
+
+// hungUp reports whether the peer has closed or reset the connection. Unread data hides that
+// from a read.
+func hungUp(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
