cli, edge: status of instances on the users' platform

What operators had: the control address of primrosenotch-edge served metrics on every path; status, explain and report failed with a JSON error.

Change: /v1/status is served there. status shows the configuration of each instance, the copies of the platform's tables with their ages and readers, the servers that get no requests or few with the instances that see it so, the use of the retry budgets, and requests that are suspected of crashing servers.

Not tried against a fleet of real processes.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gofiber/fiber/v3"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
@@ -18,6 +19,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/edge"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -79,7 +81,7 @@
 	go reload.run(ctx, hangups)
 	serveEndpoint(log, e.Accepting("ready", l.ready), platform.ReadyHandler(e))
 	serveEndpoint(log, e.Accepting("lookups", l.lookups), platform.LookupHandler(e))
-	serveEndpoint(log, e.Accepting("control", l.control), fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{})))
+	serveEndpoint(log, e.Accepting("control", l.control), controlHandler(e))
 	log.WithField("callers", s.Listen.Callers).Info("started")
 	return e.Run(ctx, edge.Listeners{Callers: l.callers, Links: l.links})
 }
@@ -125,12 +127,13 @@
 			BandwidthMbit: s.Instance.BandwidthMbit,
 			CPUs:          s.Instance.CPUs,
 		},
-		Region:   regions[model.ZoneName(s.Instance.Zone)],
-		Regions:  regions,
-		Bounds:   s.bounds,
-		Dialect:  platform.Dialect(),
-		Store:    store,
-		Registry: store,
+		ControlAddr: s.Advertise.Control,
+		Region:      regions[model.ZoneName(s.Instance.Zone)],
+		Regions:     regions,
+		Bounds:      s.bounds,
+		Dialect:     platform.Dialect(),
+		Store:       store,
+		Registry:    store,
 		Tables: edge.Tables{
 			Operator:  platform.TableOperator,
 			Servers:   platform.TableServers,
@@ -171,6 +174,18 @@
 	return l, errors.Join(errs...)
 }
 
+// controlHandler serves the operators' API, and metrics on all other paths.
+func controlHandler(e *edge.Edge) fasthttp.RequestHandler {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(e.Metrics(), promhttp.HandlerOpts{}))
+	app := fiber.New()
+	control.RegisterStatus(app, e.Status)
+	app.Use(func(c fiber.Ctx) error {
+		metrics(c.RequestCtx())
+		return nil
+	})
+	return app.Handler()
+}
+
 // serveEndpoint serves handler on l in the background until the process ends.
 func serveEndpoint(log *logrus.Entry, l net.Listener, handler fasthttp.RequestHandler) {
 	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048}
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -91,6 +91,36 @@
 	tr.assert("instances")
 }
 
+// directStatus returns the status of an instance that sends requests itself.
+func directStatus(id model.InstanceID, revision int64, age time.Duration, ejected ...model.BackendName) control.Status {
+	s := control.Status{
+		Instance: id, Zone: "munich-a", State: "ready",
+		Configuration: control.Configuration{Revision: revision}, Platform: control.Platform{State: "closed"},
+		Direct: &control.Direct{
+			Servers: 52,
+			Tables:  []control.TableCopy{{Table: "op", Age: age, Reading: age == 0}, {Table: "servers", Age: -1, Failing: age > 0}},
+			Retries: []control.RetryUse{{Service: "shop", FirstSends: 1000, Retries: 12}},
+		},
+	}
+	for _, server := range ejected {
+		s.Direct.Restricted = append(s.Direct.Restricted, control.RestrictedServer{Server: server, Service: "shop", Zone: "munich-a", Health: "ejected"})
+	}
+	return s
+}
+
+func TestStatusOfInstancesThatSendThemselves(t *testing.T) {
+	tr := newTranscript(t)
+	second := &fakeInstance{status: directStatus("edge-2", 8, 1500*time.Millisecond, "shop-01", "shop-02")}
+	second.status.Direct.CrashSuspects = 1
+	secondAddress := serve(t, second)
+	first := &fakeInstance{status: directStatus("edge-1", 8, 0, "shop-01")}
+	first.status.Peers = []control.Peer{{Instance: "edge-2", ControlAddr: secondAddress, Reachable: true}}
+	firstAddress := serve(t, first)
+	tr.replacer = strings.NewReplacer(firstAddress, "EDGE-1", secondAddress, "EDGE-2")
+	tr.run(ExitOK, "status", "--entry", firstAddress)
+	tr.assert("direct")
+}
+
 func TestReportAsHTML(t *testing.T) {
 	tr := newTranscript(t)
 	page := tr.run(ExitOK, "report", "--entry", startFleet(t, tr), "--format", "html")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -43,7 +43,11 @@
 
 func (v *statusView) writeText(w io.Writer) {
 	v.writeInstances(w)
-	v.writeZones(w)
+	if len(v.direct()) > 0 {
+		v.writeDirect(w)
+	} else {
+		v.writeZones(w)
+	}
 	v.writeBackends(w)
 	v.writeStops(w)
 	if len(v.Unreachable) > 0 {
@@ -58,7 +62,7 @@
 		reachable := lo.CountBy(s.Peers, func(p control.Peer) bool { return p.Reachable })
 		t.row(string(s.Instance), string(s.Zone), s.State,
 			fmt.Sprint(s.Configuration.Revision), orDash(s.Configuration.Hash), s.Platform.State,
-			fmt.Sprintf("%d of %d", reachable, len(s.Peers)), fmt.Sprint(len(s.Backends)))
+			fmt.Sprintf("%d of %d", reachable, len(s.Peers)), fmt.Sprint(serverCount(&s)))
 	}
 	t.flush()
 	revisions := lo.Uniq(lo.Map(v.Instances, func(s control.Status, _ int) int64 { return s.Configuration.Revision }))
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -34,6 +35,22 @@
 	Error string `json:"error"`
 }
 
+// errNoJournal is the answer of an instance that keeps no journal of its decisions.
+var errNoJournal = errors.New("this instance keeps no journal; use explain --log with the logs of the instances")
+
+// RegisterStatus adds the routes of an instance that only has a status. The others are
+// answered with an error.
+func RegisterStatus(router fiber.Router, status func(context.Context) Status) {
+	router.Get(StatusPath, func(c fiber.Ctx) error {
+		return c.JSON(status(c.Context()))
+	})
+	for _, path := range []string{ExplainPath, ReportPath} {
+		router.Get(path, func(c fiber.Ctx) error {
+			return c.Status(fiber.StatusNotImplemented).JSON(ErrorResponse{Error: errNoJournal.Error()})
+		})
+	}
+}
+
 // Register adds the API's routes to a fiber router.
 func Register(router fiber.Router, source Source) {
 	router.Get(StatusPath, func(c fiber.Ctx) error {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -25,6 +25,43 @@
 	Loads         []ServiceLoad `json:"loads"`    // current load of the backend servers that this instance owns
 	Backends      []Backend     `json:"backends"` // backend servers that this instance owns
 	Stops         []Stop        `json:"stops"`
+	// Direct is set by an instance that sends requests to backend servers itself. Zones,
+	// Loads, Backends and Stops are then empty.
+	Direct *Direct `json:"direct,omitempty"`
+}
+
+// Direct is the state of an instance that sends requests to backend servers itself.
+type Direct struct {
+	Servers    int                `json:"servers"`    // that the instance knows
+	Restricted []RestrictedServer `json:"restricted"` // those that get no requests, or few
+	Tables     []TableCopy        `json:"tables"`     // copies of the platform's tables
+	Retries    []RetryUse         `json:"retries"`    // by service
+	// CrashSuspects is the number of requests that are suspected of crashing servers.
+	CrashSuspects int `json:"crash_suspects"`
+}
+
+// RestrictedServer is a backend server that gets no requests, or few.
+type RestrictedServer struct {
+	Server   model.BackendName `json:"server"`
+	Service  model.ServiceName `json:"service"`
+	Zone     model.ZoneName    `json:"zone"`
+	Health   string            `json:"health"`    // such as ejected, draining, evacuated, cold
+	InFlight int               `json:"in_flight"` // requests of this instance
+}
+
+// TableCopy is an instance's copy of a table of the platform's store.
+type TableCopy struct {
+	Table   string        `json:"table"`
+	Age     time.Duration `json:"age_ns"` // since it was last known to be the latest; negative if it is unknown
+	Reading bool          `json:"reading"`
+	Failing bool          `json:"failing"` // the last read failed
+}
+
+// RetryUse counts the sends of one instance to a service in the window of the retry budget.
+type RetryUse struct {
+	Service    model.ServiceName `json:"service"`
+	FirstSends int               `json:"first_sends"`
+	Retries    int               `json:"retries"`
 }
 
 // Configuration identifies the revision that an instance currently applies.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -186,6 +186,7 @@
 		Zone:        self.Zone,
 		LinkAddr:    self.LinkAddr,
 		CallerAddr:  self.CallerAddr,
+		ControlAddr: e.options.ControlAddr,
 		State:       membership.Ready,
 		Incarnation: uint64(self.StartedNanos),
 		StartedAt:   e.clock.now(),
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -50,6 +50,7 @@
 // Options holds the settings and dependencies of an Edge.
 type Options struct {
 	Self          catalog.Instance
+	ControlAddr   string // host:port for operators, as peers tell them
 	Region        model.RegionName
 	Regions       map[model.ZoneName]model.RegionName
 	Bounds        Bounds
--- a/internal/pacing/retry.go
+++ b/internal/pacing/retry.go
@@ -51,3 +51,8 @@
 	b.retries.Add(now, 1)
 	return true
 }
+
+// Used returns the numbers of first sends and of retries in the window.
+func (b *RetryBudget) Used(now model.Instant) (firstSends, retries int) {
+	return b.firstSends.Count(now), b.retries.Count(now)
+}
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -35,7 +35,7 @@
 		At:            now.Time(),
 		Configuration: r.configurationStatus(),
 		Platform:      r.platformStatus(),
-		Peers:         lo.Map(peers, func(p membership.Peer, _ int) control.Peer { return peerStatus(now, p) }),
+		Peers:         lo.Map(peers, func(p membership.Peer, _ int) control.Peer { return control.NewPeer(now, &p) }),
 		Loads:         lo.Map(owned, func(l membership.ServiceLoad, _ int) control.ServiceLoad { return loadStatus(l) }),
 		Backends:      lo.Map(servers, func(s reducer.ServerState, _ int) control.Backend { return serverStatus(s) }),
 		Stops:         r.stops(),
@@ -66,27 +66,6 @@
 	return r.options.PlatformState()
 }
 
-func peerStatus(now model.Instant, p membership.Peer) control.Peer {
-	out := control.Peer{
-		Instance:    p.Record.ID,
-		Zone:        p.Record.Zone,
-		State:       p.Record.State.String(),
-		Reachable:   p.Health == membership.HealthAlive,
-		Incarnation: p.Record.Incarnation,
-		Revision:    p.Record.Revision,
-		LinkAddr:    p.Record.LinkAddr,
-		CallerAddr:  p.Record.CallerAddr,
-		ControlAddr: p.Record.ControlAddr,
-	}
-	if p.Health == membership.HealthDead || p.Health == membership.HealthListed {
-		out.State = string(p.Health)
-	}
-	if p.Silence >= 0 {
-		out.LastHeard = now.Add(-p.Silence).Time()
-	}
-	return out
-}
-
 func serverStatus(s reducer.ServerState) control.Backend {
 	out := control.Backend{
 		Backend: s.Backend.Name,
