dispatch: a second attempt that fails is made again while the first is in doubt

What callers saw: a repeatable request at a server without power ended at its deadline. Its second attempt had got no connection, was refused, or could not be made because the other servers were full, and the next one was made only after the server's next failed health check, 0.5 to 4 s later.

Cause: second attempts were started by the result of a health check only. A second attempt that ended left the request with the attempt in doubt alone.

Change: a server that got no connection for its last health check and has not answered since counts as unreachable. A request whose only attempt is at such a server gets its second attempt when the first chance comes: when another attempt ends, and with each tick. Limits: the route's attempts, three failed connections, and the retry budget, of which an attempt that reached no server uses nothing. The attempt at the server goes on, as before.

Evidence: TestSecondAttemptIsTriedAgainWhileTheFirstIsInDoubt and TestSecondAttemptIsMadeOnceAServerHasRoom failed before. TestHedgesInAnyOrder now plays ticks, too.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -273,6 +273,7 @@
 	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
+	d.hedgeAttempts(now)
 	d.probeEjected(now)
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -109,8 +109,9 @@
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
 	s.suspected = false
-	if !ev.Healthy && !ev.Reached {
-		d.hedgeAttempts(ev.At, s)
+	s.unreachable = !ev.Healthy && !ev.Reached
+	if s.unreachable {
+		d.hedgeAttempts(ev.At)
 	}
 	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < recentAnswerAge {
 		s.ejectedUntil = 0
--- a/internal/dispatch/hedge_property_test.go
+++ b/internal/dispatch/hedge_property_test.go
@@ -74,7 +74,10 @@
 		for !c.answered && !c.refused {
 			now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
 			s := c.running[random.IntN(len(c.running))]
-			switch random.IntN(4) {
+			switch random.IntN(5) {
+			case 2:
+				apply(d.Step(&Tick{At: now}), false)
+				continue
 			case 0:
 				apply(d.Step(&ServerProbed{At: now, Server: s.Server.ID, Reached: random.IntN(4) == 0}), false)
 				continue
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -124,3 +124,59 @@
 	require.Equal(t, 1, s.failures)
 	require.False(t, s.probing)
 }
+
+// TestSecondAttemptIsTriedAgainWhileTheFirstIsInDoubt guards against requests at a server
+// without power that end at their deadline because their second attempt failed at once.
+func TestSecondAttemptIsTriedAgainWhileTheFirstIsInDoubt(t *testing.T) {
+	for result, again := range map[event.AttemptResult]bool{
+		event.AttemptNotSent:   true,
+		event.AttemptShed:      true,
+		event.AttemptBroken:    true,
+		event.AttemptCancelled: false, // the caller has left
+	} {
+		route := testRoute()
+		route.Attempts = 3
+		d, first, second := hedgedRequest(t, route)
+		third := hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: result}))
+		if !again {
+			require.Empty(t, third, result)
+			continue
+		}
+		require.Len(t, third, 1, result)
+		require.NotContains(t, []model.BackendName{first.Server.ID, second.Server.ID}, third[0].Server.ID)
+	}
+	t.Run("limits", func(t *testing.T) {
+		d, _, second := hedgedRequest(t, testRoute())
+		require.Empty(t, hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: event.AttemptShed})),
+			"the route allows two attempts")
+		d, _, second = hedgedRequest(t, testRoute())
+		for d.service("shop").budget.Take(at(time.Second), 1) {
+		}
+		require.Len(t, hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: event.AttemptNotSent})), 1,
+			"an attempt that reached no server has used none of the retry budget")
+	})
+	t.Run("answering server", func(t *testing.T) {
+		route := testRoute()
+		route.Attempts = 3
+		d, first, second := hedgedRequest(t, route)
+		d.Step(&ServerProbed{At: at(time.Second), Server: first.Server.ID, Reached: true, Healthy: true})
+		require.Empty(t, hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: event.AttemptShed})))
+	})
+}
+
+// TestSecondAttemptIsMadeOnceAServerHasRoom guards against requests at a server without power
+// that wait for its next health check, although another server can take them before that.
+func TestSecondAttemptIsMadeOnceAServerHasRoom(t *testing.T) {
+	d := newDispatcher(testRoute())
+	first := requireSend(t, arrive(d, start, 1, "k"))
+	for _, other := range d.servers {
+		other.entry.Draining = true
+	}
+	require.Empty(t, hedges(d.Step(&ServerProbed{At: at(time.Second), Server: first.Server.ID})))
+	require.Empty(t, hedges(d.Step(&Tick{At: at(1100 * time.Millisecond)})))
+	for _, other := range d.servers {
+		other.entry.Draining = false
+	}
+	require.Len(t, hedges(d.Step(&Tick{At: at(1200 * time.Millisecond)})), 1)
+	require.Empty(t, hedges(d.Step(&Tick{At: at(1300 * time.Millisecond)})), "one at a time")
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,6 +27,7 @@
 	failedDials int  // attempts that failed without a connection
 	mayHaveRun  bool // an earlier attempt may have run
 	answered    bool // an answer is being passed on to the caller
+	hedgePaid   bool // the retry budget was charged for an attempt that reached no server
 	arrivedAt   model.Instant
 	// failedChoice is set if no server was found.
 	failedChoice *FailedChoice
@@ -43,7 +44,13 @@
 // mayHedge reports whether the request may be sent to a second server while its first
 // attempt runs.
 func (q *request) mayHedge() bool {
-	return q.route.Kind.Repeatable() && q.replayable && !q.answered && q.sends < q.route.Attempts
+	return q.route.Kind.Repeatable() && q.replayable && !q.answered &&
+		q.sends < q.route.Attempts && q.failedDials < maxFailedDials
+}
+
+// inDoubt reports whether the only running attempt is at a server that may have lost power.
+func (q *request) inDoubt() bool {
+	return len(q.running) == 1 && q.running[0].server.unreachable
 }
 
 // takeAttempt removes a running attempt and returns it, or nil if it has already ended.
@@ -207,6 +214,7 @@
 	s.inFlight--
 	if ev.Report.HasLoad || ev.Result == event.AttemptComplete || ev.Result == event.AttemptFailed {
 		s.answeredAt = ev.At
+		s.unreachable = false
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	d.updateHealth(ev, s)
@@ -223,10 +231,17 @@
 	default:
 		q.mayHaveRun = true
 	}
-	if q.answered || len(q.running) > 0 {
-		return // the caller has its answer, or may get that of the other attempt
+	switch {
+	case q.answered:
+	case len(q.running) == 0:
+		d.nextAttempt(ev, q)
+	case ev.Result != event.AttemptCancelled:
+		// The caller may get the answer of the other attempt.
+		q.hedgePaid = q.hedgePaid || ev.Result == event.AttemptNotSent
+		if q.inDoubt() {
+			d.hedge(ev.At, q)
+		}
 	}
-	d.nextAttempt(ev, q)
 }
 
 // nextAttempt decides about a request whose last running attempt has ended without an
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -28,6 +28,7 @@
 	failures     int  // consecutive failures
 	ejectedUntil model.Instant
 	probing      bool
+	unreachable  bool          // its last health check got no connection, and it has not answered since
 	suspected    bool          // ejected only because it is silent; not known to have failed
 	busySince    model.Instant // when inFlight last left 0
 	answeredAt   model.Instant // last answer of any kind
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -46,11 +46,12 @@
 
 // hedgeAttempts starts a second attempt of each repeatable request at a server that did not
 // accept a connection for its health check. The running attempts go on: the server may
-// have lost power, or be at work with a full queue of new connections.
-func (d *Dispatcher) hedgeAttempts(now model.Instant, s *server) {
+// have lost power, or be at work with a full queue of new connections. A second attempt
+// that is not possible now is made as soon as it is.
+func (d *Dispatcher) hedgeAttempts(now model.Instant) {
 	var stuck []model.RequestID
 	for id, q := range d.requests {
-		if len(q.running) == 1 && q.running[0].server == s && q.mayHedge() {
+		if q.inDoubt() {
 			stuck = append(stuck, id)
 		}
 	}
@@ -60,14 +61,16 @@
 	}
 }
 
-// hedge starts a second attempt of a request, if a server and the retry budget permit it.
+// hedge starts a second attempt of a request, if its limits, a server and the retry budget
+// permit it.
 func (d *Dispatcher) hedge(now model.Instant, q *request) {
-	if q.deadline <= now {
+	if q.deadline <= now || !q.mayHedge() {
 		return
 	}
 	c := d.choose(now, q)
-	if c.server == nil || !d.service(q.service).budget.Take(now, d.instances) {
+	if c.server == nil || !q.hedgePaid && !d.service(q.service).budget.Take(now, d.instances) {
 		return
 	}
+	q.hedgePaid = false
 	d.add(&Hedge{Send: d.startAttempt(now, q, c)})
 }
