reducer: a slow read is not cancelled for a replacement in vain

What callers of primrosenotch-entry saw: an attempt on a reused connection that was slow was cancelled although no replacement could be made or be answered in time; its caller was told "timeout" with up to half of its time left, while the server worked on the answer.

Cause: the attempt was cancelled first, and only when it had ended the queue was asked whether it takes the request again. On a route whose runs usually take more than half of the deadline it never does.

Change: the queue is asked before the attempt is cancelled (MayRequeue).

Evidence: TestSlowReadIsNotCancelledForAReplacementInVain failed before in both cases, a run that usually takes 600 ms of 1 s, and no usable server.

--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -152,6 +152,16 @@
 	return model.CauseNone
 }
 
+// MayRequeue reports whether Requeue would accept a request now. It changes nothing.
+func (c *Controller) MayRequeue(now model.Instant, id model.RequestID, exclude model.BackendName) bool {
+	r := c.requests[id]
+	if r == nil || !r.running() {
+		return false
+	}
+	after := *r
+	return c.checkRequeue(now, &after, exclude) == model.CauseNone
+}
+
 func (c *Controller) checkRequeue(now model.Instant, r *request, exclude model.BackendName) model.Cause {
 	if !r.exclude(exclude) || !r.service.hasOtherServer(now, r) {
 		return model.CauseNoBackend
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -75,7 +75,8 @@
 }
 
 // attemptSlow cancels a slow attempt in favour of another one on a new
-// connection, within the retry budget: the old connection may be unresponsive.
+// connection, within the retry budget: the old connection may be unresponsive. The attempt
+// goes on if the other one cannot be made, or would probably be too late.
 func (r *Reducer) attemptSlow(ev *event.AttemptSlow) {
 	o := r.offers[ev.Request]
 	if o == nil || !o.running || o.replaced || o.withdrawn || r.leavingAt != 0 {
@@ -87,7 +88,7 @@
 	if ev.BodyUsed && !o.meta.Replayable {
 		return
 	}
-	if !r.retries.Allow(ev.At, o.meta.Service) {
+	if !r.admission.MayRequeue(ev.At, ev.Request, r.serverToAvoid(ev.At, ev.Backend)) || !r.retries.Allow(ev.At, o.meta.Service) {
 		return
 	}
 	o.replaced = true
@@ -105,7 +106,7 @@
 	}
 	o.replaced = false
 	o.hasSlot = false
-	if refused := r.admission.Requeue(ev.At, ev.Request, r.serverToAvoid(ev)); refused != model.CauseNone {
+	if refused := r.admission.Requeue(ev.At, ev.Request, r.serverToAvoid(ev.At, ev.Backend)); refused != model.CauseNone {
 		r.refuseOffer(ev.Request, o, model.CauseTimeout)
 	}
 }
@@ -113,14 +114,14 @@
 // serverToAvoid returns the server that the replacement of an attempt has to
 // avoid: the server of the attempt, or none if this instance owns no other usable
 // server of the service. A new connection to the same server may still work.
-func (r *Reducer) serverToAvoid(ev *event.AttemptFinished) model.BackendName {
-	silent, ok := r.index.Backend(ev.Backend)
+func (r *Reducer) serverToAvoid(now model.Instant, attempted model.BackendName) model.BackendName {
+	silent, ok := r.index.Backend(attempted)
 	if !ok {
 		return ""
 	}
 	for _, name := range r.ownedNames {
 		b, known := r.index.Backend(name)
-		if known && name != silent.Name && b.Service == silent.Service && r.health.Limit(ev.At, name) > 0 {
+		if known && name != silent.Name && b.Service == silent.Service && r.health.Limit(now, name) > 0 {
 			return silent.Name
 		}
 	}
--- a/internal/reducer/slow_attempt_test.go
+++ b/internal/reducer/slow_attempt_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -57,6 +58,37 @@
 	require.True(t, third.FreshConnection)
 }
 
+// A slow read must not be cancelled for a replacement that cannot be made or cannot be
+// answered in time: its caller would lose the answer that the server is working on.
+func TestSlowReadIsNotCancelledForAReplacementInVain(t *testing.T) {
+	t.Run("too late", func(t *testing.T) {
+		s := newSession(t, sessionText)
+		for id := model.RequestID(1); id <= 20; id++ {
+			d := dispatchOf(t, s.offer(id, "browse"))
+			s.wait(600 * time.Millisecond) // of a deadline of 1 s
+			s.attempt(id, d.Backend, event.AttemptComplete)
+		}
+		s.requireNotReplaced(100, func() {})
+	})
+	t.Run("no usable server", func(t *testing.T) {
+		s := newSession(t, sessionText)
+		s.requireNotReplaced(100, func() {
+			s.configure(2, sessionText,
+				config.Stop{ID: "stop-1", Scope: config.StopBackend, Target: "shop-1", At: s.now.Time()},
+				config.Stop{ID: "stop-2", Scope: config.StopBackend, Target: "shop-2", At: s.now.Time()})
+		})
+	})
+}
+
+// requireNotReplaced offers a read whose attempt becomes slow after something has happened.
+func (s *session) requireNotReplaced(id model.RequestID, happens func()) {
+	d := dispatchOf(s.t, s.offer(id, "browse"))
+	happens()
+	s.wait(d.SlowAfter)
+	require.NotContains(s.t, s.step(&event.AttemptSlow{At: s.now, Request: id, Backend: d.Backend}),
+		event.Effect(&event.CancelAttempt{Request: id}))
+}
+
 // A slow once request must not be cancelled: it was sent on a new connection and
 // must not run twice.
 func TestSlowOnceRequestIsNotCancelled(t *testing.T) {
