upstream: the answer behind skipped responses is used

Cause: after the second response to another request the next one was read, but not looked at. Change: it is; the attempt fails with the third such response.

Evidence: TestAnswerBehindSkippedResponsesIsUsed failed before ("response belongs to another request"). TestOnlyMismatchedResponses still requires the failure.

--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -7,8 +7,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxMismatchedResponses is the number of responses to other requests after which the
-// attempt fails.
+// maxMismatchedResponses is the number of responses to other requests that are skipped
+// before the attempt fails.
 const maxMismatchedResponses = 2
 
 // maxSkippedBytes bounds the body of a response to another request that is read in order
@@ -30,7 +30,7 @@
 	if !d.EchoesRequestID || a.TraceID == "" {
 		return "", nil
 	}
-	for range maxMismatchedResponses {
+	for skipped := 0; ; skipped++ {
 		if string(resp.Header.Peek(d.RequestID)) == a.TraceID {
 			return StepReceive, c.requireSignature(resp)
 		}
@@ -41,11 +41,13 @@
 			return "", nil
 		}
 		cn.desynchronized = true
+		if skipped == maxMismatchedResponses {
+			return StepReceive, errMismatchedResponses
+		}
 		if err := skipResponse(cn, resp); err != nil {
 			return StepReceive, err
 		}
 	}
-	return StepReceive, errMismatchedResponses
 }
 
 // requireSignature returns errUnsigned for a 2xx response without the signature that the
--- a/internal/upstream/mismatch_test.go
+++ b/internal/upstream/mismatch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,6 +53,14 @@
 	require.Zero(t, c.Count(s.addr).Open, "the connection must not be reused")
 }
 
+// TestAnswerBehindSkippedResponsesIsUsed guards against an answer that was waited for and then
+// dropped because as many responses to other requests as may be skipped had come before it.
+func TestAnswerBehindSkippedResponsesIsUsed(t *testing.T) {
+	s := startServer(t, respondAlways(strings.Repeat(earlierResponse, maxMismatchedResponses)+matchingResponse))
+	response, sendErr := newClient(t, echoingSettings()).Send(testContext(t), newGet(s))
+	require.Equal(t, "ok", readBody(t, response, sendErr))
+}
+
 func TestOnlyMismatchedResponses(t *testing.T) {
 	s := startServer(t, respondAlways(earlierResponse+earlierResponse+earlierResponse))
 	c := newClient(t, echoingSettings())
