edge, upstream: an early answer does not wait for the rest of the body

What callers saw: a caller that sent part of a long body and then waited for the answer got none: the server had answered, and the instance went on waiting for the caller's bytes until the caller counted as slow (10 s) or the deadline came. If the body ended early after the answer had arrived, the answer was dropped and the attempt counted as cancelled.

Cause: the answer was looked at only when reading the body had ended, and its error went first.

Change: an answer that has arrived goes before an error of the body.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -81,6 +81,7 @@
 		Body:            x.Body,
 		BodyStream:      x.BodyStream,
 		BodyBytes:       x.BodyBytes,
+		AbortBody:       x.AbortBody,
 		TraceID:         x.TraceID,
 		ExpectServer:    f.Server.ID,
 		DeadlineLeft:    f.TimeLeft,
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 // within the progress timeout, or does not accept a write of the response within it.
 var ErrSlowCaller = errors.New("caller made too little progress sending or reading a body")
 
+// ErrBodyAborted is returned for a body that is no longer needed.
+var ErrBodyAborted = errors.New("the rest of the body is not needed")
+
 // listener wraps each accepted connection in a progressConn.
 type listener struct {
 	net.Listener
@@ -41,6 +45,7 @@
 	minBytes    int
 	readTimeout func(requested time.Duration) time.Duration
 	inBody      bool
+	bodyAborted atomic.Bool   // reads of the body fail
 	waited      time.Duration // time spent waiting since the last sufficient progress
 	read        int           // bytes read since the last sufficient progress
 }
@@ -49,9 +54,16 @@
 // HTTP library sets its next read deadline.
 func (c *progressConn) startBody() {
 	c.inBody = true
+	c.bodyAborted.Store(false)
 	c.waited, c.read = 0, 0
 }
 
+// abortBody makes reads of the body fail, including one that waits for the caller.
+func (c *progressConn) abortBody() {
+	c.bodyAborted.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
 // SetReadDeadline implements net.Conn. It ends the use of the progress timeout and
 // applies readTimeout to the deadline.
 func (c *progressConn) SetReadDeadline(t time.Time) error {
@@ -72,6 +84,11 @@
 	if err := c.Conn.SetReadDeadline(start.Add(c.timeout - c.waited)); err != nil {
 		return 0, err
 	}
+	// bodyAborted is checked after the deadline is set, because this may have replaced the
+	// deadline set by abortBody.
+	if c.bodyAborted.Load() {
+		return 0, ErrBodyAborted
+	}
 	n, err := c.Conn.Read(p)
 	c.waited += time.Since(start)
 	c.read += n
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -185,6 +185,14 @@
 	}
 }
 
+// AbortBody makes reads of BodyStream fail, including one in progress. The caller's
+// connection is closed after the response. It must not be called after Serve has returned.
+func (x *Exchange) AbortBody() {
+	if c, ok := x.ctx.Conn().(*progressConn); ok {
+		c.abortBody()
+	}
+}
+
 // requestStream reports io.ErrUnexpectedEOF for a body that ends early, because
 // fasthttp ends a truncated body of declared length with io.EOF.
 type requestStream struct {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -22,6 +22,9 @@
 	Body []byte
 	// BodyStream is read until io.EOF, and not after Send has returned.
 	BodyStream io.Reader
+	// AbortBody, if set, makes a read of BodyStream fail. It is called when the server has
+	// answered and the caller does not send on.
+	AbortBody func()
 	// BodyBytes is the length of BodyStream, -1 if unknown.
 	BodyBytes      int64
 	TraceID        string
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -18,6 +18,10 @@
 // because a server that refuses a body early responds and closes the connection.
 const earlyResponseTimeout = 100 * time.Millisecond
 
+// stalledBodyTimeout is how long a caller may take to send on after the server has answered.
+// A caller that waits for the answer sends nothing more.
+const stalledBodyTimeout = 100 * time.Millisecond
+
 // Send makes one attempt. The context bounds all of it, up to the end of the response
 // body. When the context is done, the connection is closed, which makes the backend
 // server cancel the request. Exactly one of the results is nil.
@@ -102,14 +106,18 @@
 	source := &requestBody{r: a.BodyStream, left: a.BodyBytes}
 	req.SetBodyStream(source, int(a.BodyBytes))
 	cn.uploading.Store(true)
-	received := make(chan error, 1)
+	received, written := make(chan error, 1), make(chan struct{})
 	go func() {
 		err := resp.ReadLimitBody(cn.br, 0)
 		cn.abortUpload()
+		if err == nil {
+			a.abortStalledBody(written)
+		}
 		received <- err
 	}()
 	sendErr := writeRequest(req, cn)
-	if source.err != nil {
+	close(written)
+	if source.err != nil && !cn.responded.Load() {
 		_ = cn.Conn.Close()
 		<-received
 		return false, StepReadBody, source.err
@@ -119,6 +127,8 @@
 	switch {
 	case receiveErr == nil:
 		return sendErr == nil, "", nil
+	case source.err != nil:
+		return false, StepReadBody, source.err
 	case sendErr != nil && !errors.Is(sendErr, errEarlyResponse):
 		return false, StepSend, sendErr
 	default:
@@ -126,6 +136,21 @@
 	}
 }
 
+// abortStalledBody ends the reading of a body that the server no longer needs, unless it ends
+// by itself soon.
+func (a *Attempt) abortStalledBody(written <-chan struct{}) {
+	if a.AbortBody == nil {
+		return
+	}
+	timer := time.NewTimer(stalledBodyTimeout)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+		a.AbortBody()
+	}
+}
+
 // responseTimeout returns how long to wait for the response once sending has ended with
 // sendErr.
 func responseTimeout(cn *conn, sendErr error) time.Duration {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -112,3 +112,34 @@
 		require.Equal(t, Connections{}, c.Count(s.addr))
 	}
 }
+
+// TestEarlyAnswerOutlivesTheRequestBody guards against an answer that is lost because the
+// caller's body ends early or stalls after the server has answered.
+func TestEarlyAnswerOutlivesTheRequestBody(t *testing.T) {
+	for _, stalls := range []bool{false, true} {
+		answered := make(chan struct{})
+		s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+			if _, err := s.readHead(br); err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, br, 90000)
+			time.Sleep(50 * time.Millisecond) // the client waits for more of the body
+			_, _ = io.WriteString(c, okResponse)
+			time.Sleep(50 * time.Millisecond) // the answer arrives
+			close(answered)
+			_, _ = io.Copy(io.Discard, br)
+		})
+		body, caller := io.Pipe()
+		go func() {
+			_, _ = caller.Write(make([]byte, 100000))
+			<-answered
+			if !stalls {
+				_ = caller.CloseWithError(errors.New("caller gone"))
+			}
+		}()
+		a := newPost(s, body, streamBytes)
+		a.AbortBody = func() { _ = caller.CloseWithError(errors.New("aborted")) }
+		response, sendErr := newClient(t, Settings{}).Send(testContext(t), a)
+		require.Equal(t, "ok", readBody(t, response, sendErr))
+	}
+}
