ingress: a caller that reads slowly but steadily gets the whole answer

What callers saw: an answer held in memory is written in one call, and a caller whose link needed more than 10 s for all of it was cut off, although it accepted bytes all the time.

Cause: the progress timeout bounded the whole write. Change: each part of the answer that the caller accepts starts it anew; a caller that accepts nothing within it still counts as slow.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,7 +10,7 @@
 )
 
 // ErrSlowCaller is returned when a caller sends fewer body bytes than required
-// within the progress timeout, or does not accept a write of the response within it.
+// within the progress timeout, or accepts nothing of the response within it.
 var ErrSlowCaller = errors.New("caller made too little progress sending or reading a body")
 
 // ErrBodyAborted is returned for a body that is no longer needed.
@@ -98,13 +98,20 @@
 	return n, asSlowCaller(err)
 }
 
-// Write implements net.Conn with the progress timeout.
+// Write implements net.Conn with the progress timeout. A write may take longer in all, as long
+// as the caller accepts some of it within each timeout.
 func (c *progressConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, asSlowCaller(err)
+		}
 	}
-	n, err := c.Conn.Write(p)
-	return n, asSlowCaller(err)
 }
 
 func asSlowCaller(err error) error {
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -34,3 +35,30 @@
 		require.Less(t, time.Since(started), time.Second)
 	}
 }
+
+// TestSteadySlowReaderGetsTheWholeAnswer guards against an answer that is cut off because its
+// caller, which reads all the time, needs longer for all of it than the progress timeout.
+func TestSteadySlowReaderGetsTheWholeAnswer(t *testing.T) {
+	const (
+		answerBytes = 20
+		timeout     = 300 * time.Millisecond
+	)
+	server, caller := net.Pipe() // buffers nothing
+	c := &progressConn{Conn: server, timeout: timeout}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for range answerBytes {
+			time.Sleep(timeout / 10)
+			_, _ = caller.Read(make([]byte, 1)) // an error also shows in Write
+		}
+	}()
+	n, err := c.Write(make([]byte, answerBytes))
+	require.NoError(t, err)
+	require.Equal(t, answerBytes, n)
+	<-read
+	n, err = c.Write(make([]byte, answerBytes))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, ErrSlowCaller)
+	require.NoError(t, server.Close())
+}
--- a/internal/ingress/settings.go
+++ b/internal/ingress/settings.go
@@ -28,7 +28,7 @@
 	// IdleTimeout bounds the wait for the next request on a connection.
 	IdleTimeout time.Duration
 	// ProgressTimeout bounds the time in which a caller must send the next
-	// ProgressBytes of a request body, or accept the next write of a response.
+	// ProgressBytes of a request body, or accept some more of a response.
 	ProgressTimeout time.Duration
 	// ProgressBytes is the number of request body bytes that restarts ProgressTimeout.
 	ProgressBytes int
