ingress: an answer does not wait for a pipelined request

What callers saw: a caller that sends its next request before it has the answer to the first one got that answer together with the second, after the run of the second request; where that run was cut by the end of a stop, both were lost, though the first had been answered.

Cause: fasthttp holds a response back in its buffer while more requests are buffered. Change: each response is sent at once, for which fasthttp has one condition that a handler can set, a write deadline.

Evidence: TestAnswerDoesNotWaitForAPipelinedRequest failed before (no byte within 3 s).

--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -62,3 +62,27 @@
 	require.ErrorIs(t, err, ErrSlowCaller)
 	require.NoError(t, server.Close())
 }
+
+// TestAnswerDoesNotWaitForAPipelinedRequest guards against an answer that is held back, or lost
+// in a stop, because the caller has sent its next request already.
+func TestAnswerDoesNotWaitForAPipelinedRequest(t *testing.T) {
+	release := make(chan struct{})
+	_, address := startServer(t, Settings{}, func(_ context.Context, x *Exchange) {
+		if x.Path == "/2" {
+			<-release
+		}
+		_ = respondText(x, x.Path)
+	})
+	c := dial(t, address)
+	require.NoError(t, c.c.SetReadDeadline(time.Now().Add(3*time.Second)))
+	c.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	defer func() {
+		close(release)
+		_, body, err := c.readResponse(http.MethodGet)
+		require.NoError(t, err)
+		require.Equal(t, "/2", body)
+	}()
+	_, body, err := c.readResponse(http.MethodGet)
+	require.NoError(t, err)
+	require.Equal(t, "/1", body)
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
@@ -110,7 +111,8 @@
 }
 
 // finishHeader replaces a response that the router made by itself with a refusal, so
-// that every response echoes the request ID. It also closes connections while the
+// that every response echoes the request ID. It has each response sent before the next
+// request on the connection is served. It also closes connections while the
 // server drains.
 func (s *Server) finishHeader(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
@@ -121,6 +123,9 @@
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
 		}
+		// A response whose write deadline was set is sent at once; others wait for the end
+		// of the next request if the caller has sent that already.
+		_ = ctx.SetWriteDeadline(time.Time{}) // an error means that the connection is closed
 	}
 }
 
