--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -45,7 +45,11 @@
 
 // brokenServerProbed applies the health check of a server that is not ejected.
 func (d *Dispatcher) brokenServerProbed(ev *ServerProbed, s *server) {
+	if ev.OwnShortage {
+		return
+	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	d.noteReachable(ev, s)
 	if ev.Refused {
 		d.serverCrashed(ev.At, s)
 		d.eject(ev.At, s, "connection refused")
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -118,9 +118,7 @@
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
 	s.suspected = false
-	if !ev.Healthy && !ev.Reached {
-		d.hedgeAttempts(ev.At, s)
-	}
+	d.noteReachable(ev, s)
 	if suspected && ev.Reached && ev.At.Sub(s.answeredAt) < recentAnswerAge {
 		s.ejectedUntil = 0
 		d.record(ev.At, string(s.entry.ID), "used again", "it answered a request recently")
@@ -138,3 +136,12 @@
 	}
 	d.record(ev.At, string(s.entry.ID), "used again", "health check passed")
 }
+
+// noteReachable records whether a server accepted the connection of a health check. If not, the
+// requests that it runs get second attempts.
+func (d *Dispatcher) noteReachable(ev *ServerProbed, s *server) {
+	s.unreachable = !ev.Healthy && !ev.Reached
+	if s.unreachable {
+		d.hedgeAttempts(ev.At)
+	}
+}
