pacing: shares of fleet-wide bounds below one

Callers: a server that comes back cold gets no request for as long as it is cold, from any of 78 instances (nor of 31, with other bounds); requests whose candidates are all cold are refused.

Cause: an instance's share of the cold rate is an equal part cut to an integer, 0 where instances outnumber the requests a second. The part of the retry budget that does not depend on requests has the same shape, and the share of a server's connections was one at least: 78 instances opened 40 connections to servers that take 20.

Change: pacing.Fleet divides whole units. The whole part of an equal share is used by each instance, as before; the units left over belong to the instances that a weighted rendezvous hash ranks first: by capacity, since callers are sent to instances by it, and first those in the server's region. An instance that has left keeps its rank, and one that has joined uses none of these, for the age that a list may have and a window, so that a unit is not used by two instances in one window; an instance with an older list uses none. A process uses none within a window after its start, or before it knows a list (it took itself for the only instance until then). No clock is shared.

TestFleetStaysWithinABound and TestRetryBudgetOfManyInstances step 7, 78 and 784 instances that join, leave, restart and lose the store, with lists up to 7 s old and clocks hours apart. TestRetryBudgetAcrossInstances keeps its bound; Take is given a Fleet that believes the same numbers.

Open: the part of a retry budget that grows with requests is still cut to an integer at each instance. Equal shares are used as soon as an instance joins; the margin of the bound covers a fleet that grows by less than 0.4 meanwhile.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
 // regionRoundTrip is the assumed round-trip time between two regions. The
@@ -64,7 +65,7 @@
 	d.ranked = d.ranked[:0]
 	first := -1
 	for _, s := range d.byService[q.service] {
-		if d.excluded(s, q) != notExcluded {
+		if d.excluded(now, s, q) != notExcluded {
 			continue
 		}
 		score := rendezvousScore(q.object, s.hash)
@@ -157,7 +158,7 @@
 	if d.settings.RandomServers {
 		return d.coldWait(now, s)
 	}
-	if s.inFlight >= d.connectionShare(s) {
+	if s.inFlight >= d.connectionShare(now, s) {
 		return max(minWait, q.runTimes.slotTime())
 	}
 	return max(d.coldWait(now, s), d.queueWait(now, s, q))
@@ -172,14 +173,22 @@
 // tick.
 const minWait = 100 * time.Millisecond
 
-// connectionShare returns how many connections this instance may open to a server: an
-// equal share of the server's limit, and at least one.
-func (d *Dispatcher) connectionShare(s *server) int {
+// connectionShare returns how many connections this instance may open to a server, 0 if the
+// instances outnumber the connections and others have them. Connections change hands at
+// once: one too many is refused by the server and costs only an attempt.
+func (d *Dispatcher) connectionShare(now model.Instant, s *server) int {
 	svc := d.config.Service(s.entry.Service)
 	if svc == nil || svc.MaxConnections <= 0 {
 		return math.MaxInt
 	}
-	return max(1, int(connectionMargin*float64(svc.MaxConnections)/float64(max(1, d.instances))))
+	units := max(1, int(connectionMargin*float64(svc.MaxConnections)))
+	if equal := units / d.instances.Instances(); equal > 0 {
+		return equal
+	}
+	if !d.instances.Listed() {
+		return 1
+	}
+	return d.instances.Share(now, pacing.Bound{Key: s.hash, Units: units, Near: s.region})
 }
 
 // queueWaitFactor is the maximum expected wait in a server's queue, as a multiple of the
@@ -206,7 +215,7 @@
 const defaultRetryAfter = time.Second
 
 // excluded returns why a server may not take a request, if it may not.
-func (d *Dispatcher) excluded(s *server, q *request) exclusion {
+func (d *Dispatcher) excluded(now model.Instant, s *server, q *request) exclusion {
 	switch {
 	case s.misdirected:
 		return excludedMisdirected
@@ -216,6 +225,8 @@
 		return excludedEvacuated
 	case s.ejectedUntil != 0:
 		return excludedEjected
+	case d.connectionShare(now, s) == 0:
+		return excludedConnections
 	case slices.Contains(q.tried, s):
 		return excludedTried
 	case len(q.route.HomeRegions) > 0 && !slices.Contains(q.route.HomeRegions, s.region):
--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
 // ColdSettings limit the requests that a cold server receives within any second from
@@ -18,14 +19,14 @@
 const coldMargin = 0.7
 
 // coldShare returns how many requests per second this instance may send to a cold
-// server. If an equal share would be less than one, it is 0.
-func (d *Dispatcher) coldShare(s *server) int {
+// server. Most requests for a server come from instances in its region.
+func (d *Dispatcher) coldShare(now model.Instant, s *server) int {
 	svc := d.config.Service(s.entry.Service)
 	if svc == nil {
 		return 0
 	}
 	total := coldMargin * (svc.ColdRate*d.settings.Cold.Factor + d.settings.Cold.Slack)
-	return int(total / float64(max(1, d.instances)))
+	return d.instances.Share(now, pacing.Bound{Key: s.hash, Units: int(total), Near: s.region, Span: s.coldSends.Span})
 }
 
 // coldWait returns the time until this instance may send its next request to a cold
@@ -34,5 +35,5 @@
 	if !s.cold(now) {
 		return 0
 	}
-	return s.coldSends.TimeUntilBelow(now, d.coldShare(s))
+	return s.coldSends.TimeUntilBelow(now, d.coldShare(now, s))
 }
--- /dev/null
+++ b/internal/dispatch/cold_test.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
+)
+
+// largeFleet returns the dispatchers of instances in all zones, a third of which receive
+// most of the requests, and the number of requests that each receives.
+func largeFleet(instances int, c *catalog.Configuration) ([]*Dispatcher, []int) {
+	zones := []model.ZoneName{"north-a", "north-b", "south-a", "south-b"}
+	var members []pacing.Member
+	var weights []int
+	for i := range instances {
+		weight := 1
+		if i%3 == 0 {
+			weight = 10
+		}
+		weights = append(weights, weight)
+		region := regions[zones[i%len(zones)]]
+		members = append(members, pacing.Member{ID: model.InstanceID(fmt.Sprint("edge-", i)), Region: region, Weight: float64(weight)})
+	}
+	var fleet []*Dispatcher
+	for _, m := range members {
+		settings := testSettings(m.Region)
+		settings.Self, settings.InstancesMaxAge = m.ID, 7*time.Second
+		d := New(settings)
+		d.Step(&InstancesCounted{At: start.Add(-time.Minute), Instances: instances, Members: members, RegionShare: 0.5})
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: c}})
+		fleet = append(fleet, d)
+	}
+	return fleet, weights
+}
+
+// TestColdReturnOfAZoneAtManyInstances replays a zone whose servers come back cold while
+// the other zone of their region is evacuated: each instance's equal share of a cold
+// server's rate is less than one request a second.
+func TestColdReturnOfAZoneAtManyInstances(t *testing.T) {
+	const instances, servers, coldFor = 78, 20, 3 * time.Second
+	route := testRoute()
+	route.HomeRegions = []model.RegionName{"north"}
+	fleet, weights := largeFleet(instances, configuration(1, route))
+	for _, d := range fleet {
+		d.Step(&CatalogChanged{At: start, Change: &catalog.EvacuationChange{Zone: "north-a", Active: true}})
+		for i := range servers {
+			entry := testServer(fmt.Sprint("n-", i), "north-b", "shop")
+			entry.ColdLeft, entry.StartedMillis = coldFor, 2
+			d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: entry}})
+		}
+		d.Step(&Tick{At: start, InstancesKnownAt: start})
+	}
+	var callers []int // instances in the region, as often as callers are sent to them
+	for i, weight := range weights {
+		for range weight {
+			if fleet[i].settings.Region == "north" {
+				callers = append(callers, i)
+			}
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	sent := map[model.BackendName][]model.Instant{}
+	served := 0
+	for id, now := model.RequestID(1), start; now < at(coldFor); id, now = id+1, now.Add(4*time.Millisecond) {
+		d := fleet[callers[random.IntN(len(callers))]]
+		if s, ok := arrive(d, now, id, fmt.Sprint(random.IntN(200))).(*Send); ok {
+			sent[s.Server.ID] = append(sent[s.Server.ID], now)
+			served++
+			endAttempt(d, now, id, event.AttemptComplete)
+		}
+	}
+	cold := testSettings("north").Cold
+	bound := int(10*cold.Factor + cold.Slack)
+	for id, times := range sent {
+		for i := bound; i < len(times); i++ {
+			require.GreaterOrEqual(t, times[i].Sub(times[i-bound]), time.Second, id)
+		}
+	}
+	const arrived = float64(coldFor / (4 * time.Millisecond))
+	require.Greater(t, float64(served)/arrived, 0.4)
+}
+
+// TestInstancesOutnumberConnections checks that all instances together stay within a
+// server's connection limit if there are fewer connections than instances, and that each
+// instance uses the servers of which it has one.
+func TestInstancesOutnumberConnections(t *testing.T) {
+	const instances, servers, limit = 78, 60, 20
+	c := configuration(1, testRoute())
+	c.Services[0].MaxConnections = limit
+	fleet, _ := largeFleet(instances, c)
+	connections := map[model.BackendName]int{}
+	for _, d := range fleet {
+		for i := range servers {
+			listServer(d, fmt.Sprint("n-", i), []model.ZoneName{"north-a", "south-b"}[i%2])
+		}
+		d.Step(&Tick{At: start, InstancesKnownAt: start})
+		served := 0
+		for id := range model.RequestID(200) {
+			if s, ok := arrive(d, start, id, fmt.Sprint(id)).(*Send); ok {
+				connections[s.Server.ID]++
+				served++
+			}
+		}
+		require.NotZero(t, served)
+	}
+	for i := range servers {
+		n := connections[model.BackendName(fmt.Sprint("n-", i))]
+		require.LessOrEqual(t, n, limit)
+		require.GreaterOrEqual(t, n, limit/2)
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 
 // Settings configure a Dispatcher.
 type Settings struct {
+	Self    model.InstanceID
 	Region  model.RegionName
 	Regions map[model.ZoneName]model.RegionName
 	Retry   pacing.RetrySettings
@@ -28,6 +29,8 @@
 	// RandomServers selects a random server of the region and disables queue limits. It
 	// serves as a baseline for measurements.
 	RandomServers bool
+	// InstancesMaxAge is the age up to which a list of instances is taken to be the latest.
+	InstancesMaxAge time.Duration
 }
 
 // Dispatcher holds the state of all dispatch decisions. It is not safe for concurrent
@@ -42,7 +45,7 @@
 	services    map[model.ServiceName]*service
 	splits      map[model.RouteName]*split
 	requests    map[model.RequestID]*request
-	instances   int
+	instances   *pacing.Fleet
 	demandShare float64 // share of the fleet's requests that this region receives
 	// capacityStale is set when servers or demand have changed since capacities were counted.
 	capacityStale bool
@@ -76,6 +79,7 @@
 		splits:      map[model.RouteName]*split{},
 		requests:    map[model.RequestID]*request{},
 		randomState: 1,
+		instances:   &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
 		overflow:    newOverflow(),
 	}
 }
@@ -85,6 +89,7 @@
 	d.effects = d.effects[:0]
 	switch ev := ev.(type) {
 	case *Tick:
+		d.instances.Confirm(ev.InstancesKnownAt)
 		d.tick(ev.At)
 	case *CatalogChanged:
 		d.catalogChanged(ev)
@@ -99,9 +104,7 @@
 	case *BoundsChanged:
 		d.boundsChanged(ev)
 	case *InstancesCounted:
-		d.instances = ev.Instances
-		d.demandShare = ev.RegionShare
-		d.capacityStale = true
+		d.instancesCounted(ev)
 	case *RequestArrived:
 		d.requestArrived(ev)
 	case *AttemptEnded:
@@ -126,6 +129,15 @@
 	d.record(ev.At, "bounds", "adopted", "settings changed")
 }
 
+func (d *Dispatcher) instancesCounted(ev *InstancesCounted) {
+	if ev.Members != nil {
+		d.instances.SetListed(ev.At, ev.Members)
+	}
+	d.instances.Count(ev.Instances)
+	d.demandShare = ev.RegionShare
+	d.capacityStale = true
+}
+
 func (d *Dispatcher) add(f Effect) { d.effects = append(d.effects, f) }
 
 func (d *Dispatcher) record(at model.Instant, subject, message, reason string) {
@@ -297,7 +309,7 @@
 	s := d.services[name]
 	if s == nil {
 		s = &service{
-			budget:   pacing.NewRetryBudget(d.settings.Retry),
+			budget:   pacing.NewRetryBudget(xxh3.HashString(string(name)), d.settings.Retry),
 			runTimes: map[model.RouteName]*runTimes{},
 			losses:   pacing.NewCounter(lossWindow),
 			loads:    map[model.RegionName]*average{},
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -13,7 +13,11 @@
 type Event interface{ event() }
 
 // Tick is posted at a fixed period.
-type Tick struct{ At model.Instant }
+type Tick struct {
+	At model.Instant
+	// InstancesKnownAt is when the list of instances was last known to be the latest.
+	InstancesKnownAt model.Instant
+}
 
 // CatalogChanged reports a change in the platform's store.
 type CatalogChanged struct {
@@ -52,6 +56,7 @@
 type InstancesCounted struct {
 	At        model.Instant
 	Instances int
+	Members   []pacing.Member // the listed instances; nil if only their number is known
 	// RegionShare is the estimated share of all requests that this instance's region
 	// receives.
 	RegionShare float64
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -19,6 +19,7 @@
 	excludedDraining
 	excludedEvacuated
 	excludedEjected
+	excludedConnections
 	excludedTried
 	excludedHomeRegions
 	excludedOtherRegion
@@ -31,6 +32,7 @@
 	excludedDraining:    "draining",
 	excludedEvacuated:   "zone evacuated",
 	excludedEjected:     "ejected",
+	excludedConnections: "no share of its connections",
 	excludedTried:       "tried already",
 	excludedHomeRegions: "outside the home regions",
 	excludedOtherRegion: "another region",
@@ -95,7 +97,7 @@
 	servers := d.byService[q.service]
 	c := &FailedChoice{Servers: len(servers), Excluded: map[string]int{}, MoveAllowed: d.mayMove(now, q.service), Candidates: len(d.candidates)}
 	for _, s := range servers {
-		if x := d.excluded(s, q); x != notExcluded {
+		if x := d.excluded(now, s, q); x != notExcluded {
 			c.Excluded[x.String()]++
 		}
 	}
@@ -110,7 +112,7 @@
 func (d *Dispatcher) describeFull(now model.Instant, s *server, q *request) FullCandidate {
 	reason := FullQueue
 	switch {
-	case s.inFlight >= d.connectionShare(s):
+	case s.inFlight >= d.connectionShare(now, s):
 		reason = FullConnections
 	case d.coldWait(now, s) > d.queueWait(now, s, q):
 		reason = FullCold
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -69,7 +69,7 @@
 	t.Run("retry budget", func(t *testing.T) {
 		d := newDispatcher(testRoute())
 		s := requireSend(t, arrive(d, start, 1, "k"))
-		for d.service("shop").budget.Take(start, 1) {
+		for d.service("shop").budget.Take(start, d.instances) {
 		}
 		require.Empty(t, failedCheck(d, s))
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -136,12 +136,15 @@
 		clock:    clock{start: time.Now()},
 		upstream: upstream.New(upstreamSettings(&o)),
 		dispatcher: dispatch.New(dispatch.Settings{
+			Self:          o.Self.ID,
 			Region:        o.Region,
 			Regions:       o.Regions,
 			Retry:         o.Bounds.retry(),
 			Cold:          o.Bounds.cold(),
 			ShiftCap:      o.Bounds.ShiftCap,
 			RandomServers: o.RandomServers,
+			// A copy that is older is read again at once.
+			InstancesMaxAge: instancesMaxAge + readAllowance,
 		}),
 		calls:            map[model.RequestID]*call{},
 		listed:           map[model.InstanceID]listedInstance{},
@@ -255,7 +258,7 @@
 
 func (e *Edge) tick(now model.Instant) {
 	e.tickFleet(now)
-	e.post(&dispatch.Tick{At: now})
+	e.post(&dispatch.Tick{At: now, InstancesKnownAt: e.instancesKnownAt()})
 }
 
 const (
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
 
@@ -99,7 +101,25 @@
 		e.requestRegistration()
 	}
 	e.applyOutput(e.group.SetListed(now, list))
-	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1), RegionShare: e.regionShare(list)})
+	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1), Members: e.members(), RegionShare: e.regionShare(list)})
+}
+
+// members returns the instances that count as listed and share bounds with this one. The
+// caller must hold fleetMu.
+func (e *Edge) members() []pacing.Member {
+	list := make([]pacing.Member, 0, len(e.listed))
+	for id, l := range e.listed {
+		list = append(list, pacing.Member{ID: id, Region: e.options.Regions[l.entry.Zone], Weight: shareWeight(&l.entry)})
+	}
+	slices.SortFunc(list, func(a, b pacing.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// instancesKnownAt returns when the list of instances was last known to be the latest.
+func (e *Edge) instancesKnownAt() model.Instant {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	return e.replica.FreshAt(e.options.Tables.Instances)
 }
 
 // regionShare estimates the share of all requests that this instance's region receives: its
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -44,6 +44,19 @@
 	return part / whole
 }
 
+// shareWeight returns the weight of an instance where instances share a bound, from its own
+// entry only, so that a change to another one changes nothing. Callers are sent to instances
+// by their capacity.
+func shareWeight(i *catalog.Instance) float64 {
+	weight := 1.0
+	for _, capacity := range [...]float64{i.BandwidthMbit, i.CPUs} {
+		if capacity > 0 {
+			weight *= capacity
+		}
+	}
+	return weight
+}
+
 // namedIn reports whether a variant of the lookup answers names an instance. The instance is
 // in its share of the variants, and in one at least.
 func namedIn(variant int, id model.InstanceID, share float64) bool {
--- a/internal/pacing/counter.go
+++ b/internal/pacing/counter.go
@@ -19,6 +19,9 @@
 	total   int
 }
 
+// maxCounted returns the longest span that a Counter over span covers.
+func maxCounted(span time.Duration) time.Duration { return span + span/counterBuckets }
+
 // NewCounter returns a Counter over the given span.
 func NewCounter(span time.Duration) *Counter { return &Counter{span: span} }
 
--- /dev/null
+++ b/internal/pacing/fleet.go
@@ -0,0 +1,237 @@
+package pacing
+
+import (
+	"math"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+// Member is an instance that shares bounds with the others.
+type Member struct {
+	ID     model.InstanceID
+	Region model.RegionName
+	// Weight is the share of the requests that the instance receives, compared with others.
+	Weight float64
+}
+
+// Bound is a number of whole units that all instances share: requests, retries or
+// connections.
+type Bound struct {
+	Key   uint64 // of what is bounded
+	Units int
+	// Near is the region whose instances use most of the units, empty if none does.
+	Near model.RegionName
+	// Span is the length of the sliding window over which the units are counted. An instance
+	// uses a unit that another one held only when that one's uses have left the window. If it
+	// is 0, units change hands at once.
+	Span time.Duration
+}
+
+// Fleet divides bounds among the instances without messages between them. Each instance has
+// the whole part of an equal share; the units that are left over, all of them if there are
+// more instances than units, belong to the instances that a weighted rendezvous hash ranks
+// first.
+//
+// Instances learn of changes to the fleet at different times, up to MaxAge late. To keep two
+// instances from using one unit within a window, an instance that has left keeps its rank, and
+// one that has joined uses none of the units left over, for MaxAge and a window. An instance
+// whose list is older than MaxAge uses none of them either. A process uses no unit within a
+// window after its start, because an earlier process of the instance may have used it, and none
+// before it knows how many instances there are.
+type Fleet struct {
+	Self   model.InstanceID
+	MaxAge time.Duration
+
+	count   int
+	members map[model.InstanceID]*member
+	knownAt model.Instant // when the list was last known to be the latest
+	shares  map[Bound]share
+}
+
+// member is what an instance knows of one that is or was listed.
+type member struct {
+	Member
+	since      model.Instant // when it was listed with its present weight
+	leftAt     model.Instant // when it was last listed, 0 if it is
+	pastWeight float64       // until since
+}
+
+// share is this instance's share of a bound.
+type share struct {
+	equal    int           // whole part of an equal share
+	leftOver int           // of the units that are left over
+	expires  model.Instant // 0 for never
+}
+
+// maxCachedShares bounds the number of cached shares.
+const maxCachedShares = 1 << 14
+
+// farWeight is the weight of an instance for a bound near another region, compared with one
+// in that region.
+const farWeight = 0.05
+
+// Count sets the number of instances, for a Fleet whose members are not known.
+func (f *Fleet) Count(instances int) {
+	f.count = instances
+	clear(f.shares)
+}
+
+// Instances returns the number of listed instances, at least 1.
+func (f *Fleet) Instances() int { return max(1, f.count) }
+
+// Listed reports whether this instance is listed.
+func (f *Fleet) Listed() bool {
+	self := f.members[f.Self]
+	return self != nil && self.leftAt == 0
+}
+
+// SetListed replaces the list of instances.
+func (f *Fleet) SetListed(now model.Instant, list []Member) {
+	f.Count(len(list))
+	if f.members == nil {
+		f.members = map[model.InstanceID]*member{}
+	}
+	listed := make(map[model.InstanceID]bool, len(list))
+	for _, m := range list {
+		listed[m.ID] = true
+		f.list(now, m)
+	}
+	for id, m := range f.members {
+		switch {
+		case listed[id]:
+		case m.leftAt == 0:
+			m.leftAt = now
+		case now.Sub(m.leftAt) > maxRank:
+			delete(f.members, id)
+		}
+	}
+}
+
+// maxRank bounds the time for which an instance that has left is remembered.
+const maxRank = 5 * time.Minute
+
+// list records that an instance is listed. One that comes back, or with another weight,
+// counts as having joined.
+func (f *Fleet) list(now model.Instant, m Member) {
+	known := f.members[m.ID]
+	switch {
+	case known == nil:
+		f.members[m.ID] = &member{Member: m, since: now}
+	case known.leftAt != 0 || known.Member != m:
+		f.members[m.ID] = &member{Member: m, since: now, pastWeight: known.Weight}
+	}
+}
+
+// Confirm records that the list was the latest at the given time.
+func (f *Fleet) Confirm(at model.Instant) { f.knownAt = max(f.knownAt, at) }
+
+// Share returns how many units of a bound this instance may use.
+func (f *Fleet) Share(now model.Instant, b Bound) int {
+	s := f.share(now, b)
+	if b.Span > 0 && now.Sub(f.knownAt) > f.MaxAge {
+		return s.equal
+	}
+	return s.equal + s.leftOver
+}
+
+func (f *Fleet) share(now model.Instant, b Bound) share {
+	if s, ok := f.shares[b]; ok && (s.expires == 0 || now < s.expires) {
+		return s
+	}
+	s := f.divide(now, b)
+	s.expires = f.nextChange(now, b)
+	if f.shares == nil || len(f.shares) >= maxCachedShares {
+		f.shares = map[Bound]share{}
+	}
+	f.shares[b] = s
+	return s
+}
+
+func (f *Fleet) divide(now model.Instant, b Bound) share {
+	self := f.members[f.Self]
+	if b.Span > 0 && (f.count == 0 || (self != nil && now < self.since.Add(b.Span))) {
+		return share{}
+	}
+	n := f.reckoned(now, b)
+	s := share{equal: b.Units / n}
+	left := b.Units % n
+	if left > 0 && f.Listed() && now >= self.since.Add(f.handOver(b)) && f.ranksBelow(now, b, left) {
+		s.leftOver = 1
+	}
+	return s
+}
+
+// ranksBelow reports whether fewer than limit members rank before this instance.
+func (f *Fleet) ranksBelow(now model.Instant, b Bound, limit int) bool {
+	self := f.members[f.Self]
+	own := self.rank(b, self.Weight)
+	before := 0
+	for _, m := range f.members {
+		if m == self || !f.counts(now, m, b) {
+			continue
+		}
+		weight := m.Weight
+		if now < m.since.Add(f.handOver(b)) {
+			weight = max(weight, m.pastWeight)
+		}
+		if rank := m.rank(b, weight); rank < own || (rank == own && m.ID < self.ID) {
+			before++
+		}
+		if before >= limit {
+			return false
+		}
+	}
+	return true
+}
+
+// rank returns the rank of a member for a bound; lower values come first.
+func (m *Member) rank(b Bound, weight float64) float64 {
+	if b.Near != "" && m.Region != b.Near {
+		weight *= farWeight
+	}
+	hash := float64(xxh3.HashStringSeed(string(m.ID), b.Key)>>11+1) / (1 << 53)
+	return -math.Log(hash) / max(weight, math.SmallestNonzeroFloat32)
+}
+
+// reckoned returns the number of instances that may use a bound's units.
+func (f *Fleet) reckoned(now model.Instant, b Bound) int {
+	n := 0
+	for _, m := range f.members {
+		if f.counts(now, m, b) {
+			n++
+		}
+	}
+	return max(n, f.Instances())
+}
+
+// counts reports whether a member is listed or may have used a bound's units in the window.
+func (f *Fleet) counts(now model.Instant, m *member, b Bound) bool {
+	return m.leftAt == 0 || now < m.leftAt.Add(f.handOver(b))
+}
+
+// handOver returns the time from a change to the fleet until a unit is used by another
+// instance.
+func (f *Fleet) handOver(b Bound) time.Duration {
+	if b.Span == 0 {
+		return 0
+	}
+	return f.MaxAge + b.Span
+}
+
+// nextChange returns when a share changes although the list does not, 0 for never.
+func (f *Fleet) nextChange(now model.Instant, b Bound) model.Instant {
+	var next model.Instant
+	for _, m := range f.members {
+		for _, from := range [...]model.Instant{m.since, m.leftAt} {
+			for _, wait := range [...]time.Duration{b.Span, f.handOver(b)} {
+				if at := from.Add(wait); at > now && (next == 0 || at < next) {
+					next = at
+				}
+			}
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/pacing/fleet_test.go
@@ -0,0 +1,304 @@
+package pacing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosenotch/primrosenotch/internal/model"
+)
+
+const (
+	fleetMaxAge = 7 * time.Second
+	fleetStep   = 50 * time.Millisecond
+	fleetZones  = 9
+	epoch       = model.Instant(time.Hour)
+)
+
+// fleetRun plays instances that join, leave, restart, lose touch with the store by zones, and
+// learn of all that at different times, by clocks of their own. It guards against units that
+// two instances use within one window, and units that nobody uses.
+type fleetRun struct {
+	random    *rand.Rand
+	now       model.Instant
+	history   []fleetVersion // of the store's list, oldest first
+	instances []*fleetInstance
+	size      int // at the start
+	joinedAt  model.Instant
+}
+
+type fleetVersion struct {
+	at   model.Instant
+	list []Member
+}
+
+type fleetInstance struct {
+	Member
+	zone    int
+	offset  time.Duration // of its clock
+	fleet   *Fleet
+	sends   Window
+	seen    int // version of the list
+	asOf    model.Instant
+	cut     bool
+	stopsAt model.Instant // 0 while it runs on
+}
+
+func newFleetRun(seed uint64, instances int) *fleetRun {
+	r := &fleetRun{random: rand.New(rand.NewPCG(seed, uint64(instances))), now: epoch, size: instances}
+	for i := range instances {
+		r.instances = append(r.instances, r.newInstance(i))
+	}
+	r.write()
+	for _, in := range r.instances {
+		r.read(in)
+	}
+	r.advance(fleetMaxAge+20*time.Second, nil)
+	return r
+}
+
+func (r *fleetRun) newInstance(i int) *fleetInstance {
+	in := &fleetInstance{
+		Member: Member{ID: model.InstanceID(fmt.Sprint("i-", i)), Region: model.RegionName(fmt.Sprint(i % 3)), Weight: 1},
+		zone:   i % fleetZones,
+	}
+	if i%3 == 0 {
+		in.Weight = 20
+	}
+	r.start(in)
+	return in
+}
+
+// start begins a new process of an instance, which knows nothing.
+func (r *fleetRun) start(in *fleetInstance) {
+	in.offset = time.Duration(r.random.IntN(1000)) * time.Hour
+	in.fleet = &Fleet{Self: in.ID, MaxAge: fleetMaxAge}
+	in.sends = Window{Span: time.Second}
+	in.seen, in.asOf, in.stopsAt = -1, 0, 0
+}
+
+func (in *fleetInstance) clock(at model.Instant) model.Instant { return at.Add(in.offset) }
+
+// write writes the store's list: the instances that do not stop.
+func (r *fleetRun) write() {
+	v := fleetVersion{at: r.now}
+	for _, in := range r.instances {
+		if in.stopsAt == 0 {
+			v.list = append(v.list, in.Member)
+		}
+	}
+	r.history = append(r.history, v)
+}
+
+// read brings an instance's list up to some moment between the one that it knows and now.
+func (r *fleetRun) read(in *fleetInstance) {
+	from := max(in.asOf, r.now.Add(-fleetMaxAge))
+	in.asOf = from.Add(time.Duration(r.random.Int64N(int64(r.now.Sub(from)) + 1)))
+	if in.seen < 0 {
+		in.asOf = r.now
+	}
+	latest := in.seen
+	for n, v := range r.history {
+		if v.at <= in.asOf {
+			latest = n
+		}
+	}
+	if latest != in.seen {
+		in.seen = latest
+		in.fleet.SetListed(in.clock(r.now), r.history[latest].list)
+	}
+	in.fleet.Confirm(in.clock(in.asOf))
+}
+
+// advance steps the instances in random order; use is called for each at each step.
+func (r *fleetRun) advance(length time.Duration, use func(*fleetInstance)) {
+	for end := r.now.Add(length); r.now < end; r.now = r.now.Add(fleetStep) {
+		for _, n := range r.random.Perm(len(r.instances)) {
+			in := r.instances[n]
+			if in.stopsAt != 0 && r.now >= in.stopsAt {
+				continue
+			}
+			if !in.cut && (in.seen < 0 || r.random.IntN(40) == 0 || r.now.Sub(in.asOf) > fleetMaxAge-fleetStep) {
+				r.read(in)
+			}
+			if use != nil {
+				use(in)
+			}
+		}
+	}
+}
+
+// join adds an eleventh of the instances, or starts as many again that were removed. Instances
+// use equal shares as soon as they join, so that a fleet that lives on these may not grow by
+// more than the margin of its bounds before all know of it.
+func (r *fleetRun) join() {
+	if r.size < 20 && r.now.Sub(r.joinedAt) < fleetMaxAge+time.Second {
+		return
+	}
+	r.joinedAt = r.now
+	joining := max(1, len(r.instances)/11)
+	for _, in := range r.instances {
+		if joining > 0 && in.stopsAt != 0 && r.now >= in.stopsAt {
+			r.start(in)
+			joining--
+		}
+	}
+	for range joining {
+		r.instances = append(r.instances, r.newInstance(len(r.instances)))
+	}
+}
+
+func (r *fleetRun) running() int {
+	n := 0
+	for _, in := range r.instances {
+		if in.stopsAt == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// disturb changes the fleet in one of several ways.
+func (r *fleetRun) disturb() {
+	switch r.random.IntN(6) {
+	case 0:
+		r.join()
+	case 1: // some are removed, and take requests until they know or their time is up
+		for range max(1, len(r.instances)/11) {
+			if in := r.instances[r.random.IntN(len(r.instances))]; in.stopsAt == 0 && r.running() > r.size*2/3 {
+				in.stopsAt = r.now.Add(time.Duration(r.random.IntN(6000)) * time.Millisecond)
+			}
+		}
+	case 2, 3: // processes are replaced
+		zone := r.random.IntN(fleetZones)
+		for _, in := range r.instances {
+			if in.stopsAt == 0 && (in.zone == zone || r.random.IntN(8) == 0) {
+				r.start(in)
+			}
+		}
+	case 4: // a zone loses touch with the store and its peers
+		zone := r.random.IntN(fleetZones)
+		for _, in := range r.instances {
+			in.cut = in.cut || in.zone == zone
+		}
+	case 5:
+		for _, in := range r.instances {
+			in.cut = false
+		}
+	}
+	r.write()
+}
+
+// requireWindows checks that at most limit of the sorted times lie within any span.
+func requireWindows(t *testing.T, times []model.Instant, span time.Duration, limit int, note string) {
+	t.Helper()
+	for i := limit; i < len(times); i++ {
+		require.GreaterOrEqual(t, times[i].Sub(times[i-limit]), span, note)
+	}
+}
+
+// TestFleetStaysWithinABound plays a cold server that every instance would send to all the
+// time.
+func TestFleetStaysWithinABound(t *testing.T) {
+	for _, size := range []int{7, 78, 784} {
+		for seed := range uint64(1 + 500/uint64(size)) {
+			r := newFleetRun(seed, size)
+			b := Bound{Key: seed, Units: 1 + r.random.IntN(60), Near: "1", Span: time.Second}
+			var times []model.Instant
+			send := func(in *fleetInstance) {
+				now := in.clock(r.now)
+				if in.sends.TimeUntilBelow(now, in.fleet.Share(now, b)) == 0 {
+					in.sends.Add(now)
+					times = append(times, r.now)
+				}
+			}
+			const calm = 10 * time.Second
+			r.advance(calm, send)
+			note := fmt.Sprintf("%d instances, seed %d, %d units", size, seed, b.Units)
+			requireWindows(t, times, b.Span, b.Units, note)
+			require.GreaterOrEqual(t, len(times), b.Units*int(calm/b.Span)*9/10, "%s: the units are used", note)
+
+			for range 12 {
+				r.disturb()
+				r.advance(time.Duration(r.random.IntN(12000))*time.Millisecond, send)
+			}
+			limit := b.Units
+			if b.Units >= size/2 {
+				limit = b.Units * 10 / 7 // some instances have equal shares
+			}
+			requireWindows(t, times, b.Span, limit, note)
+		}
+	}
+}
+
+// TestUnitsGoToTheRegionAndByWeight checks that an instance with many requests for what is
+// bounded is likely to have a unit.
+func TestUnitsGoToTheRegionAndByWeight(t *testing.T) {
+	r := newFleetRun(1, 78)
+	held := map[string]int{}
+	const keys = 200
+	for key := range uint64(keys) {
+		for _, in := range r.instances {
+			now := in.clock(r.now)
+			n := in.fleet.Share(now, Bound{Key: key, Units: 9, Near: "0", Span: time.Second})
+			held[fmt.Sprint(in.Region == "0")] += n
+			held["all"] += n
+		}
+	}
+	require.Equal(t, 9*keys, held["all"])
+	require.Greater(t, held["true"], 8*keys)
+}
+
+// TestRetryBudgetOfManyInstances plays requests that fail at once at every instance: all
+// instances together stay within the budget of any window, and use the part that does not
+// depend on the number of requests.
+func TestRetryBudgetOfManyInstances(t *testing.T) {
+	s := RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 60}
+	for _, size := range []int{7, 78, 784} {
+		for seed := range uint64(1 + 100/uint64(size)) {
+			r := newFleetRun(seed, size)
+			budgets := map[*Fleet]*RetryBudget{}
+			var first, retries []model.Instant
+			rate := 1 + r.random.IntN(200) // requests a step
+			send := func(in *fleetInstance) {
+				b := budgets[in.fleet]
+				if b == nil {
+					b = NewRetryBudget(7, s)
+					budgets[in.fleet] = b
+				}
+				now := in.clock(r.now)
+				if r.random.IntN(len(r.instances)*4) < rate {
+					b.RecordSend(now)
+					first = append(first, r.now)
+				}
+				if b.Take(now, in.fleet) {
+					retries = append(retries, r.now)
+				}
+			}
+			r.advance(22*time.Second, send)
+			calm := len(retries)
+			for range 4 {
+				r.disturb()
+				r.advance(time.Duration(r.random.IntN(8000))*time.Millisecond, send)
+			}
+			note := fmt.Sprintf("%d instances, seed %d", size, seed)
+			require.Greater(t, float64(calm), 2*retryMargin*s.Extra, note)
+			for i, end := range retries {
+				from := end.Add(-s.Window)
+				n := i + 1 - after(retries, from)
+				sent := after(first, end) - after(first, from)
+				require.LessOrEqual(t, float64(n), s.Ratio*float64(sent)*11/10+s.Extra+1, note)
+			}
+		}
+	}
+}
+
+// after returns the number of sorted times up to at.
+func after(times []model.Instant, at model.Instant) int {
+	n, _ := slices.BinarySearch(times, at+1)
+	return n
+}
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -62,7 +62,7 @@
 		s := RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 60}
 		var budgets [instances]*RetryBudget
 		for i := range budgets {
-			budgets[i] = NewRetryBudget(s)
+			budgets[i] = NewRetryBudget(1, s)
 		}
 		type send struct {
 			at    model.Instant
@@ -76,7 +76,9 @@
 			b.RecordSend(now)
 			sends = append(sends, send{now, false})
 			// A network partition may hide two instances from each other.
-			if b.Take(now, rapid.IntRange(instances-1, instances).Draw(t, "believed")) {
+			believed := &Fleet{}
+			believed.Count(rapid.IntRange(instances-1, instances).Draw(t, "believed"))
+			if b.Take(now, believed) {
 				sends = append(sends, send{now, true})
 			}
 		}
--- a/internal/pacing/retry.go
+++ b/internal/pacing/retry.go
@@ -20,14 +20,15 @@
 // RetryBudget is one instance's share of a service's retry budget over a sliding
 // window. It counts the retries of one service only.
 type RetryBudget struct {
+	key        uint64
 	settings   RetrySettings
 	firstSends *Counter
 	retries    *Counter
 }
 
-// NewRetryBudget returns an empty RetryBudget.
-func NewRetryBudget(s RetrySettings) *RetryBudget {
-	return &RetryBudget{settings: s, firstSends: NewCounter(s.Window), retries: NewCounter(s.Window)}
+// NewRetryBudget returns an empty RetryBudget of the service with the given key.
+func NewRetryBudget(key uint64, s RetrySettings) *RetryBudget {
+	return &RetryBudget{key: key, settings: s, firstSends: NewCounter(s.Window), retries: NewCounter(s.Window)}
 }
 
 // Configure replaces the settings. The counts are reset only if the window changes.
@@ -41,11 +42,11 @@
 // RecordSend counts a request that is sent for the first time.
 func (b *RetryBudget) RecordSend(now model.Instant) { b.firstSends.Add(now, 1) }
 
-// Take reports whether one more retry is within this instance's share, given the
-// number of instances, and counts it if so.
-func (b *RetryBudget) Take(now model.Instant, instances int) bool {
-	share := b.settings.Ratio*float64(b.firstSends.Count(now)) + b.settings.Extra/float64(max(1, instances))
-	if float64(b.retries.Count(now)+1) > retryMargin*share {
+// Take reports whether one more retry is within this instance's share, and counts it if so.
+func (b *RetryBudget) Take(now model.Instant, instances *Fleet) bool {
+	extra := instances.Share(now, Bound{Key: b.key, Units: int(retryMargin * b.settings.Extra), Span: maxCounted(b.settings.Window)})
+	share := retryMargin*b.settings.Ratio*float64(b.firstSends.Count(now)) + float64(extra)
+	if float64(b.retries.Count(now)+1) > share {
 		return false
 	}
 	b.retries.Add(now, 1)
