dispatch: slow answers of many servers are not taken for silence

Callers: with hundreds of servers an instance has about one request at each, and takes a slow answer for a dead server.

Cause: the bound was 0.8 s while nothing is observed, then twice a mean that contains the fast answers first; a cold server had no more time than others; and a health check that passed did not count as a sign of life, so that the next tick suspected the server again.

Change: the bound is twice a high quantile of the run times of requests whose object was not warm, times the batches of the queue as last reported, twice that for a server that was cold. Until eight of them are observed, and for two objectives, the objective stands in. Silence counts from the last answer or passed health check. A silent server is found after two objectives at the start, later after two run times of slow requests, each times the queue.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -126,6 +126,7 @@
 	}
 	s.ejectedUntil = 0
 	s.failures = 0
+	s.checkedAt = ev.At
 	if !suspected {
 		s.warm = warmSet{}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -90,6 +90,7 @@
 		arrivedAt:  ev.At,
 	}
 	q.runTimes = d.service(q.service).runTimesOf(route)
+	q.runTimes.start(ev.At)
 	d.requests[q.id] = q
 	d.send(ev.At, q)
 }
@@ -272,6 +273,7 @@
 		q.runTimes.unqueued.add(run.Seconds())
 	} else if !s.cold(now) {
 		q.runTimes.cold.add(run.Seconds())
+		q.runTimes.slow.add(run.Seconds(), q.runTimes.learning(now))
 	}
 	s.warm.add(now, q.object)
 }
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -15,7 +15,9 @@
 	warm      average // seconds, of requests whose object was warm at the server
 	// unqueued estimates the time of a request that did not wait for a slot, in seconds.
 	unqueued lowQuantile
-	cold     average // seconds, of other requests, except those at cold servers
+	cold     average       // seconds, of other requests, except those at cold servers
+	slow     highQuantile  // of the same, in seconds
+	since    model.Instant // when the first request was sent
 }
 
 // minObservations is the number of observations before a mean is used.
@@ -39,9 +41,27 @@
 	return r.objective / 2
 }
 
-// longest returns the typical run time of the slower kind of request, 0 if nothing has
-// been observed.
-func (r *runTimes) longest() time.Duration { return seconds(max(r.cold.value, r.warm.value)) }
+// start records that a request is sent.
+func (r *runTimes) start(now model.Instant) {
+	if r.since == 0 {
+		r.since = now
+	}
+}
+
+// learning reports whether the observations are too few, or too early to contain those of
+// slow requests: fast answers come first.
+func (r *runTimes) learning(now model.Instant) bool {
+	return r.slow.n < minObservations || now.Sub(r.since) <= silentRunTimes*r.objective
+}
+
+// longest returns the run time of slow requests, the objective at least while learning.
+func (r *runTimes) longest(now model.Instant) time.Duration {
+	observed := seconds(max(r.cold.value, r.warm.value, r.slow.value))
+	if r.learning(now) {
+		return max(observed, r.objective)
+	}
+	return observed
+}
 
 // runTimesOf returns the run times of a route at the service, creating them if needed.
 func (s *service) runTimesOf(route *catalog.Route) *runTimes {
@@ -63,11 +83,11 @@
 	}
 }
 
-// longestRunTime returns the longest typical run time of any route at the service.
-func (s *service) longestRunTime() time.Duration {
+// longestRunTime returns the longest run time of slow requests of any route at the service.
+func (s *service) longestRunTime(now model.Instant) time.Duration {
 	var longest time.Duration
 	for _, r := range s.runTimes {
-		longest = max(longest, r.longest())
+		longest = max(longest, r.longest(now))
 	}
 	return longest
 }
@@ -98,3 +118,25 @@
 		q.value = max(v, q.value*(1-quantileStep*(1-unqueuedQuantile)))
 	}
 }
+
+// highQuantile follows a high quantile of observations.
+type highQuantile struct {
+	value float64
+	n     int
+}
+
+// slowQuantile is the quantile taken as the time of slow requests.
+const slowQuantile = 0.95
+
+// add counts an observation. While learning, the estimate is the largest of them.
+func (q *highQuantile) add(v float64, learning bool) {
+	q.n++
+	switch {
+	case learning:
+		q.value = max(q.value, v)
+	case v > q.value:
+		q.value = min(v, q.value*(1+quantileStep*slowQuantile))
+	default:
+		q.value *= 1 - quantileStep*(1-slowQuantile)
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -33,7 +33,8 @@
 	probing      bool
 	suspected    bool          // ejected only because it is silent; not known to have failed
 	busySince    model.Instant // when inFlight last left 0
-	answeredAt   model.Instant // last answer of any kind
+	answeredAt   model.Instant // last answer of any kind to a request
+	checkedAt    model.Instant // last health check that passed
 	listedAt     model.Instant // when this instance first saw its entry
 	unlistedAt   model.Instant // when its entry disappeared, 0 while it is listed
 	shed         average
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -9,8 +9,11 @@
 
 const (
 	// silentRunTimes is how long a busy server may go without any answer before it is
-	// suspected, in multiples of the longest typical run time.
+	// suspected, in multiples of the run time of slow requests.
 	silentRunTimes = 2
+	// silentColdFactor is how much longer a cold server may take. The platform does not say
+	// how much slower cold servers are.
+	silentColdFactor = 2
 	// minSilence is the lower bound of that time, for servers with few observations.
 	minSilence = 800 * time.Millisecond
 )
@@ -23,12 +26,12 @@
 		return
 	}
 	for _, svc := range d.config.Services {
-		run := d.service(svc.Name).longestRunTime()
+		run := d.service(svc.Name).longestRunTime(now)
 		for _, s := range d.byService[svc.Name] {
 			if s.inFlight == 0 || s.ejectedUntil != 0 || s.misdirected {
 				continue
 			}
-			if now.Sub(max(s.busySince, s.answeredAt)) > d.silenceLimit(now, s, run) {
+			if now.Sub(s.silentSince()) > d.silenceLimit(now, s, run) {
 				s.ejectedUntil = now // health check is due immediately
 				s.suspected = true
 				d.reindex(now, s)
@@ -40,11 +43,21 @@
 
 // silenceLimit returns how long a busy server may go without any answer. It grows with
 // the queue, because a request may have to wait for those before it.
+//
+// The load pattern is a fleet of many instances, each with one request at a server at a
+// time: any slow answer is a silence, and most instances have seen few answers.
 func (d *Dispatcher) silenceLimit(now model.Instant, s *server, run time.Duration) time.Duration {
 	batches := max(1, s.load(now)/float64(max(1, s.entry.Slots)))
+	if s.cold(s.silentSince()) {
+		batches *= silentColdFactor
+	}
 	return max(minSilence, scale(run, silentRunTimes*batches))
 }
 
+// silentSince returns since when a busy server has answered neither a request nor a health
+// check.
+func (s *server) silentSince() model.Instant { return max(s.busySince, s.answeredAt, s.checkedAt) }
+
 // hedgeAttempts starts a second attempt of each repeatable request at a server that did not
 // accept a connection for its health check. The running attempts go on: the server may
 // have lost power, or be at work with a full queue of new connections.
