--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -98,12 +98,12 @@
 // serverProbed ends or extends an ejection. A server that was down returns without its
 // warm objects; a server that was only slow to answer keeps them.
 func (d *Dispatcher) serverProbed(ev *ServerProbed) {
+	defer d.reindexByID(ev.At, ev.Server)
 	s := d.servers[ev.Server]
 	if s == nil {
 		return
 	}
 	s.probing = false
-	defer d.reindex(ev.At, s)
 	if ev.OwnShortage {
 		s.ejectedUntil = ev.At.Add(minEjection) // checked again then
 		return
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -186,6 +186,13 @@
 	d.index(now, s)
 }
 
+// reindexByID does so for the server with an identifier, if it is known.
+func (d *Dispatcher) reindexByID(now model.Instant, id model.BackendName) {
+	if s := d.servers[id]; s != nil {
+		d.reindex(now, s)
+	}
+}
+
 // reindexAll does so for every server.
 func (d *Dispatcher) reindexAll(now model.Instant) {
 	for _, s := range d.servers {
