--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 
 // Settings configure a Dispatcher.
 type Settings struct {
+	Self    model.InstanceID
 	Region  model.RegionName
 	Regions map[model.ZoneName]model.RegionName
 	Retry   pacing.RetrySettings
@@ -29,6 +30,8 @@
 	// RandomServers selects a random server of the region and disables queue limits. It
 	// serves as a baseline for measurements.
 	RandomServers bool
+	// InstancesMaxAge is the age up to which a list of instances is taken to be the latest.
+	InstancesMaxAge time.Duration
 }
 
 // Dispatcher holds the state of all dispatch decisions. It is not safe for concurrent
@@ -43,7 +46,7 @@
 	services    map[model.ServiceName]*service
 	splits      map[model.RouteName]*split
 	requests    map[model.RequestID]*request
-	instances   int
+	instances   *pacing.Fleet
 	demandShare float64 // share of the fleet's requests that this region receives
 	// capacityStale is set when servers or demand have changed since capacities were counted.
 	capacityStale bool
@@ -59,11 +62,12 @@
 
 // service holds the statistics and the retry budget of one service.
 type service struct {
-	budget   *pacing.RetryBudget
-	runTimes map[model.RouteName]*runTimes
-	capacity capacity
-	loads    map[model.RegionName]*average // of other instances' requests at a server, over reports
-	losses   *pacing.Counter               // recent failures, departures and evacuations of servers; a server may count more than once
+	budget    *pacing.RetryBudget
+	runTimes  map[model.RouteName]*runTimes
+	capacity  capacity
+	placement *placement
+	loads     map[model.RegionName]*average // of other instances' requests at a server, over reports
+	losses    *pacing.Counter               // recent failures, departures and evacuations of servers; a server may count more than once
 }
 
 // New returns a Dispatcher without a configuration.
@@ -78,6 +82,7 @@
 		splits:      map[model.RouteName]*split{},
 		requests:    map[model.RequestID]*request{},
 		randomState: 1,
+		instances:   &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
 		overflow:    newOverflow(),
 		suspects:    health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
@@ -88,6 +93,7 @@
 	d.effects = d.effects[:0]
 	switch ev := ev.(type) {
 	case *Tick:
+		d.instances.Confirm(ev.InstancesKnownAt)
 		d.tick(ev.At)
 	case *CatalogChanged:
 		d.catalogChanged(ev)
@@ -102,9 +108,7 @@
 	case *BoundsChanged:
 		d.boundsChanged(ev)
 	case *InstancesCounted:
-		d.instances = ev.Instances
-		d.demandShare = ev.RegionShare
-		d.capacityStale = true
+		d.instancesCounted(ev)
 	case *RequestArrived:
 		d.requestArrived(ev)
 	case *AttemptEnded:
@@ -131,6 +135,16 @@
 	d.record(ev.At, "bounds", "adopted", "settings changed")
 }
 
+func (d *Dispatcher) instancesCounted(ev *InstancesCounted) {
+	if ev.Members != nil {
+		d.instances.SetListed(ev.At, ev.Members)
+	}
+	d.instances.Count(ev.Instances)
+	d.demandShare = ev.RegionShare
+	d.capacityStale = true
+	d.reindexAll(ev.At)
+}
+
 func (d *Dispatcher) add(f Effect) { d.effects = append(d.effects, f) }
 
 func (d *Dispatcher) record(at model.Instant, subject, message, reason string) {
@@ -188,6 +202,7 @@
 	if old == nil || old.Limits != c.Limits {
 		d.add(&LimitsChanged{Limits: c.Limits})
 	}
+	d.reindexAll(at)
 	d.record(at, "configuration", "adopted", adoptionReason(old, c))
 }
 
@@ -219,6 +234,7 @@
 	list := d.byService[entry.Service]
 	pos, _ := slices.BinarySearchFunc(list, s, compareByID)
 	d.byService[entry.Service] = slices.Insert(list, pos, s)
+	d.index(at, s)
 	d.capacityStale = true
 }
 
@@ -241,6 +257,7 @@
 	if entry.ColdLeft > 0 && !repeated {
 		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
 	}
+	d.reindex(at, s)
 }
 
 func (d *Dispatcher) serverUnlisted(at model.Instant, id model.BackendName) {
@@ -268,6 +285,7 @@
 	d.departures.sequences.add(at, s.entry.Incarnation(), s.entry.Sequence)
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
+	d.unindex(s)
 	d.capacityStale = true
 	d.add(&CloseConnections{Server: &s.entry})
 }
@@ -303,10 +321,11 @@
 	s := d.services[name]
 	if s == nil {
 		s = &service{
-			budget:   pacing.NewRetryBudget(d.settings.Retry),
-			runTimes: map[model.RouteName]*runTimes{},
-			losses:   pacing.NewCounter(lossWindow),
-			loads:    map[model.RegionName]*average{},
+			budget:    pacing.NewRetryBudget(xxh3.HashString(string(name)), d.settings.Retry),
+			runTimes:  map[model.RouteName]*runTimes{},
+			losses:    pacing.NewCounter(lossWindow),
+			loads:     map[model.RegionName]*average{},
+			placement: newPlacement(),
 		}
 		d.services[name] = s
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -22,6 +22,7 @@
 
 // updateHealth updates a server's health from the result of an attempt.
 func (d *Dispatcher) updateHealth(ev *AttemptEnded, s *server) {
+	defer d.reindex(ev.At, s)
 	switch {
 	case ev.Misdirected:
 		s.misdirected = true
@@ -97,6 +98,7 @@
 // serverProbed ends or extends an ejection. A server that was down returns without its
 // warm objects; a server that was only slow to answer keeps them.
 func (d *Dispatcher) serverProbed(ev *ServerProbed) {
+	defer d.reindexByID(ev.At, ev.Server)
 	s := d.servers[ev.Server]
 	if s == nil {
 		return
@@ -131,6 +133,7 @@
 	}
 	s.ejectedUntil = 0
 	s.failures = 0
+	s.checkedAt = ev.At
 	if !suspected {
 		s.warm = warmSet{}
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -15,6 +15,9 @@
 	region model.RegionName
 	hash   uint64
 
+	standing exclusion // why it may take no request, as in the service's index
+	position int       // in regionServers.usable
+
 	inFlight    int           // requests of this instance that are at the server
 	otherLoad   float64       // requests of other instances, as last reported
 	otherLoadAt model.Instant // when otherLoad was reported
@@ -32,7 +35,8 @@
 	unreachable  bool          // its last health check got no connection, and it has not answered since
 	suspected    bool          // ejected only because it is silent; not known to have failed
 	busySince    model.Instant // when inFlight last left 0
-	answeredAt   model.Instant // last answer of any kind
+	answeredAt   model.Instant // last answer of any kind to a request
+	checkedAt    model.Instant // last health check that passed
 	listedAt     model.Instant // when this instance first saw its entry
 	unlistedAt   model.Instant // when its entry disappeared, 0 while it is listed
 	shed         average
