--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -150,7 +150,7 @@
 		require.Empty(t, hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: event.AttemptShed})),
 			"the route allows two attempts")
 		d, _, second = hedgedRequest(t, testRoute())
-		for d.service("shop").budget.Take(at(time.Second), 1) {
+		for d.service("shop").budget.Take(at(time.Second), d.instances) {
 		}
 		require.Len(t, hedges(d.Step(&AttemptEnded{At: at(time.Second), Request: 1, Attempt: second.Attempt, Result: event.AttemptNotSent})), 1,
 			"an attempt that reached no server has used none of the retry budget")
