pacing: equal shares are used from the start of a process

Cause: made a process wait for a window, since an earlier process may have used its share, and until its list of instances was not empty.

--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -38,9 +38,8 @@
 // Instances learn of changes to the fleet at different times, up to MaxAge late. To keep two
 // instances from using one unit within a window, an instance that has left keeps its rank, and
 // one that has joined uses none of the units left over, for MaxAge and a window. An instance
-// whose list is older than MaxAge uses none of them either. A process uses no unit within a
-// window after its start, because an earlier process of the instance may have used it, and none
-// before it knows how many instances there are.
+// whose list is older than MaxAge uses none of them either. A process uses no unit before it
+// has read a list.
 type Fleet struct {
 	Self   model.InstanceID
 	MaxAge time.Duration
@@ -126,7 +125,12 @@
 }
 
 // Confirm records that the list was the latest at the given time.
-func (f *Fleet) Confirm(at model.Instant) { f.knownAt = max(f.knownAt, at) }
+func (f *Fleet) Confirm(at model.Instant) {
+	if f.knownAt == 0 && at != 0 {
+		clear(f.shares)
+	}
+	f.knownAt = max(f.knownAt, at)
+}
 
 // Share returns how many units of a bound this instance may use.
 func (f *Fleet) Share(now model.Instant, b Bound) int {
@@ -152,7 +156,7 @@
 
 func (f *Fleet) divide(now model.Instant, b Bound) share {
 	self := f.members[f.Self]
-	if b.Span > 0 && (f.count == 0 || (self != nil && now < self.since.Add(b.Span))) {
+	if b.Span > 0 && f.count == 0 && f.knownAt == 0 {
 		return share{}
 	}
 	n := f.reckoned(now, b)
@@ -226,10 +230,8 @@
 	var next model.Instant
 	for _, m := range f.members {
 		for _, from := range [...]model.Instant{m.since, m.leftAt} {
-			for _, wait := range [...]time.Duration{b.Span, f.handOver(b)} {
-				if at := from.Add(wait); at > now && (next == 0 || at < next) {
-					next = at
-				}
+			if at := from.Add(f.handOver(b)); at > now && (next == 0 || at < next) {
+				next = at
 			}
 		}
 	}
