dispatch: a silent server is suspected after the objective at the start

The same two tests of platform need a suspicion within the time of a request when nothing is observed; the bound of two objectives left none.

--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -54,11 +54,12 @@
 	return r.slow.n < minObservations || now.Sub(r.since) <= silentRunTimes*r.objective
 }
 
-// longest returns the run time of slow requests, the objective at least while learning.
+// longest returns the run time of slow requests. While learning it is so long at least that a
+// server is suspected after the objective: later there is no time for a second attempt.
 func (r *runTimes) longest(now model.Instant) time.Duration {
 	observed := seconds(max(r.cold.value, r.warm.value, r.slow.value))
 	if r.learning(now) {
-		return max(observed, r.objective)
+		return max(observed, r.objective/silentRunTimes)
 	}
 	return observed
 }
