pacing: a test of each side of a hand-over

The property test did not fail without the stop of instances with old lists, without the past weight, or with a wait of MaxAge alone; this one does.

--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -302,3 +302,75 @@
 	n, _ := slices.BinarySearch(times, at+1)
 	return n
 }
+
+// TestHandOverOfAUnit checks when each side of a change uses a unit: an instance stops as soon
+// as it learns of one that ranks before it, and at MaxAge at the latest; one that gains a unit
+// waits until all others have stopped and the window is over.
+func TestHandOverOfAUnit(t *testing.T) {
+	b := Bound{Key: 3, Units: 1, Span: time.Second}
+	const handOver = fleetMaxAge + time.Second
+	list := []Member{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}, {ID: "c", Weight: 1}}
+	first := slices.IndexFunc(list, func(m Member) bool {
+		others := &Fleet{Self: m.ID, MaxAge: fleetMaxAge}
+		others.SetListed(epoch, list)
+		others.Confirm(epoch.Add(time.Hour))
+		return others.Share(epoch.Add(time.Hour), b) == 1
+	})
+	require.GreaterOrEqual(t, first, 0)
+	holder := list[first]
+	second := slices.Delete(slices.Clone(list), first, first+1)
+	heir := slices.IndexFunc(second, func(m Member) bool {
+		f := &Fleet{Self: m.ID, MaxAge: fleetMaxAge}
+		f.SetListed(epoch, second)
+		f.Confirm(epoch.Add(time.Hour))
+		return f.Share(epoch.Add(time.Hour), b) == 1
+	})
+	require.GreaterOrEqual(t, heir, 0)
+	change := epoch.Add(time.Hour)
+	known := func(self model.InstanceID, list []Member) *Fleet {
+		f := &Fleet{Self: self, MaxAge: fleetMaxAge}
+		f.SetListed(epoch, list)
+		f.Confirm(change)
+		return f
+	}
+	shareAt := func(f *Fleet, after time.Duration, confirmed bool) int {
+		if confirmed {
+			f.Confirm(change.Add(after))
+		}
+		return f.Share(change.Add(after), b)
+	}
+	t.Run("without news", func(t *testing.T) {
+		f := known(holder.ID, list)
+		require.Equal(t, 1, shareAt(f, fleetMaxAge, false))
+		require.Zero(t, shareAt(f, fleetMaxAge+1, false), "its list may be wrong")
+		require.Equal(t, 1, shareAt(f, fleetMaxAge+2, true))
+	})
+	t.Run("the holder leaves", func(t *testing.T) {
+		f := known(second[heir].ID, list)
+		require.Zero(t, shareAt(f, 0, true))
+		f.SetListed(change, second)
+		require.Zero(t, shareAt(f, handOver-1, true))
+		require.Equal(t, 1, shareAt(f, handOver, true))
+	})
+	t.Run("the holder joins", func(t *testing.T) {
+		f := known(second[heir].ID, second)
+		require.Equal(t, 1, shareAt(f, 0, true))
+		f.SetListed(change, list)
+		require.Zero(t, shareAt(f, 0, true))
+		joined := &Fleet{Self: holder.ID, MaxAge: fleetMaxAge}
+		joined.SetListed(change, list)
+		require.Zero(t, shareAt(joined, handOver-1, true))
+		require.Equal(t, 1, shareAt(joined, handOver, true))
+	})
+	t.Run("the holder loses weight", func(t *testing.T) {
+		lighter := slices.Clone(list)
+		lighter[first].Weight = 1e-9
+		f := known(second[heir].ID, list)
+		f.SetListed(change, lighter)
+		require.Zero(t, shareAt(f, handOver-1, true))
+		require.Equal(t, 1, shareAt(f, handOver, true))
+	})
+	t.Run("no list read", func(t *testing.T) {
+		require.Zero(t, (&Fleet{Self: "a", MaxAge: fleetMaxAge}).Share(epoch, b))
+	})
+}
