--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -38,14 +38,15 @@
 
 type fleetInstance struct {
 	Member
-	zone    int
-	offset  time.Duration // of its clock
-	fleet   *Fleet
-	sends   Window
-	seen    int // version of the list
-	asOf    model.Instant
-	cut     bool
-	stopsAt model.Instant // 0 while it runs on
+	zone     int
+	offset   time.Duration // of its clock
+	fleet    *Fleet
+	sends    Window
+	seen     int // version of the list
+	asOf     model.Instant
+	cut      bool
+	startsAt model.Instant
+	stopsAt  model.Instant // 0 while it runs on
 }
 
 func newFleetRun(seed uint64, instances int) *fleetRun {
@@ -54,10 +55,7 @@
 		r.instances = append(r.instances, r.newInstance(i))
 	}
 	r.write()
-	for _, in := range r.instances {
-		r.read(in)
-	}
-	r.advance(fleetMaxAge+20*time.Second, nil)
+	r.advance(fleetMaxAge+25*time.Second, nil)
 	return r
 }
 
@@ -79,6 +77,8 @@
 	in.fleet = &Fleet{Self: in.ID, MaxAge: fleetMaxAge}
 	in.sends = Window{Span: time.Second}
 	in.seen, in.asOf, in.stopsAt = -1, 0, 0
+	// A process takes more than a second to be replaced.
+	in.startsAt = r.now.Add(time.Second + time.Duration(r.random.IntN(2000))*time.Millisecond)
 }
 
 func (in *fleetInstance) clock(at model.Instant) model.Instant { return at.Add(in.offset) }
@@ -119,7 +119,7 @@
 	for end := r.now.Add(length); r.now < end; r.now = r.now.Add(fleetStep) {
 		for _, n := range r.random.Perm(len(r.instances)) {
 			in := r.instances[n]
-			if in.stopsAt != 0 && r.now >= in.stopsAt {
+			if r.now < in.startsAt || (in.stopsAt != 0 && r.now >= in.stopsAt) {
 				continue
 			}
 			if !in.cut && (in.seen < 0 || r.random.IntN(40) == 0 || r.now.Sub(in.asOf) > fleetMaxAge-fleetStep) {
@@ -302,3 +302,75 @@
 	n, _ := slices.BinarySearch(times, at+1)
 	return n
 }
+
+// TestHandOverOfAUnit checks when each side of a change uses a unit: an instance stops as soon
+// as it learns of one that ranks before it, and at MaxAge at the latest; one that gains a unit
+// waits until all others have stopped and the window is over.
+func TestHandOverOfAUnit(t *testing.T) {
+	b := Bound{Key: 3, Units: 1, Span: time.Second}
+	const handOver = fleetMaxAge + time.Second
+	list := []Member{{ID: "a", Weight: 1}, {ID: "b", Weight: 1}, {ID: "c", Weight: 1}}
+	first := slices.IndexFunc(list, func(m Member) bool {
+		others := &Fleet{Self: m.ID, MaxAge: fleetMaxAge}
+		others.SetListed(epoch, list)
+		others.Confirm(epoch.Add(time.Hour))
+		return others.Share(epoch.Add(time.Hour), b) == 1
+	})
+	require.GreaterOrEqual(t, first, 0)
+	holder := list[first]
+	second := slices.Delete(slices.Clone(list), first, first+1)
+	heir := slices.IndexFunc(second, func(m Member) bool {
+		f := &Fleet{Self: m.ID, MaxAge: fleetMaxAge}
+		f.SetListed(epoch, second)
+		f.Confirm(epoch.Add(time.Hour))
+		return f.Share(epoch.Add(time.Hour), b) == 1
+	})
+	require.GreaterOrEqual(t, heir, 0)
+	change := epoch.Add(time.Hour)
+	known := func(self model.InstanceID, list []Member) *Fleet {
+		f := &Fleet{Self: self, MaxAge: fleetMaxAge}
+		f.SetListed(epoch, list)
+		f.Confirm(change)
+		return f
+	}
+	shareAt := func(f *Fleet, after time.Duration, confirmed bool) int {
+		if confirmed {
+			f.Confirm(change.Add(after))
+		}
+		return f.Share(change.Add(after), b)
+	}
+	t.Run("without news", func(t *testing.T) {
+		f := known(holder.ID, list)
+		require.Equal(t, 1, shareAt(f, fleetMaxAge, false))
+		require.Zero(t, shareAt(f, fleetMaxAge+1, false), "its list may be wrong")
+		require.Equal(t, 1, shareAt(f, fleetMaxAge+2, true))
+	})
+	t.Run("the holder leaves", func(t *testing.T) {
+		f := known(second[heir].ID, list)
+		require.Zero(t, shareAt(f, 0, true))
+		f.SetListed(change, second)
+		require.Zero(t, shareAt(f, handOver-1, true))
+		require.Equal(t, 1, shareAt(f, handOver, true))
+	})
+	t.Run("the holder joins", func(t *testing.T) {
+		f := known(second[heir].ID, second)
+		require.Equal(t, 1, shareAt(f, 0, true))
+		f.SetListed(change, list)
+		require.Zero(t, shareAt(f, 0, true))
+		joined := &Fleet{Self: holder.ID, MaxAge: fleetMaxAge}
+		joined.SetListed(change, list)
+		require.Zero(t, shareAt(joined, handOver-1, true))
+		require.Equal(t, 1, shareAt(joined, handOver, true))
+	})
+	t.Run("the holder loses weight", func(t *testing.T) {
+		lighter := slices.Clone(list)
+		lighter[first].Weight = 1e-9
+		f := known(second[heir].ID, list)
+		f.SetListed(change, lighter)
+		require.Zero(t, shareAt(f, handOver-1, true))
+		require.Equal(t, 1, shareAt(f, handOver, true))
+	})
+	t.Run("no list read", func(t *testing.T) {
+		require.Zero(t, (&Fleet{Self: "a", MaxAge: fleetMaxAge}).Share(epoch, b))
+	})
+}
