edge: a failure or a broken answer does not end the other attempt

What callers saw, of two attempts at one request: a server's complete failure (500) was passed on at once and the other attempt was given up, while its server was at work; and an answer without a length was passed on with its header, so that the caller's answer broke off with it, although the other server answered.

Cause: the first answer ended the other attempt, whatever it was worth.

Change, for requests with more than one attempt: an answer of either attempt is read first, also one without a length, up to 512 KiB; a server's failure is held back while another attempt runs, and passed on, unchanged, if that one brings no answer. A longer answer still ends the other attempt with its header: it cannot be taken back once a part has been sent.

Evidence: TestStopKeepsRequestsWhoseSecondAttemptFails failed before with "failure" and with "broken body without a length". TestHedgesInAnyOrder plays held failures. Passed before, too, are tests of the other direction: TestStopKeepsRequestsWhoseFirstAttemptFails (its first form), and TestFailureIsPassedOnWithoutAnotherAnswer, which guards the change itself.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -91,6 +91,8 @@
 	// OwnShortage reports that the attempt was not sent because this instance lacked a
 	// connection, file descriptor or port, which says nothing about the server.
 	OwnShortage bool
+	// Held reports that a complete answer with AttemptFailed has not been passed on yet.
+	Held bool
 	// Misdirected reports that a different server answered at the address.
 	Misdirected bool
 	// Draining reports that the server announced that it is leaving.
@@ -207,6 +209,10 @@
 // caller gets the first complete answer.
 type Hedge struct{ Send *Send }
 
+// PassOn passes the failure that is held for a request on to the caller, since no other
+// attempt has brought an answer.
+type PassOn struct{ Request model.RequestID }
+
 // LimitsChanged applies the limits on callers' requests from a new configuration.
 type LimitsChanged struct{ Limits catalog.Limits }
 
@@ -223,6 +229,7 @@
 func (*Refuse) effect()                 {}
 func (*Probe) effect()                  {}
 func (*Hedge) effect()                  {}
+func (*PassOn) effect()                 {}
 func (*CloseConnections) effect()       {}
 func (*ClosePooledConnections) effect() {}
 func (*Record) effect()                 {}
--- a/internal/dispatch/hedge_property_test.go
+++ b/internal/dispatch/hedge_property_test.go
@@ -20,6 +20,7 @@
 	reached  int // attempts that may have reached a server
 	ran      bool
 	answered bool
+	failed   bool // a failure is held
 	refused  bool
 }
 
@@ -54,13 +55,19 @@
 				case *Hedge:
 					require.True(t, route.Kind.Repeatable(), "seed %d", seed)
 					require.Len(t, c.running, 1, "seed %d", seed)
-					require.False(t, c.answered || c.refused, "seed %d: the request has ended", seed)
+					require.False(t, c.answered || c.failed || c.refused, "seed %d: the request has ended", seed)
 					begin(f.Send)
 				case *Send:
 					require.Empty(t, c.running, "seed %d", seed)
 					begin(f)
 					decided++
+				case *PassOn:
+					require.Empty(t, c.running, "seed %d: an attempt is running", seed)
+					require.True(t, c.failed && !c.answered, "seed %d", seed)
+					c.answered = true
+					decided++
 				case *Refuse:
+					require.False(t, c.failed, "seed %d", seed)
 					require.Empty(t, c.running, "seed %d: an attempt is running", seed)
 					require.Equal(t, c.ran, f.Outcome == model.Unknown, "seed %d", seed)
 					c.refused = true
@@ -91,16 +98,18 @@
 			}
 			result := results[random.IntN(len(results))]
 			c.running = slices.DeleteFunc(c.running, func(other *Send) bool { return other == s })
+			held := result == event.AttemptFailed && random.IntN(2) == 0
 			switch result {
 			case event.AttemptComplete, event.AttemptFailed:
-				c.answered = true
+				c.answered = !held
+				c.failed = c.failed || held
 			case event.AttemptNotSent:
 				c.reached--
 			case event.AttemptShed:
 			default:
 				c.ran = true
 			}
-			apply(d.Step(&AttemptEnded{At: now, Request: 1, Attempt: s.Attempt, Result: result}), !c.answered && len(c.running) == 0)
+			apply(d.Step(&AttemptEnded{At: now, Request: 1, Attempt: s.Attempt, Result: result, Held: held}), !c.answered && len(c.running) == 0)
 		}
 		if c.answered {
 			for _, id := range servers {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,6 +27,7 @@
 	failedDials int  // attempts that failed without a connection
 	mayHaveRun  bool // an earlier attempt may have run
 	answered    bool // an answer is being passed on to the caller
+	failed      bool // a server's failure is held for the caller
 	hedgePaid   bool // the retry budget was charged for an attempt that reached no server
 	arrivedAt   model.Instant
 	// failedChoice is set if no server was found.
@@ -44,7 +45,7 @@
 // mayHedge reports whether the request may be sent to a second server while its first
 // attempt runs.
 func (q *request) mayHedge() bool {
-	return q.route.Kind.Repeatable() && q.replayable && !q.answered &&
+	return q.route.Kind.Repeatable() && q.replayable && !q.answered && !q.failed &&
 		q.sends < q.route.Attempts && q.failedDials < maxFailedDials
 }
 
@@ -223,7 +224,9 @@
 		d.recordRunTime(ev.At, q, a)
 		q.answered = true
 	case event.AttemptFailed:
-		q.answered = true // the complete 5xx answer has been passed on
+		// The complete 5xx answer has been passed on, or is once no other attempt runs.
+		q.answered = q.answered || !ev.Held
+		q.failed = q.failed || ev.Held
 	case event.AttemptNotSent:
 		q.sends--
 		q.failedDials++
@@ -233,8 +236,13 @@
 	}
 	switch {
 	case q.answered:
+	case len(q.running) == 0 && q.failed:
+		q.answered = true
+		d.add(&PassOn{Request: q.id})
 	case len(q.running) == 0:
 		d.nextAttempt(ev, q)
+	case q.failed:
+		// The other attempt may still bring a better answer.
 	case ev.Result != event.AttemptCancelled:
 		// The caller may get the answer of the other attempt.
 		q.hedgePaid = q.hedgePaid || ev.Result == event.AttemptNotSent
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
@@ -27,6 +28,7 @@
 	id       model.RequestID
 	ctx      context.Context // of the exchange
 	x        *ingress.Exchange
+	hedged   atomic.Bool   // a hedge has been started
 	outcomes chan outcome  // from hedges
 	ended    chan struct{} // closed when outcomes are no longer received
 	hedges   sync.WaitGroup
@@ -37,6 +39,7 @@
 	mu      sync.Mutex
 	waiting map[int]context.CancelCauseFunc // attempts that wait for an answer, by number
 	over    bool                            // attempts that begin to wait are cancelled
+	held    *answer                         // a server's failure, while another attempt runs
 }
 
 // outcome is what an attempt has led to: an answer to pass on, or the next effect, which is
@@ -54,6 +57,9 @@
 	ctx      context.Context // of the attempt
 	cancel   context.CancelCauseFunc
 	release  func() // releases the attempt's context
+	read     bool   // receive has been called
+	received bool   // the body has been read
+	ended    bool   // the end of the attempt has been reported, and the answer is held
 }
 
 // beginCall registers a request, so that its attempts can be hedged. end must be called.
@@ -89,12 +95,16 @@
 // hedge makes an attempt beside the running one. It does not block; the caller holds Edge.mu.
 func (c *call) hedge(f *dispatch.Send) {
 	c.edge.metrics.hedges.Inc()
+	c.hedged.Store(true)
 	c.hedges.Go(func() {
 		c.edge.requests.hedged(c.x, f) // here, because it takes fleetMu
 		o := c.send(f)
 		if o.answer != nil {
 			o = c.receive(o.answer)
 		}
+		if o.answer != nil && o.answer.isFailure() {
+			o = outcome{next: c.hold(o.answer)}
+		}
 		if o.answer != nil {
 			c.cancelWaiting()
 		} else if o.next == nil {
@@ -108,25 +118,59 @@
 	})
 }
 
-// receive reads the body of a hedge's answer, unless it has to be streamed. Until then the
-// other attempts go on, as they are needed if the answer cannot be passed on.
+// receive reads the body of an answer of a hedged request, unless it is too long. Until then
+// the other attempts go on, as they are needed if the answer cannot be passed on.
 func (c *call) receive(a *answer) outcome {
-	length := a.response.BodyBytes
+	a.read = true
 	switch {
 	case claimsNotRun(a.response.Status):
 		return outcome{next: c.reject(a)}
-	case length < 0, length > maxBufferedBodyBytes, c.x.Method == http.MethodHead:
+	case a.response.BodyBytes > maxBufferedBodyBytes, c.x.Method == http.MethodHead:
 		return outcome{answer: a}
 	}
 	c.startWaiting(a.send.Attempt, a.cancel)
-	body, err := io.ReadAll(a.response.Body)
+	rest := a.response.Body
+	body, err := io.ReadAll(io.LimitReader(rest, maxBufferedBodyBytes+1))
 	c.stopWaiting(a.send.Attempt)
-	if err == nil {
-		a.response.Body = io.NopCloser(bytes.NewReader(body))
-		return outcome{answer: a}
+	switch {
+	case err != nil:
+		c.edge.requests.truncated(c.x, a.send, err, c.edge.clock.now().Sub(a.started))
+		return outcome{next: c.endAttempt(a, c.brokenResult(a, err))}
+	case len(body) > maxBufferedBodyBytes:
+		a.response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), rest), Closer: rest}
+	default:
+		a.response.Body, a.response.BodyBytes = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		a.received = true
+	}
+	return outcome{answer: a}
+}
+
+// prefixedBody is a body of which a part has been read.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// isFailure reports whether the answer is a server's failure that can be held back.
+func (a *answer) isFailure() bool { return a.received && a.response.Status >= 500 }
+
+// hold keeps a server's failure back while another attempt runs, which may bring a better
+// answer, and returns the next effect. The first failure is the one that is passed on.
+func (c *call) hold(a *answer) dispatch.Effect {
+	c.mu.Lock()
+	if c.held == nil {
+		c.held = a
 	}
-	c.edge.requests.truncated(c.x, a.send, err, c.edge.clock.now().Sub(a.started))
-	return outcome{next: c.endAttempt(a, c.brokenResult(a, err))}
+	c.mu.Unlock()
+	a.ended = true
+	return c.endAttempt(a, event.AttemptFailed)
+}
+
+// takeHeld returns the failure that was held back.
+func (c *call) takeHeld() *answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
 }
 
 // brokenResult returns the result of an attempt whose answer broke off with an error. The
@@ -166,6 +210,7 @@
 		Request:           c.id,
 		Attempt:           a.send.Attempt,
 		Result:            result,
+		Held:              a.ended,
 		Draining:          a.response.Draining,
 		BodyNotReplayable: !c.x.Replayable,
 		Report:            c.edge.serverReport(a.send.Server.ID, &a.response.Report),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -311,14 +311,14 @@
 }
 
 // post applies an event to the dispatcher and carries out the resulting effects, except a
-// Send or Refuse for the request, which it returns.
+// Send, Refuse or PassOn for the request, which it returns.
 func (e *Edge) post(ev dispatch.Event) dispatch.Effect {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var requestEffect dispatch.Effect
 	for _, f := range e.dispatcher.Step(ev) {
 		switch f := f.(type) {
-		case *dispatch.Send, *dispatch.Refuse:
+		case *dispatch.Send, *dispatch.Refuse, *dispatch.PassOn:
 			requestEffect = f
 		default:
 			e.execute(f)
@@ -327,7 +327,7 @@
 	return requestEffect
 }
 
-// execute carries out an effect other than Send and Refuse. It must not block.
+// execute carries out an effect other than Send, Refuse and PassOn. It must not block.
 func (e *Edge) execute(f dispatch.Effect) {
 	switch f := f.(type) {
 	case *dispatch.Probe:
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -41,12 +41,14 @@
 		case *dispatch.Refuse:
 			e.refuse(x, f)
 			return
+		case *dispatch.PassOn:
+			o.answer = c.takeHeld()
 		default:
 			o = <-c.outcomes
 		}
 		next = o.next
 		if o.answer != nil {
-			next = c.forward(o.answer)
+			next = c.settle(o.answer)
 		}
 	}
 }
@@ -152,6 +154,21 @@
 	}
 }
 
+// settle passes an answer on, or returns the next effect. An answer of a hedged request is
+// read first, and a failure is passed on only when no other attempt runs.
+func (c *call) settle(a *answer) dispatch.Effect {
+	if c.hedged.Load() && !a.read {
+		o := c.receive(a)
+		if o.answer == nil {
+			return o.next
+		}
+		if a.isFailure() {
+			return c.hold(a)
+		}
+	}
+	return c.forward(a)
+}
+
 // forward passes an answer on to the caller and returns the next effect if that was not
 // possible. A body of up to maxBufferedBodyBytes is read first, and the attempt may be
 // retried if it breaks off; a larger one is streamed, and the attempt ends after forward has
@@ -185,7 +202,9 @@
 	}
 	c.responded = true
 	done := func(result event.AttemptResult) {
-		c.endAttempt(a, result)
+		if !a.ended {
+			c.endAttempt(a, result)
+		}
 		elapsed := e.clock.now().Sub(a.started)
 		e.requests.answered(x, f, a.response.Status, broken, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
