--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -31,16 +31,16 @@
 	err     error
 }
 
-// sendUntilGone sends once-only requests to the instance at address until it no longer
-// accepts connections.
-func sendUntilGone(ctx context.Context, address string, caller int) []stopOutcome {
+// sendUntilGone sends once-only requests for path to the instance at address until it no
+// longer accepts connections.
+func sendUntilGone(ctx context.Context, address, path string, caller int) []stopOutcome {
 	transport := &http.Transport{MaxConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	var all []stopOutcome
 	for i := 0; ctx.Err() == nil; i++ {
 		o := stopOutcome{id: fmt.Sprintf("stop-%d-%d", caller, i)}
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", io.NopCloser(strings.NewReader("x")))
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader("x")))
 		if err != nil {
 			o.err = err
 			return append(all, o)
@@ -76,6 +76,18 @@
 // TestPlannedStopUnderLoadCutsNothing stops an instance while callers keep sending to it:
 // whatever a backend server has run is answered, and nothing that was told not-run has run.
 func TestPlannedStopUnderLoadCutsNothing(t *testing.T) {
+	for name, path := range map[string]string{
+		"short runs": "/orders",
+		"long runs":  "/orders/slow", // something is in flight all the time
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testPlannedStopUnderLoad(t, path)
+		})
+	}
+}
+
+func testPlannedStopUnderLoad(t *testing.T, path string) {
 	const callers = 12
 	f := startFleet(t)
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
@@ -83,7 +95,7 @@
 	results := make([][]stopOutcome, callers)
 	var sending sync.WaitGroup
 	for i := range callers {
-		sending.Go(func() { results[i] = sendUntilGone(ctx, f.callers[0], i) })
+		sending.Go(func() { results[i] = sendUntilGone(ctx, f.callers[0], path, i) })
 	}
 	time.Sleep(300 * time.Millisecond)
 	f.stop[0]()
