KNOWN-RED: a slow run on a reused connection, and two findings

To mend it, a second attempt has to be made beside the first, which needs a second slot in internal/admission.

--- a/internal/entry/slow_test.go
+++ b/internal/entry/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,20 @@
 	require.Equal(t, 1, runs)
 }
 
+// TestSlowRunOnReusedConnectionIsNotGivenUp guards against the same on a connection that has
+// carried a request of another route: nothing is known of the run times of this one.
+func TestSlowRunOnReusedConnectionIsNotGivenUp(t *testing.T) {
+	f := startFleet(t)
+	for i := range 8 {
+		a := f.send(i%len(f.callers), http.MethodPut, "/files/a", strings.NewReader("x"))
+		require.Equal(t, http.StatusOK, a.status, a.header.Get("X-Cause"))
+	}
+	a := f.send(0, http.MethodGet, "/shop/slow", nil, "X-Request-Id", "slow-2", "X-Deadline-Ms", "2000")
+	require.Equal(t, http.StatusOK, a.status, a.header.Get("X-Cause"))
+	require.Equal(t, "served", a.header.Get("X-Outcome"))
+	require.Equal(t, 1, f.runsOf("slow-2"))
+}
+
 // slowRunTime is the run time of requests below slowPath.
 const (
 	slowPath    = "/shop/slow"
