link: closing does not wait for the Hello of a peer

Change: the session is closed with its context until the Hello has arrived. After that it drains its offers as before.

Evidence: TestCloseDoesNotWaitForAnUnresponsivePeer failed before (2.5 s with a limit of 5 s).

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -182,6 +182,27 @@
 	require.Empty(t, client.up)
 }
 
+// TestCloseDoesNotWaitForAnUnresponsivePeer guards against an instance that is killed at the
+// end of its time to stop, because it waits for the Hello of a peer.
+func TestCloseDoesNotWaitForAnUnresponsivePeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	client := newRecorder()
+	s := DefaultSettings()
+	s.DialTimeout = 5 * time.Second
+	links := New(&linkpb.Hello{Instance: "a"}, s, client, client)
+	links.Open(context.Background(), "b", listener.Addr().String())
+	peer, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = peer.Close() }()
+	_, err = peer.Read(make([]byte, 1)) // the Hello is being sent
+	require.NoError(t, err)
+	started := time.Now()
+	links.CloseAll()
+	require.Less(t, time.Since(started), time.Second)
+}
+
 // TestPeerWithWrongIdentityIsNotUp connects to an instance that has taken over the
 // address of another one.
 func TestPeerWithWrongIdentityIsNotUp(t *testing.T) {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -67,6 +67,9 @@
 // serve sends membership messages on a control stream until the session ends or
 // ctx is done.
 func (p *peer) serve(ctx context.Context, session *yamux.Session) {
+	// Until the Hello has arrived the session carries no offers.
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
 	control, err := session.OpenStream()
 	if err != nil {
 		_ = session.Close()
@@ -77,7 +80,7 @@
 		_ = conn.Close()
 		p.links.tasks.Go(func() { p.links.drain(session) })
 	}()
-	if p.exchangeHello(conn) != nil {
+	if p.exchangeHello(conn) != nil || !stop() {
 		return
 	}
 	p.setSession(session)
