confstore: a change accepted after a restore of the table takes effect

Cause: a revision's number was taken for its place in all histories of the table. Instances and peers compared numbers only.

The table's revision replaces the one in force unless it is one of its ancestors; then the instance keeps what it runs and says so (status, log, primrosenotch_configuration_lost). Peers compare restores, time of acceptance, number and identity; an instance that takes a revision from the table raises restores where a slower clock would hide it, so each adoption is a step up in one order. An offer of an unrelated revision is checked with the table first. No word of the platform's is needed; rows and instances of an earlier version are understood. LoadIfNewer returns a revision with a lower number, too; instances use Follower, which tells equal numbers apart.

Tests that changed: the type of SetRevision and Message.Revision, with the same checks; the property test of membership also draws revisions after restores.

--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -97,6 +97,8 @@
 		return "list the planned stops in force with: primrosenotch stop list"
 	case errors.Is(err, confstore.ErrNoRevision):
 		return "apply the first configuration text with: primrosenotch apply FILE -m REASON"
+	case isA[*confstore.MissingRowError](err):
+		return "list the revisions with: primrosenotch history; a table that was restored from a copy lacks later ones, see: primrosenotch status"
 	case isA[*platform.UnavailableError](err), isA[*platform.UncertainError](err):
 		return "check --platform; the entry instances continue with the configuration that they have loaded"
 	case isA[*unreachableError](err):
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -102,3 +102,17 @@
 	require.NotContains(t, page, "ZgotmplZ")
 	require.NotContains(t, page, "<?xml")
 }
+
+// TestStatusTellsOfRestoredTable guards against an operator who is not told that the
+// revision in force is missing from the table.
+func TestStatusTellsOfRestoredTable(t *testing.T) {
+	kept := control.Configuration{Revision: 3, Lost: true}
+	view := &statusView{Instances: []control.Status{{Instance: "a", Configuration: kept}, {Instance: "b", Configuration: kept}}}
+	var out strings.Builder
+	view.writeText(&out)
+	require.Equal(t, 1, strings.Count(out.String(), "revision 3 is in force, but the platform's table was restored from a copy without it"))
+	view.Instances[0].Configuration.Lost, view.Instances[1].Configuration.Lost = false, false
+	out.Reset()
+	view.writeText(&out)
+	require.NotContains(t, out.String(), "restored")
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -65,6 +65,12 @@
 	if len(revisions) > 1 {
 		fmt.Fprintf(w, "the instances have different revisions in force: %v\n", slices.Sorted(slices.Values(revisions)))
 	}
+	lost := lo.FilterMap(v.Instances, func(s control.Status, _ int) (int64, bool) {
+		return s.Configuration.Revision, s.Configuration.Lost
+	})
+	for _, number := range slices.Compact(slices.Sorted(slices.Values(lost))) {
+		fmt.Fprintf(w, "revision %d is in force, but the platform's table was restored from a copy without it; it stays until a change is accepted\n", number)
+	}
 }
 
 // zoneLoads returns the load of each zone, sorted by zone name, as reported by an
--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -60,6 +60,8 @@
 		OperationId:    r.OperationID,
 		TextAcceptedAt: unixNano(r.TextAcceptedAt),
 		Earlier:        lo.Map(r.Earlier, func(c TextChange, _ int) *linkpb.TextChange { return encodeTextChange(c) }),
+		Ancestors:      r.Ancestors,
+		Restores:       r.Restores,
 	}
 }
 
@@ -90,6 +92,8 @@
 		AcceptedAt:     fromUnixNano(m.GetAcceptedAt()),
 		OperationID:    m.GetOperationId(),
 		TextAcceptedAt: fromUnixNano(m.GetTextAcceptedAt()),
+		Ancestors:      m.GetAncestors(),
+		Restores:       m.GetRestores(),
 	}
 	for _, stop := range m.GetStops() {
 		r.Stops = append(r.Stops, decodeStop(stop))
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -121,7 +121,8 @@
 }
 
 // Revision is an accepted configuration: a text and the planned stops in force with
-// it. A revision with a higher Number always replaces one with a lower Number.
+// it. A revision with a higher Number replaces one with a lower Number, unless the table
+// was restored from a copy in between; see Order.
 type Revision struct {
 	Number      int64
 	Source      []byte // the operators' text exactly as applied
@@ -139,4 +140,10 @@
 	// TextAcceptedAt is the time when Source was accepted, which is the start of the
 	// move. It is before AcceptedAt if only planned stops have changed since.
 	TextAcceptedAt time.Time
+	// Ancestors are the identities of the revisions before this one, the latest first. It
+	// is cut off at maxAncestors and at a revision without ancestors of its own.
+	Ancestors []uint64
+	// Restores orders revisions of histories that a restore of the table has separated.
+	// Instances raise it; it is 0 in the table.
+	Restores int64
 }
--- a/internal/confstore/commit.go
+++ b/internal/confstore/commit.go
@@ -141,6 +141,7 @@
 		next.TextAcceptedAt = next.AcceptedAt
 	}
 	next.Earlier = config.PruneCompletedMoves(next.Earlier, next.TextAcceptedAt)
+	next.Ancestors = current.AncestorsOfNext()
 }
 
 // write commits next on condition that the head row still has the version of head.
@@ -160,6 +161,7 @@
 			{Key: headKey, Value: number},
 			{Key: revisionKey(next.Number), Value: value},
 			{Key: operationKey(op.id), Value: number},
+			{Key: identityKey, Value: encodeIdentity(next)},
 		},
 	})
 	if err == nil {
--- a/internal/confstore/store.go
+++ b/internal/confstore/store.go
@@ -19,6 +19,7 @@
 
 const (
 	headKey         = "config/head"
+	identityKey     = "config/identity"
 	revisionPrefix  = "config/revision/"
 	operationPrefix = "config/operation/"
 )
@@ -85,14 +86,15 @@
 	return s.LoadRevision(ctx, head.number)
 }
 
-// LoadIfNewer returns the current revision if its number is above known, and nil
-// otherwise. If there is no newer revision, it reads only the head row.
+// LoadIfNewer returns the current revision unless its number is known, and nil otherwise. A
+// lower number means that the table was restored from a copy. If the number is known, it
+// reads only the head row. Follower also tells revisions with the same number apart.
 func (s *Store) LoadIfNewer(ctx context.Context, known int64) (*config.Revision, error) {
 	head, err := s.head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if head.number <= known {
+	if head.number == known {
 		return nil, nil
 	}
 	return s.LoadRevision(ctx, head.number)
@@ -167,10 +169,11 @@
 	return revision, nil
 }
 
-// headRow is the decoded head row. Both fields are 0 before the first revision.
+// headRow is the decoded head row. All fields are 0 before the first revision.
 type headRow struct {
-	number  int64 // of the current revision
-	version int64 // of the row
+	number   int64  // of the current revision
+	version  int64  // of the row
+	identity uint64 // of the current revision; 0 if unknown or not read
 }
 
 func (s *Store) head(ctx context.Context) (headRow, error) {
--- a/internal/confstore/table_test.go
+++ b/internal/confstore/table_test.go
@@ -32,6 +32,7 @@
 	rows      map[string]platform.Row
 	delayed   []platform.Transaction
 	commits   int
+	reads     map[string]int // by key, if not nil
 	nextFault func() fault
 }
 
@@ -73,6 +74,9 @@
 	for _, key := range keys {
 		row := t.rows[key]
 		row.Key = key
+		if t.reads != nil {
+			t.reads[key]++
+		}
 		rows = append(rows, row)
 	}
 	t.applyDelayed() // between two reads of one attempt, the hardest interleaving for the store
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -33,6 +33,9 @@
 	Hash       string    `json:"hash"`     // content hash in hexadecimal
 	AcceptedAt time.Time `json:"accepted_at,omitzero"`
 	AdoptedAt  time.Time `json:"adopted_at,omitzero"` // when this instance began to apply it
+	// Lost reports that the platform's table was restored from a copy and lacks this
+	// revision, which stays in force until a change is accepted.
+	Lost bool `json:"lost,omitempty"`
 }
 
 // Platform is the worst state of the circuit breakers for calls to the platform's
--- a/internal/membership/cluster_test.go
+++ b/internal/membership/cluster_test.go
@@ -270,7 +270,9 @@
 		if from == nil || !n.running || n.paused || !from.running || from.paused || c.cut(n, from) {
 			continue
 		}
-		n.group.SetRevision(max(n.group.revision, from.group.revision))
+		if from.group.revision.After(n.group.revision) {
+			n.group.SetRevision(from.group.revision)
+		}
 	}
 }
 
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -29,11 +30,15 @@
 	return &linkpb.Gossip{
 		From:        string(m.From),
 		Incarnation: m.Incarnation,
-		Revision:    m.Revision,
+		Revision:    m.Revision.Number,
 		Records:     lo.Map(m.Records, func(r Record, _ int) *linkpb.Record { return recordToProto(&r) }),
 		Zones:       lo.Map(m.Zones, func(z ZoneSummary, _ int) *linkpb.ZoneSummary { return zoneToProto(&z) }),
 		Suspects:    lo.Map(m.Suspects, func(s Suspect, _ int) *linkpb.Suspect { return suspectToProto(now, &s) }),
 		Known:       lo.Map(m.Known, func(v RecordVersion, _ int) *linkpb.RecordVersion { return versionToProto(v) }),
+
+		RevisionAcceptedAt: int64(m.Revision.AcceptedAt),
+		RevisionRestores:   m.Revision.Restores,
+		RevisionIdentity:   m.Revision.Identity,
 	}
 }
 
@@ -100,7 +105,12 @@
 	if from == "" {
 		return nil, &DecodeError{Part: "sender", Peer: from, Value: `""`}
 	}
-	m := &Message{From: from, Incarnation: p.GetIncarnation(), Revision: p.GetRevision()}
+	m := &Message{From: from, Incarnation: p.GetIncarnation(), Revision: config.Order{
+		Restores:   p.GetRevisionRestores(),
+		AcceptedAt: model.Instant(p.GetRevisionAcceptedAt()),
+		Number:     p.GetRevision(),
+		Identity:   p.GetRevisionIdentity(),
+	}}
 	for _, r := range p.GetRecords() {
 		record, err := recordFromProto(from, r)
 		if err != nil {
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -64,8 +65,13 @@
 	return &Message{
 		From:        drawName[model.InstanceID]("i").Draw(t, "from"),
 		Incarnation: rapid.Uint64().Draw(t, "incarnation"),
-		Revision:    rapid.Int64().Draw(t, "revision"),
-		Records:     drawList(t, drawRecord),
+		Revision: config.Order{
+			Restores:   rapid.Int64().Draw(t, "restores"),
+			AcceptedAt: model.Instant(rapid.Int64().Draw(t, "accepted")),
+			Number:     rapid.Int64().Draw(t, "revision"),
+			Identity:   rapid.Uint64().Draw(t, "identity"),
+		},
+		Records: drawList(t, drawRecord),
 		Zones: drawList(t, func(t *rapid.T) ZoneSummary {
 			zone := drawName[model.ZoneName]("z").Draw(t, "zone")
 			return ZoneSummary{Zone: zone, Epoch: rapid.Uint64().Draw(t, "epoch"), Loads: drawList(t, drawLoad)}
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -45,9 +45,9 @@
 	loads     ownLoads
 	suspects  suspectSet
 
-	revision      int64
+	revision      config.Order
 	fetchedAt     model.Instant
-	fetchRevision int64
+	fetchRevision config.Order
 	superseded    bool // a newer process uses this instance's identifier
 	generation    uint64
 }
@@ -72,7 +72,7 @@
 	self.Sequence = max(self.Sequence, 1)
 	g.setZone(g.self, self.Zone)
 	g.self.record = self
-	g.revision = self.Revision
+	g.revision = config.Order{Number: self.Revision}
 	g.suspects.init()
 	g.summaries.init()
 	g.ownership.init()
@@ -163,12 +163,12 @@
 
 // SetRevision sets the configuration revision in force on this instance. It is
 // sent to the peers with the next tick.
-func (g *Group) SetRevision(n int64) {
-	if n == g.revision {
+func (g *Group) SetRevision(revision config.Order) {
+	if revision == g.revision {
 		return
 	}
-	g.revision = n
-	g.self.record.Revision = n
+	g.revision = revision
+	g.self.record.Revision = revision.Number
 	g.ScheduleMessages()
 }
 
--- a/internal/membership/group_test.go
+++ b/internal/membership/group_test.go
@@ -165,7 +165,7 @@
 func TestHigherRevisionIsFetched(t *testing.T) {
 	c := sevenInstances(Settings{})
 	c.run(5 * time.Second)
-	c.byID["i3"].group.SetRevision(7)
+	c.byID["i3"].group.SetRevision(config.Order{Number: 7})
 	c.run(200 * time.Millisecond)
 	for _, n := range c.nodes {
 		if n.id != "i3" {
--- a/internal/membership/output.go
+++ b/internal/membership/output.go
@@ -12,7 +12,7 @@
 	Close []model.InstanceID
 	// OwnershipChanged reports that the results of Owned, Owner or Owners changed.
 	OwnershipChanged bool
-	// FetchFrom is a peer with a higher configuration revision, empty if there is
+	// FetchFrom is a peer with a later configuration revision, empty if there is
 	// none.
 	FetchFrom model.InstanceID
 	// Suspects are request fingerprints that are new, or have new servers or a later
--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -42,7 +43,11 @@
 			case "heal":
 				c.partition(noCut)
 			case "revision":
-				n.group.SetRevision(n.group.revision + 1)
+				next := config.Order{Restores: n.group.revision.Restores, AcceptedAt: c.now, Number: n.group.revision.Number + 1}
+				if rapid.Bool().Draw(t, "restored") {
+					next.Restores, next.Number = next.Restores+1, 1
+				}
+				n.group.SetRevision(next)
 			}
 			step()
 		}
@@ -69,9 +74,11 @@
 }
 
 func requireHighestRevisionFetched(t require.TestingT, c *cluster) {
-	var highest int64
+	var highest config.Order
 	for _, n := range c.nodes {
-		highest = max(highest, n.group.revision)
+		if n.group.revision.After(highest) {
+			highest = n.group.revision
+		}
 	}
 	for _, n := range c.nodes {
 		require.Equal(t, highest, n.group.revision, "revision of %s", n.id)
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -73,13 +74,13 @@
 }
 
 // compareRevision stores the configuration revision of m and requests a fetch from m
-// if it is higher than this instance's.
-func (g *Group) compareRevision(m *member, revision int64) {
-	m.record.Revision = revision
-	if revision <= g.revision {
+// if it is after this instance's.
+func (g *Group) compareRevision(m *member, revision config.Order) {
+	m.record.Revision = revision.Number
+	if !revision.After(g.revision) {
 		return
 	}
-	repeated := revision <= g.fetchRevision && g.now.Sub(g.fetchedAt) < g.settings.FetchEvery
+	repeated := !revision.After(g.fetchRevision) && g.now.Sub(g.fetchedAt) < g.settings.FetchEvery
 	if repeated {
 		return
 	}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -84,7 +85,7 @@
 type Message struct {
 	From        model.InstanceID
 	Incarnation uint64
-	Revision    int64         // configuration revision in force on the sender
+	Revision    config.Order  // of the configuration revision in force on the sender
 	Records     []Record      // changed since the last message to the receiver
 	Zones       []ZoneSummary // newer than those sent before; bridges exchange them between zones
 	Suspects    []Suspect     // requests that crashed backend servers
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -19,10 +19,14 @@
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
 
-// configurationLoaded adopts a revision if its number is higher than that of the
-// active one.
+// configurationLoaded adopts a revision if it is after the active one.
 func (r *Reducer) configurationLoaded(ev *event.ConfigurationLoaded) {
-	if r.revision != nil && ev.Revision.Number <= r.revision.Number {
+	if r.revision != nil && ev.Revision.Order().Compare(r.revision.Order()) <= 0 {
+		return
+	}
+	if r.revision != nil && ev.Revision.Identity() == r.revision.Identity() {
+		r.revision = ev.Revision
+		r.group.SetRevision(ev.Revision.Order())
 		return
 	}
 	first := r.revision == nil
@@ -34,7 +38,7 @@
 	for _, group := range ev.Text.Callers {
 		r.homes[group.Name] = group.Home
 	}
-	r.group.SetRevision(ev.Revision.Number)
+	r.group.SetRevision(ev.Revision.Order())
 	r.planner.Configure(ev.Text, model.InstantOf(ev.Revision.TextAcceptedAt), ev.Earlier)
 	why := fmt.Sprintf("applied by %s: %s", ev.Revision.Author, ev.Revision.Reason)
 	r.out.record(ev.At, "", fmt.Sprintf("revision %d", ev.Revision.Number), "adopted", why)
--- a/internal/reducer/region_return_test.go
+++ b/internal/reducer/region_return_test.go
@@ -31,7 +31,7 @@
 			p.State = membership.Ready
 			p.Sequence = 1
 			r.Step(&event.GossipReceived{At: now, From: p.ID, Message: &membership.Message{
-				From: p.ID, Incarnation: p.Incarnation, Revision: 1, Records: []membership.Record{p},
+				From: p.ID, Incarnation: p.Incarnation, Revision: config.Order{Number: 1}, Records: []membership.Record{p},
 			}})
 		}
 		r.Step(&event.Tick{At: now})
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -135,7 +135,8 @@
 }
 
 func (r *Runtime) pollConfiguration(ctx context.Context) {
-	revision, err := r.store.LoadIfNewer(ctx, r.activeRevisionNumber())
+	active := r.activeRevision.Load()
+	update, err := r.follower.Next(ctx, active)
 	if errors.Is(err, confstore.ErrNoRevision) {
 		return
 	}
@@ -143,11 +144,21 @@
 		r.platformFailed("read configuration", err)
 		return
 	}
-	if revision != nil {
-		r.adopt(revision, "platform")
+	r.recordLost(update.Lost, active)
+	if update.Revision != nil {
+		r.adopt(active, update.Revision, "platform")
 	}
 }
 
+// recordLost logs once that the platform's table does not hold the revision in force.
+func (r *Runtime) recordLost(lost bool, active *config.Revision) {
+	if r.configurationLost.Swap(lost) == lost || !lost {
+		return
+	}
+	r.log.WithField("revision", active.Number).WithField("operation", active.OperationID).
+		Warn("platform's table was restored from a copy and lacks the revision in force, which stays until a change is accepted")
+}
+
 func (r *Runtime) platformFailed(step string, err error) {
 	r.metrics.platformErrors.WithLabelValues(step).Inc()
 	r.log.WithError(err).WithField("step", step).Debug("platform call failed")
@@ -160,7 +171,7 @@
 	return 0
 }
 
-// fetchRevision fetches a newer configuration from a peer in the background. Only
+// fetchRevision fetches a later configuration from a peer in the background. Only
 // one fetch runs at a time.
 func (r *Runtime) fetchRevision(from model.InstanceID, number int64) {
 	if r.fetching.Swap(true) {
@@ -178,19 +189,34 @@
 			r.log.WithError(err).WithField("peer", from).Error("rejected invalid configuration revision")
 			return
 		}
-		r.adopt(revision, string(from))
+		r.offered(revision, string(from))
 	}()
 }
 
-// adopt parses and activates a revision if its number is higher than that of the
-// active one.
-func (r *Runtime) adopt(revision *config.Revision, from string) {
+// offered adopts the revision of a peer if it is preferred to the active one. One that is
+// neither before nor after the active one may have been lost in a restore of the platform's
+// table, or the active one may have been: then the table decides if it can be read.
+func (r *Runtime) offered(revision *config.Revision, from string) {
+	active := r.activeRevision.Load()
+	preferred := config.Preferred(active, revision)
+	if preferred == active {
+		return
+	}
+	if active != nil && !active.Related(revision) {
+		ctx, cancel := context.WithTimeout(r.ctx, pollTimeout)
+		defer cancel()
+		if update, err := r.follower.Next(ctx, revision); err == nil && update.Revision != nil {
+			preferred, from = update.Revision, "platform"
+		}
+	}
+	r.adopt(active, preferred, from)
+}
+
+// adopt parses a revision and activates it in place of active.
+func (r *Runtime) adopt(active, revision *config.Revision, from string) {
 	// Reading and parsing a large configuration leaves garbage of several times its
 	// size.
 	defer debug.FreeOSMemory()
-	if revision.Number <= r.activeRevisionNumber() {
-		return
-	}
 	text, err := config.Parse(fmt.Sprintf("revision %d", revision.Number), revision.Source)
 	if err != nil {
 		r.log.WithError(err).WithField("from", from).Error("rejected invalid configuration revision")
@@ -206,21 +232,25 @@
 		ev.Earlier = append(ev.Earlier, event.EarlierText{Text: earlier, AcceptedAt: model.InstantOf(change.AcceptedAt)})
 	}
 	ev.Index = config.NewIndex(ev.Text)
-	r.activate(ev)
+	r.activate(active, ev)
 }
 
 // activate replaces the revision seen by peers, by requests and by the reducer
-// under one lock, so that none of them returns to an older revision.
-func (r *Runtime) activate(ev *event.ConfigurationLoaded) {
+// under one lock, so that none of them returns to an older revision. It does nothing if
+// active is no longer in force, since the new one was compared with it.
+func (r *Runtime) activate(active *config.Revision, ev *event.ConfigurationLoaded) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ev.Revision.Number <= r.activeRevisionNumber() {
+	if r.activeRevision.Load() != active || ev.Revision.Order().Compare(active.Order()) <= 0 {
 		return
 	}
+	ev.At = r.clock.now()
+	if active == nil || active.Identity() != ev.Revision.Identity() {
+		r.adoptedAt.Store(int64(ev.At))
+		r.configurationLost.Store(false)
+	}
 	r.activeRevision.Store(ev.Revision)
 	r.encodedRevision.Store(config.EncodeRevision(ev.Revision))
-	r.adoptedAt.Store(int64(r.clock.now()))
-	ev.At = r.clock.now()
 	r.setIndex(ev.Index)
 	r.stats.SetText(ev.Text)
 	for _, f := range r.reducer.Step(ev) {
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -57,7 +57,7 @@
 	require.NoError(t, err)
 	stop := config.Stop{ID: "s1", Scope: config.StopBackend, Target: "shop-1", At: time.Now()}
 	revision := &config.Revision{Number: 1, Source: []byte(testConfig), Stops: []config.Stop{stop}}
-	r.activate(&event.ConfigurationLoaded{Revision: revision, Text: text, Index: config.NewIndex(text)})
+	r.activate(nil, &event.ConfigurationLoaded{Revision: revision, Text: text, Index: config.NewIndex(text)})
 	return r
 }
 
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -56,7 +56,16 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: metricsNamespace, Name: "configuration_revision",
 			Help: "Number of the configuration revision in force.",
-		}, func() float64 { return float64(r.activeRevisionNumber()) }))
+		}, func() float64 { return float64(r.activeRevisionNumber()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "configuration_lost",
+			Help: "1 if the platform's table was restored from a copy and lacks the revision in force, else 0.",
+		}, func() float64 {
+			if r.configurationLost.Load() {
+				return 1
+			}
+			return 0
+		}))
 	return m
 }
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -61,7 +61,7 @@
 	clock    clock
 	log      *logrus.Entry
 	journal  *journal.Journal
-	store    *confstore.Store
+	follower *confstore.Follower
 	ledger   *ledger.Ledger
 	upstream *upstream.Client
 	links    *link.Links
@@ -89,7 +89,10 @@
 	encodedRevision atomic.Pointer[linkpb.Revision] // active configuration as sent to peers
 	activeRevision  atomic.Pointer[config.Revision]
 	adoptedAt       atomic.Int64 // Instant at which activeRevision was activated
-	idPrefix        string       // unique prefix of request and claim identifiers
+
+	// configurationLost reports that the platform's table does not hold activeRevision.
+	configurationLost atomic.Bool
+	idPrefix          string // unique prefix of request and claim identifiers
 }
 
 // New returns a runtime that has not started.
@@ -101,7 +104,7 @@
 		clock:     newClock(),
 		log:       o.Log,
 		journal:   journal.New(journalSizes),
-		store:     confstore.New(o.Table),
+		follower:  confstore.New(o.Table).Follower(),
 		upstream:  upstream.New(o.Upstream),
 		calls:     make(map[model.RequestID]*call),
 		offers:    make(map[model.RequestID]*offer),
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -56,6 +56,7 @@
 		Hash:       strconv.FormatUint(revision.Hash, 16),
 		AcceptedAt: revision.AcceptedAt,
 		AdoptedAt:  model.Instant(r.adoptedAt.Load()).Time(),
+		Lost:       r.configurationLost.Load(),
 	}
 }
 
--- a/internal/standin/tablestore/control.go
+++ b/internal/standin/tablestore/control.go
@@ -13,6 +13,8 @@
 	PathFaults   = "/standin/faults"   // GET returns the faults, PUT replaces them
 	PathCounters = "/standin/counters" // GET returns the counters
 	PathLines    = "/standin/lines"    // GET returns the instance list, POST sets an entry, DELETE removes one
+	PathCopy     = "/standin/copy"     // POST keeps a copy of the table
+	PathRestore  = "/standin/restore"  // POST returns the table to the copy
 )
 
 // controlRoutes registers the control endpoints.
@@ -23,6 +25,16 @@
 	s.app.Get(PathLines, s.handleCurrentList)
 	s.app.Post(PathLines, s.handleSetEntry)
 	s.app.Delete(PathLines, s.handleRemoveEntry)
+	s.app.Post(PathCopy, func(c fiber.Ctx) error {
+		s.CopyTable()
+		return c.SendStatus(fiber.StatusNoContent)
+	})
+	s.app.Post(PathRestore, func(c fiber.Ctx) error {
+		if !s.RestoreTable() {
+			return c.Status(fiber.StatusConflict).SendString("no copy of the table")
+		}
+		return c.SendStatus(fiber.StatusNoContent)
+	})
 }
 
 func (s *Server) handleSetFaults(c fiber.Ctx) error {
--- a/internal/standin/tablestore/server.go
+++ b/internal/standin/tablestore/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -27,6 +28,7 @@
 	table     *table
 	objects   *objects
 	instances *instances
+	copied    atomic.Pointer[tableCopy]
 	injector  *faultInjector
 	counters  counters
 	listener  net.Listener
@@ -96,6 +98,19 @@
 // SetFaults replaces all faults and restarts the random generator from the seed.
 func (s *Server) SetFaults(faults Faults) { s.injector.set(faults) }
 
+// CopyTable keeps a copy of the table in place of an earlier one.
+func (s *Server) CopyTable() { s.copied.Store(s.table.copy()) }
+
+// RestoreTable returns the table to the state of the copy, as if the platform had lost it
+// and restored it. It returns false if there is no copy.
+func (s *Server) RestoreTable() bool {
+	copied := s.copied.Load()
+	if copied != nil {
+		s.table.restore(copied)
+	}
+	return copied != nil
+}
+
 // Counters returns the number of calls since New.
 func (s *Server) Counters() Counters { return s.counters.snapshot() }
 
--- a/internal/standin/tablestore/server_test.go
+++ b/internal/standin/tablestore/server_test.go
@@ -97,6 +97,20 @@
 	require.JSONEq(t, `{"instances":[]}`, c.call(http.MethodGet, wire.PathInstances, "", http.StatusOK))
 }
 
+func TestTableIsRestoredFromCopy(t *testing.T) {
+	c := start(t)
+	get := func() string { return c.call(http.MethodPost, wire.PathGet, `{"keys":["k"]}`, http.StatusOK) }
+	c.call(http.MethodPost, tablestore.PathRestore, "", http.StatusConflict)
+	c.call(http.MethodPost, wire.PathCommit, commit, http.StatusOK)
+	copied := get()
+	c.call(http.MethodPost, tablestore.PathCopy, "", http.StatusNoContent)
+	version := c.call(http.MethodPost, wire.PathCommit, commit, http.StatusOK)
+	require.NotEqual(t, copied, get())
+	c.call(http.MethodPost, tablestore.PathRestore, "", http.StatusNoContent)
+	require.Equal(t, copied, get())
+	require.Equal(t, version, c.call(http.MethodPost, wire.PathCommit, commit, http.StatusOK), "given out again")
+}
+
 func TestMalformedCallsAreNotApplied(t *testing.T) {
 	c := start(t)
 	for path, body := range map[string]string{
--- a/internal/standin/tablestore/table.go
+++ b/internal/standin/tablestore/table.go
@@ -1,6 +1,7 @@
 package tablestore
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -82,3 +83,23 @@
 	}
 	t.rows[w.Key] = wire.Row{Key: w.Key, Value: w.Value, Version: t.commits}
 }
+
+// tableCopy is the state of a table at some time.
+type tableCopy struct {
+	rows    map[string]wire.Row
+	keys    []string
+	commits int64
+}
+
+func (t *table) copy() *tableCopy {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return &tableCopy{rows: maps.Clone(t.rows), keys: slices.Clone(t.keys), commits: t.commits}
+}
+
+// restore returns to the state of a copy, so that numbers of commits are given out again.
+func (t *table) restore(c *tableCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.keys, t.commits = maps.Clone(c.rows), slices.Clone(c.keys), c.commits
+}
