confstore: a change built from a lost revision is not committed on another one

Operators would see: between the read and the commit of a change the table is restored from a copy and another operator's changes bring the head row to the same version again; the change is then accepted on a revision that its author never saw, with the texts and planned stops of a lost one.

Cause: the version of the head row was taken for its identity.

Change: the commit is also conditional on the row of the operation that created the revision, which another history does not have. One read more a change.

TestHistoriesWithRestoreAreLinearizable: porcupine accepts 60 histories with a copy and a restore as steps of the model; an operation during which the table was restored may have taken effect before, too, and lost it.

--- a/internal/confstore/commit.go
+++ b/internal/confstore/commit.go
@@ -99,10 +99,16 @@
 		op.uncertain = false
 	}
 	var current *config.Revision
+	conditions := []platform.Condition{{Key: headKey, Version: head.version}}
 	if head.number > 0 {
 		if current, err = decodeRow(rows[1]); err != nil {
 			return nil, err
 		}
+		origin, err := op.store.origin(ctx, current)
+		if err != nil {
+			return nil, err
+		}
+		conditions = append(conditions, origin)
 	}
 	next, err := op.build(current)
 	if err != nil {
@@ -112,12 +118,28 @@
 	if len(next.Earlier) > maxEarlierTexts {
 		return nil, &PendingMovesError{Moves: len(next.Earlier)}
 	}
-	if err := op.write(ctx, head, next); err != nil {
+	if err := op.write(ctx, head, conditions, next); err != nil {
 		return nil, err
 	}
 	return next, nil
 }
 
+// origin returns the condition that the table holds the operation that created current. A
+// restored table gives the version of the head row out again, to a revision of another
+// operation.
+func (s *Store) origin(ctx context.Context, current *config.Revision) (platform.Condition, error) {
+	key := operationKey(current.OperationID)
+	rows, err := s.table.Get(ctx, key)
+	if err != nil {
+		return platform.Condition{}, fmt.Errorf("read operation %s: %w", current.OperationID, err)
+	}
+	if rows[0].Version == 0 {
+		err := &platform.ConflictError{Step: platform.StepGet, Key: key, Expected: 1}
+		return platform.Condition{}, fmt.Errorf("read operation of revision %d: %w", current.Number, err)
+	}
+	return platform.Condition{Key: key, Version: rows[0].Version}, nil
+}
+
 // committed returns the revision that an earlier attempt created.
 func (op *operation) committed(ctx context.Context, operationRow platform.Row) (*config.Revision, error) {
 	number, err := parseNumber(operationRow)
@@ -144,19 +166,19 @@
 	next.Ancestors = current.AncestorsOfNext()
 }
 
-// write commits next on condition that the head row still has the version of head.
-func (op *operation) write(ctx context.Context, head headRow, next *config.Revision) error {
+// write commits next on conditions that the revision it was built from is still current,
+// one of them that the head row has the version of head.
+func (op *operation) write(ctx context.Context, head headRow, conditions []platform.Condition, next *config.Revision) error {
 	value, err := proto.Marshal(config.EncodeRevision(next))
 	if err != nil {
 		return fmt.Errorf("encode revision %d: %w", next.Number, err)
 	}
 	number := []byte(strconv.FormatInt(next.Number, 10))
 	err = op.store.table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{
-			{Key: headKey, Version: head.version},
-			{Key: revisionKey(next.Number), Version: 0},
-			{Key: operationKey(op.id), Version: 0},
-		},
+		Conditions: append(conditions,
+			platform.Condition{Key: revisionKey(next.Number), Version: 0},
+			platform.Condition{Key: operationKey(op.id), Version: 0},
+		),
 		Writes: []platform.Write{
 			{Key: headKey, Value: number},
 			{Key: revisionKey(next.Number), Value: value},
--- a/internal/confstore/race_test.go
+++ b/internal/confstore/race_test.go
@@ -20,6 +20,9 @@
 type result struct {
 	operation string
 	load      bool
+	copied    bool  // the table was copied
+	restored  bool  // the table was restored from the copy
+	lost      bool  // stands for an effect that the restore has undone
 	base      int64 // base revision of an Apply, -1 for other operations
 	revision  *config.Revision
 	err       error
@@ -40,10 +43,19 @@
 // runOperators lets several operators change the configuration concurrently through
 // a faulty table. It returns the table and the results of all operations.
 func runOperators(seed uint64) (*fakeTable, []result) {
-	table := newFakeTable(randomFaults(rand.New(rand.NewPCG(seed, 0))))
+	return runOperatorsOn(newFakeTable(randomFaults(rand.New(rand.NewPCG(seed, 0)))), seed)
+}
+
+func runOperatorsOn(table *fakeTable, seed uint64) (*fakeTable, []result) {
 	start := time.Now()
 	var mu sync.Mutex
 	var results []result
+	table.observe = func(restored bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		at := int64(time.Since(start))
+		results = append(results, result{copied: !restored, restored: restored, call: at, end: at})
+	}
 	var group sync.WaitGroup
 	for operator := range operators {
 		random := rand.New(rand.NewPCG(seed, uint64(operator)+1))
@@ -167,14 +179,125 @@
 	model := headModel.ToModel()
 	for seed := range uint64(seeds) {
 		_, results := runOperators(seed)
-		var history []porcupine.Operation
-		for i, r := range results {
-			end := r.end
-			if r.outcomeUnknown() {
-				end = math.MaxInt64
+		requireLinearizable(t, model, results, seed)
+	}
+}
+
+func requireLinearizable(t *testing.T, model porcupine.Model, results []result, seed uint64) {
+	t.Helper()
+	var history []porcupine.Operation
+	for i, r := range results {
+		end := r.end
+		if r.outcomeUnknown() {
+			end = math.MaxInt64
+		}
+		history = append(history, porcupine.Operation{ClientId: i, Call: r.call, Output: r, Return: end})
+	}
+	require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(model, history, 10*time.Second), "seed %d", seed)
+}
+
+// runOperatorsWithRestore also restores the table from a copy while the operators work.
+func runOperatorsWithRestore(seed uint64) (*fakeTable, []result) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	table := newFakeTable(randomFaults(random))
+	table.copyAt = 1 + random.IntN(5)
+	table.restoreAt = table.copyAt + 1 + random.IntN(6)
+	return runOperatorsOn(table, seed)
+}
+
+// TestConcurrentChangesAroundTableRestore checks that each revision was built from the one
+// before it, that no operation is in the history twice, and that what operators were told
+// after the restore matches the history. Versions of rows are given out again, so a change
+// that was built from a lost revision could otherwise be committed on another one.
+func TestConcurrentChangesAroundTableRestore(t *testing.T) {
+	const seeds = 400
+	for seed := range uint64(seeds) {
+		table, results := runOperatorsWithRestore(seed)
+		table.nextFault = noFaults
+		history, err := newTestStore(table).History(t.Context(), math.MaxInt32)
+		require.NoError(t, err)
+		numbers := map[string]int64{}
+		for i, revision := range history {
+			require.EqualValues(t, len(history)-i, revision.Number, "seed %d", seed)
+			require.NotContains(t, numbers, revision.OperationID, "seed %d", seed)
+			numbers[revision.OperationID] = revision.Number
+			if i > 0 {
+				require.Equal(t, revision.AncestorsOfNext(), history[i-1].Ancestors, "seed %d, revision %d", seed, history[i-1].Number)
+			}
+		}
+		restoredAt := int64(0)
+		for _, r := range results {
+			if r.restored {
+				restoredAt = r.end
+			}
+		}
+		for _, r := range results {
+			id := r.operation
+			if r.base < 0 {
+				id = "stop-" + id
 			}
-			history = append(history, porcupine.Operation{ClientId: i, Call: r.call, Output: r, Return: end})
+			switch {
+			case r.load || r.copied || r.restored || r.outcomeUnknown():
+			case r.err == nil && r.call > restoredAt:
+				require.Equal(t, r.revision.Number, numbers[id], "seed %d", seed)
+			case r.err != nil:
+				require.NotContains(t, numbers, id, "seed %d: %v", seed, r.err)
+			}
+		}
+	}
+}
+
+// restoredState is a state of restoreModel.
+type restoredState struct{ head, copied int64 }
+
+// restoreModel extends headModel by copies and restores of the table.
+var restoreModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{restoredState{}} },
+	Step: func(state, input, output any) []any {
+		s, r := state.(restoredState), output.(result)
+		switch {
+		case r.copied:
+			return []any{restoredState{head: s.head, copied: s.head}}
+		case r.restored:
+			return []any{restoredState{head: s.copied, copied: s.copied}}
+		case r.lost && (r.base < 0 || r.base == s.head):
+			return []any{s, restoredState{head: s.head + 1, copied: s.copied}}
+		case r.lost:
+			return []any{s}
+		}
+		var next []any
+		for _, head := range headModel.Step(s.head, input, output) {
+			next = append(next, restoredState{head: head.(int64), copied: s.copied})
+		}
+		return next
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestHistoriesWithRestoreAreLinearizable checks the histories of concurrent operators
+// against restoreModel.
+func TestHistoriesWithRestoreAreLinearizable(t *testing.T) {
+	const seeds = 60
+	model := restoreModel.ToModel()
+	for seed := range uint64(seeds) {
+		_, results := runOperatorsWithRestore(seed)
+		requireLinearizable(t, model, append(results, lostEffects(results)...), seed)
+	}
+}
+
+// lostEffects returns an operation with an unknown outcome for each one during which the
+// table was restored: its first attempt may have taken effect before, with a lost reply.
+func lostEffects(results []result) []result {
+	var lost []result
+	restore := slices.IndexFunc(results, func(r result) bool { return r.restored })
+	if restore < 0 {
+		return nil
+	}
+	at := results[restore].call
+	for _, r := range results {
+		if r.call < at && at < r.end && !r.load {
+			lost = append(lost, result{base: r.base, lost: true, call: r.call, end: at})
 		}
-		require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(model, history, 10*time.Second), "seed %d", seed)
 	}
+	return lost
 }
--- a/internal/confstore/table_test.go
+++ b/internal/confstore/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -34,6 +35,12 @@
 	commits   int
 	reads     map[string]int // by key, if not nil
 	nextFault func() fault
+
+	// copyAt and restoreAt are the commits before which the table is copied and restored
+	// from that copy, 0 for never. A restore drops delayed transactions.
+	copyAt, restoreAt int
+	copied            map[string]platform.Row
+	observe           func(restored bool) // called after a copy and a restore, if not nil
 }
 
 func newFakeTable(nextFault func() fault) *fakeTable {
@@ -100,6 +107,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
+	t.copyOrRestore()
 	uncertain := &platform.UncertainError{Step: "commit", Peer: "fake", Err: errInjected}
 	switch t.nextFault() {
 	case faultUnavailable:
@@ -117,6 +125,22 @@
 	}
 }
 
+func (t *fakeTable) copyOrRestore() {
+	if t.commits != t.copyAt && t.commits != t.restoreAt {
+		return
+	}
+	restored := t.commits == t.restoreAt
+	if restored {
+		t.rows = maps.Clone(t.copied)
+		t.delayed = nil
+	} else {
+		t.copied = maps.Clone(t.rows)
+	}
+	if t.observe != nil {
+		t.observe(restored)
+	}
+}
+
 func (t *fakeTable) applyDelayed() {
 	for _, txn := range t.delayed {
 		_ = t.apply(txn) // a transaction with a conflict has no effect
