ledger: claims that a restored table has lost are refused and written again

Callers would see: a once key runs twice. The platform's table comes back from a copy, the row of a claim is gone, and a repetition of the request is granted the key again, also where the first attempt is still at its server.

Cause: the absence of a row was taken for the key never having been claimed. The same class as in confstore: what the table says now is not all that it said.

Change: an instance remembers the claims that it was granted in the last two minutes (at most 16384, without answers). A second attempt of such a key at this instance is refused as in progress, and the claim is written again. With each poll the rows of the latest 16 claims are read in one call; if one is missing, all remembered ones that nobody has taken are written again.

--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
 	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/platform"
 	"github.com/primrosenotch/primrosenotch/internal/standin/tablestore"
 )
 
@@ -82,3 +83,31 @@
 		require.False(t, status.Configuration.Lost)
 	}
 }
+
+// TestOnceRequestRunsOnceAcrossTableRestore repeats a finished request after a restore that
+// has lost its claim, at the instance that was granted it and at the other one.
+func TestOnceRequestRunsOnceAcrossTableRestore(t *testing.T) {
+	f := startFleet(t)
+	f.platform.CopyTable()
+	send := func(entry int, request string) answer {
+		return f.send(entry, http.MethodPost, "/orders", strings.NewReader("a"), "Idempotency-Key", "k", "X-Request-Id", request)
+	}
+	require.Equal(t, http.StatusOK, send(0, "first").status)
+	client := platform.NewClient(platform.DefaultSettings(f.store))
+	t.Cleanup(client.Close)
+	present := func() bool {
+		rows, err := client.Table().Scan(t.Context(), "once/", 1)
+		return err == nil && len(rows) == 1
+	}
+	replayed := func() bool { return send(1, "replay").status == http.StatusOK }
+	require.Eventually(t, replayed, waitTimeout, 10*time.Millisecond, "the answer is stored after it was sent")
+	require.True(t, f.platform.RestoreTable())
+	require.Eventually(t, present, waitTimeout, 10*time.Millisecond)
+	for entry := range f.callers {
+		a := send(entry, fmt.Sprint("again-", entry))
+		require.Equal(t, http.StatusConflict, a.status, a.header.Get("X-Cause"))
+		require.Equal(t, "in-progress", a.header.Get("X-Cause"))
+		require.Zero(t, f.runsOf(fmt.Sprint("again-", entry)))
+	}
+	require.Equal(t, 1, f.runsOf("first"))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -49,20 +49,60 @@
 	settings Settings
 	batcher  *batcher
 	now      func() model.Instant
+	recent   recentClaims
 }
 
 // New returns a ledger. Its writes are sent only while Run is running.
 func New(table platform.Table, objects platform.Objects, s Settings, now func() model.Instant) *Ledger {
-	return &Ledger{table: table, objects: objects, settings: s, batcher: newBatcher(table, s), now: now}
+	return &Ledger{
+		table: table, objects: objects, settings: s, batcher: newBatcher(table, s), now: now,
+		recent: recentClaims{claims: make(map[string]recentClaim)},
+	}
 }
 
 // Run sends the queued writes until ctx is done.
 func (l *Ledger) Run(ctx context.Context) { l.batcher.run(ctx) }
 
 // Claim tries to acquire the right to send a request to a backend server. The answer
-// is non-nil only with ClaimFinished.
+// is non-nil only with ClaimFinished. A key that this instance has claimed recently is not
+// granted to another attempt even if the table has lost the claim.
 func (l *Ledger) Claim(ctx context.Context, a Attempt) (event.ClaimResult, *Answer, error) {
 	var current entry // optimistic: assume an absent row, since most keys are new
+	if holder, found := l.recent.get(a.Key); found && holder.ID != a.ID {
+		var err error
+		if current, err = l.read(ctx, a.Key); err != nil {
+			return event.ClaimUnavailable, nil, fmt.Errorf("claim %q: %w", a.Key.row(), err)
+		}
+		if result, answer, err := l.resultOfKnownKey(ctx, current, a); result != event.ClaimGranted {
+			return result, answer, err
+		}
+	}
+	result, answer, err := l.claim(ctx, current, a)
+	if result == event.ClaimGranted {
+		l.recent.add(a, l.now())
+	}
+	return result, answer, err
+}
+
+// resultOfKnownKey returns the claim result for a key that this instance has claimed
+// recently, given its row. If the claim was lost, it is written again.
+func (l *Ledger) resultOfKnownKey(ctx context.Context, current entry, a Attempt) (event.ClaimResult, *Answer, error) {
+	holder, lost := l.lostBy(current, a.Key)
+	if !lost {
+		if current.claimable() {
+			return event.ClaimGranted, nil, nil
+		}
+		return l.resultOfRow(ctx, current, a)
+	}
+	lostClaim := &LostClaimError{Key: a.Key, Attempt: holder.ID, Err: l.writeAgain(ctx, current, holder)}
+	if holder.Digest != a.Digest {
+		return event.ClaimMismatch, nil, lostClaim
+	}
+	return event.ClaimInProgress, nil, lostClaim
+}
+
+// claim claims the key of a, given its row.
+func (l *Ledger) claim(ctx context.Context, current entry, a Attempt) (event.ClaimResult, *Answer, error) {
 	uncertain := false
 	for range maxTries {
 		err := l.write(ctx, a, current.version, current.next(a, ledgerpb.State_STATE_CLAIMED, l.now()))
@@ -154,6 +194,9 @@
 		if !current.claimable() || current.cancelled(a) {
 			return l.resultOfRow(ctx, current, a)
 		}
+		if _, lost := l.lostBy(current, a.Key); lost {
+			return l.resultOfKnownKey(ctx, current, a)
+		}
 		if len(current.row.GetCancelled()) >= maxCancelled {
 			return event.ClaimUncertain, nil, fmt.Errorf("cancel %q: limit of %d cancelled requests reached", a.Key.row(), maxCancelled)
 		}
@@ -170,6 +213,7 @@
 // can be claimed again. It also defeats a claim whose reply was lost and whose write
 // has not arrived yet: the new version of the row makes the late write fail.
 func (l *Ledger) Release(ctx context.Context, a Attempt) error {
+	l.recent.remove(a)
 	return l.endClaim(ctx, a, ledgerpb.State_STATE_RELEASED, nil)
 }
 
@@ -216,6 +260,26 @@
 	return fmt.Errorf("end claim of %q: %w", a.Key.row(), err)
 }
 
+// LostClaimError reports a key whose claim the table has lost, because it was restored from a
+// copy. Err is the error of writing it again, if there was one.
+type LostClaimError struct {
+	Key     Key
+	Attempt string // the holder of the claim
+	Err     error
+}
+
+// Error implements error.
+func (e *LostClaimError) Error() string {
+	text := fmt.Sprintf("claim %q: the table has lost the claim of attempt %s", e.Key.row(), e.Attempt)
+	if e.Err != nil {
+		text += fmt.Sprintf(", and it could not be written again: %v", e.Err)
+	}
+	return text
+}
+
+// Unwrap returns the error of writing the claim again.
+func (e *LostClaimError) Unwrap() error { return e.Err }
+
 // NotHeldError reports that an attempt tried to release or finish a key whose claim
 // it does not hold.
 type NotHeldError struct {
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// pollPlatform renews this instance's registration with the platform, and reads the
-// list of instances and the configuration. Only one round runs at a time.
+// pollPlatform renews this instance's registration with the platform, reads the list of
+// instances and the configuration, and verifies claims. Only one round runs at a time.
 func (r *Runtime) pollPlatform() {
 	if r.polling.Swap(true) {
 		return
@@ -116,9 +116,21 @@
 		defer cancel()
 		r.pollInstances(ctx)
 		r.pollConfiguration(ctx)
+		r.verifyClaims(ctx)
 	}()
 }
 
+// verifyClaims writes claims again that the platform's table has lost.
+func (r *Runtime) verifyClaims(ctx context.Context) {
+	rewritten, err := r.ledger.Verify(ctx)
+	if rewritten > 0 {
+		r.log.WithField("claims", rewritten).Warn("platform's table was restored from a copy: claims of idempotency keys were written again")
+	}
+	if err != nil {
+		r.platformFailed("verify claims", err)
+	}
+}
+
 func (r *Runtime) pollInstances(ctx context.Context) {
 	self := r.options.Reducer.Self
 	registration := platform.ListedInstance{ID: self.ID, Zone: self.Zone, LinkAddr: self.LinkAddr, CallerAddr: self.CallerAddr}
