edge: an entry that a restore lost before it was read is written again

Operators would see: an instance alone that starts just before the store is restored from a copy is never listed, since its entry is gone and no row of the table changes any more; the next instance that starts does not find it there.

Cause: registration was requested only when a row of the instances' table changed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,7 @@
 	group         *membership.Group
 	listed        map[model.InstanceID]listedInstance
 	missingSince  map[model.InstanceID]model.Instant // when listed instances stopped being usable
+	registeredAt  model.Instant                      // when this instance's entry was last written, 0 if never
 	replica       *follow.Replica
 	echoes        *follow.Echoes
 	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -95,13 +95,37 @@
 		}
 		return 1
 	})
-	if l, ok := e.listed[e.options.Self.ID]; !ok || l.lostAt != 0 || l.entry.StartedNanos != e.options.Self.StartedNanos {
+	if !e.isListed() {
 		e.requestRegistration()
 	}
 	e.applyOutput(e.group.SetListed(now, list))
 	e.post(&dispatch.InstancesCounted{At: now, Instances: max(len(list), 1), RegionShare: e.regionShare(list)})
 }
 
+// isListed reports whether the store lists this process. The caller must hold fleetMu.
+func (e *Edge) isListed() bool {
+	l, ok := e.listed[e.options.Self.ID]
+	return ok && l.lostAt == 0 && l.entry.StartedNanos == e.options.Self.StartedNanos
+}
+
+// registered records that this instance's entry has been written.
+func (e *Edge) registered(now model.Instant) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	e.registeredAt = now
+}
+
+// checkRegistration requests registration if this process has no entry in a copy of the store
+// that is later than the last one written. A restore of the store may have lost the entry
+// before it was read, so that no row changes.
+func (e *Edge) checkRegistration() {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if e.registeredAt != 0 && e.replica.FreshAt(e.options.Tables.Instances) > e.registeredAt && !e.isListed() {
+		e.requestRegistration()
+	}
+}
+
 // regionShare estimates the share of all requests that this instance's region receives: its
 // fraction of the availability zones with instances.
 func (e *Edge) regionShare(list []platform.ListedInstance) float64 {
@@ -186,6 +210,7 @@
 // another version and stays.
 func (e *Edge) sweep(now model.Instant) {
 	e.removeLostInstances(now)
+	e.checkRegistration()
 	for id, version := range e.goneInstances(now) {
 		ctx, cancel := context.WithTimeout(e.ctx, sweepTimeout)
 		err := e.options.Registry.Unregister(ctx, id, version)
@@ -264,6 +289,8 @@
 			case <-time.After(registerRetryDelay):
 				e.requestRegistration()
 			}
+			continue
 		}
+		e.registered(e.clock.now())
 	}
 }
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -62,3 +62,28 @@
 	apply(now.Add(relistTime), 1, 7, "e-self")
 	require.Len(t, e.listed, 1, "removed in the same epoch")
 }
+
+// TestEntryLostBeforeItWasReadIsWrittenAgain covers an instance alone whose entry was lost in a
+// restore of the store before this instance had read it: no row of the table ever changes.
+func TestEntryLostBeforeItWasReadIsWrittenAgain(t *testing.T) {
+	const table = "instances"
+	e := newEdgeWithPeers(t, 0)
+	e.options.Tables = Tables{Instances: table}
+	e.replica = follow.NewReplica([]string{table}, func(string, follow.Row) bool { return true })
+	read := func(at model.Instant) {
+		b := follow.Batch{Table: table, Version: 1, Full: true}
+		e.applyBatch(at, table, func() []follow.Row { return e.replica.ApplyStoreBatch(at, b) })
+	}
+	requested := func() bool { return len(e.registerRequests) > 0 }
+	now := e.clock.now()
+	e.sweep(now)
+	read(now)
+	e.sweep(now)
+	require.False(t, requested(), "the first entry is still being written")
+	e.registered(now.Add(1))
+	e.sweep(now.Add(1))
+	require.False(t, requested(), "the table was read before")
+	read(now.Add(2))
+	e.sweep(now.Add(2))
+	require.True(t, requested())
+}
