follow, platform: a store that was silent is read sooner after its return

Operators would see: a change that is written as a silent store returns takes effect up to 2.3 s later. A call that was sent into the silence waits for its timeout of 2.1 s (1.1 s of them the wait for changes), and the circuit breaker then refuses calls for up to 1.5 s.

Evidence: TestFailingStoreIsNotAskedToWait failed before.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -62,6 +62,7 @@
 func Follow(ctx context.Context, store Store, t Table, sink Sink) {
 	snapshot := sink.Version(t.Name) == 0
 	compacted := false // since the last changes were read
+	failed := false    // then the store is not asked to wait, so that its silence shows sooner
 	for ctx.Err() == nil {
 		if !snapshot && !sink.ShouldRead(t.Name) {
 			sleep(ctx, shouldReadInterval)
@@ -69,8 +70,13 @@
 		}
 		started := time.Now()
 		pause := t.Interval
-		b, err := read(ctx, store, t, sink.Version(t.Name), snapshot)
+		call := t
+		if failed {
+			call.Wait = 0
+		}
+		b, err := read(ctx, store, call, sink.Version(t.Name), snapshot)
 		sink.ReadEnded(t.Name, started, err)
+		failed = err != nil
 		switch {
 		case errors.Is(err, ErrHistoryCompacted):
 			snapshot = true
@@ -82,7 +88,7 @@
 		case err != nil:
 			pause = retryInterval
 		default:
-			sink.Apply(freshness(t, started, b), b)
+			sink.Apply(freshness(call, started, b), b)
 			snapshot = false
 			compacted = compacted && b.Full
 		}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -15,6 +15,7 @@
 type scriptedStore struct {
 	mu    sync.Mutex
 	calls []string
+	waits []time.Duration // of calls of Changes
 	steps []func() (Batch, error)
 	end   context.CancelFunc
 }
@@ -34,7 +35,8 @@
 
 func (s *scriptedStore) Snapshot(context.Context, string) (Batch, error) { return s.next("snapshot") }
 
-func (s *scriptedStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) (Batch, error) {
+func (s *scriptedStore) Changes(_ context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+	s.waits = append(s.waits, wait)
 	return s.next(fmt.Sprint("changes after ", after))
 }
 
@@ -89,3 +91,15 @@
 func (s *storeWithoutHistory) Changes(context.Context, string, int64, time.Duration) (Batch, error) {
 	return Batch{}, ErrHistoryCompacted
 }
+
+// TestFailingStoreIsNotAskedToWait guards against a call that waits for changes, and therefore
+// has a longer timeout, while the store may be silent: its return would be noticed later.
+func TestFailingStoreIsNotAskedToWait(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	const wait = 10 * time.Millisecond
+	batch := func() (Batch, error) { return Batch{Table: "t", Version: 3, Full: true}, nil }
+	failure := func() (Batch, error) { return Batch{}, errors.New("silent") }
+	store := &scriptedStore{end: cancel, steps: []func() (Batch, error){batch, batch, failure, batch, batch}}
+	Follow(ctx, store, Table{Name: "t", Wait: wait}, &cacheSink{cache: NewCache()})
+	require.Equal(t, []time.Duration{wait, wait, 0, wait, wait}, store.waits)
+}
