edge, dispatch: a starting instance learns which servers had left before a restore

Callers would see: an instance that starts within seconds of a restore of the store sends requests to servers that had left, which the copy lists, until the store removes their entries.

Cause: the memory of departures is each instance's own.

Change: for 8 s after a restore, instances tell in their digests that they know of departures, and an instance that has not heard of any asks one peer, as for the newest configuration. Servers that it uses by then are dropped; one whose entry looks later is held until its next entry, as where the departure was seen.

--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
@@ -75,3 +76,56 @@
 		d.serverListed(now, &entry)
 	}
 }
+
+// Departure is an incarnation of a server that has left.
+type Departure struct {
+	Incarnation string
+	Sequence    int64 // of its latest known entry
+}
+
+// Departures returns the incarnations that had left before the latest restore of the store,
+// sorted, and the time since then. It returns none once the store has had the time to remove
+// their entries again.
+func (d *Dispatcher) Departures(now model.Instant) ([]Departure, time.Duration) {
+	age := now.Sub(d.store.restoredAt)
+	if d.store.restoredAt == 0 || age >= staleEntryTTL {
+		return nil, 0
+	}
+	inUse := map[string]bool{}
+	for _, s := range d.servers {
+		inUse[s.entry.Incarnation()] = true
+	}
+	var list []Departure
+	for incarnation := range d.departures.sequences.entries {
+		left, known := d.departures.sequences.get(now, incarnation)
+		if known && !inUse[incarnation] {
+			list = append(list, Departure{Incarnation: incarnation, Sequence: left.value})
+		}
+	}
+	slices.SortFunc(list, func(a, b Departure) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	return list, age
+}
+
+// departuresLearned applies what a peer knows of servers that have left. An instance that has
+// started since may already use them.
+func (d *Dispatcher) departuresLearned(ev *DeparturesLearned) {
+	if ev.RestoredAt > d.store.restoredAt {
+		d.store.restored(ev.RestoredAt)
+	}
+	inUse := map[string]*server{}
+	for _, s := range d.servers {
+		inUse[s.entry.Incarnation()] = s
+	}
+	for _, left := range ev.Departed {
+		s := inUse[left.Incarnation]
+		if s != nil {
+			d.removeServer(ev.At, s, "it had left before the store was restored")
+		}
+		if s != nil && s.entry.Sequence > left.Sequence {
+			d.departures.held[s.entry.ID] = s.entry
+			continue // the next entry shows that it lives
+		}
+		known, _ := d.departures.sequences.get(ev.At, left.Incarnation)
+		d.departures.sequences.add(d.store.restoredAt-1, left.Incarnation, max(left.Sequence, known.value))
+	}
+}
--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -159,3 +159,46 @@
 	d.Step(entry(time.Second+restoreSettleTime, 1, 0))
 	require.EqualValues(t, 1, d.servers["shop-north-a"].entry.StartedMillis, "written when what was lost is listed again")
 }
+
+// TestStartingInstanceLearnsDepartures covers an instance that starts with a restored store
+// which lists a server that had left.
+func TestStartingInstanceLearnsDepartures(t *testing.T) {
+	entry := func(after time.Duration, sequence int64) *CatalogChanged {
+		s := testServer("shop-north-a", "north-a", "shop")
+		s.Sequence = sequence
+		return &CatalogChanged{At: at(after), Change: &catalog.ServerChange{Server: s}}
+	}
+	peer := newDispatcher(testRoute())
+	peer.Step(entry(0, 5))
+	none, _ := peer.Departures(at(0))
+	require.Empty(t, none)
+	peer.Step(&CatalogChanged{At: at(0), Change: &catalog.ServerRemoved{ID: "shop-north-a"}})
+	peer.Step(&StoreRestored{At: at(time.Second)})
+	departed, age := peer.Departures(at(3 * time.Second))
+	require.Len(t, departed, 1)
+	require.Equal(t, 2*time.Second, age)
+	expired, _ := peer.Departures(at(time.Second + staleEntryTTL))
+	require.Empty(t, expired)
+	learn := &DeparturesLearned{At: at(3 * time.Second), RestoredAt: at(time.Second), Departed: departed}
+
+	for name, c := range map[string]struct {
+		events []Event
+		used   bool
+	}{
+		"the copy's entry first":            {[]Event{entry(2*time.Second, 5), learn}, false},
+		"the copy's entry afterwards":       {[]Event{learn, entry(4*time.Second, 5)}, false},
+		"an entry that only looks later":    {[]Event{entry(2*time.Second, 44), learn}, false},
+		"it lives and writes":               {[]Event{entry(2*time.Second, 44), learn, entry(4*time.Second, 45)}, true},
+		"still listed after entries expire": {[]Event{entry(2*time.Second, 44), learn, &Tick{At: at(time.Second + staleEntryTTL)}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(testRoute())
+			d.Step(&CatalogChanged{At: at(0), Change: &catalog.ServerRemoved{ID: "shop-north-a"}}) // of the test's deployment
+			d.departures = newDepartures()
+			for _, ev := range c.events {
+				d.Step(ev)
+			}
+			require.Equal(t, c.used, d.servers["shop-north-a"] != nil)
+		})
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -96,6 +96,8 @@
 		d.store.suspectRead(ev.At)
 	case *StoreRestored:
 		d.store.restored(ev.At)
+	case *DeparturesLearned:
+		d.departuresLearned(ev)
 	case *BoundsChanged:
 		d.boundsChanged(ev)
 	case *InstancesCounted:
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -40,6 +40,14 @@
 // a copy: entries that are missing or older may only have been lost.
 type StoreRestored struct{ At model.Instant }
 
+// DeparturesLearned reports what a peer knows of servers that had left before the store was
+// restored from a copy.
+type DeparturesLearned struct {
+	At         model.Instant
+	RestoredAt model.Instant
+	Departed   []Departure
+}
+
 // BoundsChanged reports new limits set by the platform.
 type BoundsChanged struct {
 	At       model.Instant
@@ -128,6 +136,7 @@
 func (*StoreReadConfirmed) event() {}
 func (*StoreReadSuspect) event()   {}
 func (*StoreRestored) event()      {}
+func (*DeparturesLearned) event()  {}
 func (*BoundsChanged) event()      {}
 func (*InstancesCounted) event()   {}
 func (*RequestArrived) event()     {}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,7 +57,10 @@
 	readFailed    map[string]bool                      // tables whose last read failed
 	loaded        map[string]bool                      // tables received from the store or from a peer
 	configuration newestConfiguration
-	applyMu       sync.Mutex // serializes batches from the store and from peers
+	// departuresKnown reports that this instance has been running without a restore of the
+	// store, or has asked a peer for what it missed.
+	departuresKnown bool
+	applyMu         sync.Mutex // serializes batches from the store and from peers
 
 	stopping         atomic.Bool // no longer returned by lookups
 	refusing         atomic.Bool // refuses new requests
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -218,6 +218,9 @@
 		request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
 	}
 	request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
+	if !e.departuresKnown {
+		request.Known = append(request.Known, &linkpb.TableVersion{Table: departuresTable})
+	}
 	e.fleetMu.Unlock()
 	state, err := e.links.State(peer, request, stateTimeout)
 	if err != nil {
@@ -231,9 +234,13 @@
 func (e *Edge) applyPeerState(asked model.Instant, state *linkpb.State) {
 	e.notePeerReads(asked, state)
 	for _, t := range state.GetTables() {
-		if t.GetTable() == configurationTable {
+		switch t.GetTable() {
+		case configurationTable:
 			e.applyPeerConfiguration(e.clock.now(), t)
 			continue
+		case departuresTable:
+			e.applyPeerDepartures(asked, t)
+			continue
 		}
 		if t.GetVersion() == 0 {
 			continue // the peer does not know the table
@@ -292,9 +299,13 @@
 	now := e.clock.now()
 	state := &linkpb.State{SettledAgeNs: int64(e.reliableReadAge(now))}
 	for _, known := range request.GetKnown() {
-		if known.GetTable() == configurationTable {
+		switch known.GetTable() {
+		case configurationTable:
 			state.Tables = append(state.Tables, e.configuration.since(known.GetVersion()))
 			continue
+		case departuresTable:
+			state.Tables = append(state.Tables, e.departures(now))
+			continue
 		}
 		b := e.replica.Since(known.GetTable(), known.GetVersion())
 		state.Tables = append(state.Tables, &linkpb.TableState{
@@ -325,6 +336,9 @@
 	if newest := e.configuration.digest(); newest != nil {
 		digest.Tables = append(digest.Tables, newest)
 	}
+	if len(e.departures(now).GetRows()) > 0 {
+		digest.Tables = append(digest.Tables, &linkpb.TableDigest{Table: departuresTable, Complete: 1, Changed: 1})
+	}
 	return digest
 }
 
@@ -348,9 +362,13 @@
 	}
 	incomplete := false
 	for _, t := range digest.GetTables() {
-		if t.GetTable() == configurationTable {
+		switch t.GetTable() {
+		case configurationTable:
 			incomplete = incomplete || t.GetChanged() > e.configuration.version
 			continue
+		case departuresTable:
+			incomplete = incomplete || !e.departuresKnown
+			continue
 		}
 		previous := e.replica.FreshAt(t.GetTable())
 		confirmed := e.replica.Confirm(follow.Digest{
