--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,13 +51,17 @@
 	listed        map[model.InstanceID]listedInstance
 	missingSince  map[model.InstanceID]model.Instant // when listed instances stopped being usable
 	sweptAt       model.Instant                      // when missingSince was last checked
+	registeredAt  model.Instant                      // when this instance's entry was last written, 0 if never
 	replica       *follow.Replica
 	echoes        *follow.Echoes
 	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
 	readFailed    map[string]bool                      // tables whose last read failed
 	loaded        map[string]bool                      // tables received from the store or from a peer
 	configuration newestConfiguration
-	applyMu       sync.Mutex // serializes batches from the store and from peers
+	// departuresKnown reports that this instance has been running without a restore of the
+	// store, or has asked a peer for what it missed.
+	departuresKnown bool
+	applyMu         sync.Mutex // serializes batches from the store and from peers
 
 	stopping         atomic.Bool // no longer returned by lookups
 	refusing         atomic.Bool // refuses new requests
