follow: read a large table page by page, each page with its own time

What callers saw: nothing at 100 instances.

Cause: one call's limit, 1 s, held for all pages of a table together. 3,000 rows are six pages of 150 kB; from another region each takes a round trip of 110 ms and 60 ms on a link of 20 Mbit/s, together more than 1 s. The read broke off, began again with the first page, and went on although a peer had sent the table.

Calls, rows and bytes are counted by table and reason.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -19,12 +19,15 @@
 	hedges   prometheus.Counter
 	reads    *prometheus.CounterVec // by table and result
 	// olderRows counts rows read from the store that are older than the copy, by table.
-	olderRows *prometheus.CounterVec
-	lookups   prometheus.Counter
-	unlogged  prometheus.Counter
-	invalid   *prometheus.CounterVec // by source
-	probes    *prometheus.CounterVec // by reason and result
-	accepts   *prometheus.CounterVec // failed ones, by listener
+	olderRows  *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec // by table and reason, like storeRows and storeBytes
+	storeRows  *prometheus.CounterVec
+	storeBytes *prometheus.CounterVec
+	lookups    prometheus.Counter
+	unlogged   prometheus.Counter
+	invalid    *prometheus.CounterVec // by source
+	probes     *prometheus.CounterVec // by reason and result
+	accepts    *prometheus.CounterVec // failed ones, by listener
 }
 
 // latencyBuckets are upper bounds in seconds, the lowest for responses within a region.
@@ -55,6 +58,15 @@
 		olderRows: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_store_older_rows_total", Help: "Rows and whole tables read from the store that are older than what is known.",
 		}, []string{"table"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_calls_total", Help: "Calls for rows of the platform's store by table and reason.",
+		}, []string{"table", "reason"}),
+		storeRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_rows_total", Help: "Rows in answers of the platform's store by table and reason of the call.",
+		}, []string{"table", "reason"}),
+		storeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "primrosenotch_edge_store_read_bytes_total", Help: "Bytes of answers of the platform's store by table and reason of the call.",
+		}, []string{"table", "reason"}),
 		lookups: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "primrosenotch_edge_lookups_total", Help: "Look-ups answered.",
 		}),
@@ -71,7 +83,7 @@
 			Name: "primrosenotch_edge_accept_failures_total", Help: "Failed accepts of connections, which were retried.",
 		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.olderRows, m.lookups,
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.olderRows, m.storeCalls, m.storeRows, m.storeBytes, m.lookups,
 		m.unlogged, m.invalid, m.probes, m.accepts)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 )
 
@@ -23,6 +24,7 @@
 	e.metrics.givenUp.WithLabelValues("other").Inc()
 	e.metrics.reads.WithLabelValues("table", "read").Inc()
 	e.metrics.olderRows.WithLabelValues("table").Inc()
+	e.CallEnded(follow.Call{Table: "table", Reason: follow.ReasonChanges})
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
 	e.metrics.accepts.WithLabelValues("callers").Inc()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -23,17 +23,31 @@
 
 // ShouldRead implements follow.Sink. Few instances of a region read the store; the others
 // read it only when those do not keep them up to date.
-func (e *Edge) ShouldRead(table string) bool {
+func (e *Edge) ShouldRead(table string, _ bool) bool {
+	now := e.clock.now()
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
 	results := e.published.Load()
 	if results == nil || results.readerRank < readersPerRegion {
 		return true
 	}
-	now := e.clock.now()
-	e.fleetMu.Lock()
-	defer e.fleetMu.Unlock()
 	return e.replica.Age(now, table) > ageLimit(e.maxAge(table), results.readerRank)
 }
 
+// CallEnded implements follow.Sink.
+func (e *Edge) CallEnded(c follow.Call) {
+	reason := string(c.Reason)
+	if c.Reason == follow.ReasonChanges {
+		reason = "reader"
+		if results := e.published.Load(); results != nil && results.readerRank >= readersPerRegion {
+			reason = "old copy"
+		}
+	}
+	e.metrics.storeCalls.WithLabelValues(c.Table, reason).Inc()
+	e.metrics.storeRows.WithLabelValues(c.Table, reason).Add(float64(c.Rows))
+	e.metrics.storeBytes.WithLabelValues(c.Table, reason).Add(float64(c.Bytes))
+}
+
 // ReadEnded implements follow.Sink. It logs when the store becomes unreadable or readable
 // for this instance, and reports reads of the servers' table to the dispatcher.
 func (e *Edge) ReadEnded(table string, started time.Time, err error) {
--- a/internal/follow/cache.go
+++ b/internal/follow/cache.go
@@ -21,8 +21,9 @@
 	Table   string
 	Version int64
 	// Full reports that Rows is the whole table and all other rows have been deleted.
-	Full bool
-	Rows []Row
+	Full  bool
+	Rows  []Row
+	Bytes int // size of the store's answer, 0 if it did not come from the store
 }
 
 // maxTombstones is the maximum number of deleted rows that are remembered per table for
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -16,8 +16,9 @@
 
 // Store reads tables of the platform's store.
 type Store interface {
-	// Snapshot returns a whole table.
-	Snapshot(ctx context.Context, table string) (Batch, error)
+	// Page returns the rows of a table from a key on, as many as the store sends with one
+	// call. An empty key is the first one.
+	Page(ctx context.Context, table, from string) (Page, error)
 	// Changes returns the changes of a table after a version as soon as there are any, or
 	// an empty batch after wait. All of them are from the epoch of that version.
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
@@ -42,72 +43,165 @@
 // between regions and a slow store.
 const callTimeoutMargin = time.Second
 
+// Reason is why a call was made.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonUnknown is a page of a table of which this instance has no copy.
+	ReasonUnknown Reason = "unknown table"
+	// ReasonNoHistory is a page of a table whose changes the store no longer has.
+	ReasonNoHistory Reason = "no history"
+	// ReasonChanges is a call for the changes since the version that is known.
+	ReasonChanges Reason = "changes"
+)
+
+// Call describes one call to the store that has ended.
+type Call struct {
+	Table  string
+	Reason Reason
+	Rows   int
+	Bytes  int // size of the answer, 0 if the call failed
+}
+
 // Sink receives the batches that Follow reads. Its methods must not block.
 type Sink interface {
-	// Version returns the version up to which a table is known.
+	// Version returns the version up to which a table is known, 0 if it is unknown.
 	Version(table string) int64
 	// Apply applies the batch that a call returned. The store was not read before freshAt.
 	Apply(freshAt time.Time, b Batch)
-	// ReadEnded reports the end of a call that began at started. On success, err is nil.
+	// CallEnded reports the end of each call.
+	CallEnded(c Call)
+	// ReadEnded reports a batch that was read, or a call that failed. The read began at
+	// started. On success, err is nil.
 	ReadEnded(table string, started time.Time, err error)
-	// ShouldRead reports whether to read a table now instead of relying on peers.
-	ShouldRead(table string) bool
+	// ShouldRead reports whether to read a table now instead of relying on peers. The
+	// argument begun reports whether pages of the whole table have been read already.
+	ShouldRead(table string, begun bool) bool
 }
 
-// shouldReadInterval is the time between two checks whether to read a table that peers keep
-// up to date. It limits how late such a read can begin.
-const shouldReadInterval = 100 * time.Millisecond
+const (
+	// shouldReadInterval is the time between two checks whether to read a table that peers
+	// keep up to date. It limits how late such a read can begin.
+	shouldReadInterval = 100 * time.Millisecond
+	// wholeReadLimit bounds the time for reading a whole table. It is shorter than the time
+	// for which the store keeps the changes since the first page.
+	wholeReadLimit = 15 * time.Second
+	// continueInterval is the time between two checks whether to read the next page.
+	continueInterval = 20 * time.Millisecond
+)
+
+// follower keeps one table up to date. The copy may also change through peers.
+type follower struct {
+	store Store
+	table Table
+	sink  Sink
+	whole wholeRead
+	// noHistory reports that the store no longer has the changes since version lostAt.
+	noHistory bool
+	lostAt    int64
+	compacted bool // since the last changes were read
+}
 
 // Follow keeps a table up to date until ctx is canceled.
 func Follow(ctx context.Context, store Store, t Table, sink Sink) {
-	snapshot := sink.Version(t.Name) == 0
-	compacted := false // since the last changes were read
+	f := &follower{store: store, table: t, sink: sink}
 	for ctx.Err() == nil {
-		if !snapshot && !sink.ShouldRead(t.Name) {
-			sleep(ctx, shouldReadInterval)
-			continue
+		// A peer may have sent the table meanwhile.
+		if f.whole.begun() && (!f.needsWholeTable() || time.Since(f.whole.started) > wholeReadLimit) {
+			f.whole = wholeRead{}
 		}
-		started := time.Now()
-		pause := t.Interval
-		b, err := read(ctx, store, t, sink.Version(t.Name), snapshot)
-		sink.ReadEnded(t.Name, started, err)
-		switch {
-		case errors.Is(err, ErrHistoryCompacted):
-			snapshot = true
-			if !compacted {
-				compacted = true
-				continue
+		if !sink.ShouldRead(t.Name, f.whole.begun()) {
+			if f.whole.begun() {
+				sleep(ctx, continueInterval)
+			} else {
+				sleep(ctx, shouldReadInterval)
 			}
+			continue
+		}
+		if f.needsWholeTable() {
+			f.readPage(ctx)
+		} else {
+			f.readChanges(ctx)
+		}
+	}
+}
+
+// needsWholeTable reports whether the table is unknown, or known only up to a version whose
+// later changes the store no longer has.
+func (f *follower) needsWholeTable() bool {
+	known := f.sink.Version(f.table.Name)
+	return known == 0 || (f.noHistory && known == f.lostAt)
+}
+
+// readPage reads the next page of the whole table. A page that cannot be read is read again,
+// without the pages before it: a table whose pages together take longer than one call may
+// take would otherwise never be read.
+func (f *follower) readPage(ctx context.Context) {
+	started := time.Now()
+	reason := ReasonUnknown
+	if f.noHistory {
+		reason = ReasonNoHistory
+	}
+	callCtx, cancel := f.callContext(ctx)
+	p, err := f.store.Page(callCtx, f.table.Name, f.whole.next)
+	cancel()
+	f.sink.CallEnded(Call{Table: f.table.Name, Reason: reason, Rows: len(p.Rows), Bytes: p.Bytes})
+	if err != nil {
+		f.sink.ReadEnded(f.table.Name, started, err)
+		sleep(ctx, retryInterval-time.Since(started))
+		return
+	}
+	if !f.whole.add(f.table.Name, started, p) {
+		return
+	}
+	batch, began := f.whole.batch, f.whole.started
+	f.whole, f.noHistory = wholeRead{}, false
+	f.sink.ReadEnded(f.table.Name, began, nil)
+	f.sink.Apply(began, batch)
+	sleep(ctx, f.table.Interval-time.Since(started))
+}
+
+func (f *follower) readChanges(ctx context.Context) {
+	started := time.Now()
+	known := f.sink.Version(f.table.Name)
+	callCtx, cancel := f.callContext(ctx)
+	b, err := f.store.Changes(callCtx, f.table.Name, known, f.table.Wait)
+	cancel()
+	f.sink.CallEnded(Call{Table: f.table.Name, Reason: ReasonChanges, Rows: len(b.Rows), Bytes: b.Bytes})
+	f.sink.ReadEnded(f.table.Name, started, err)
+	pause := f.table.Interval
+	switch {
+	case errors.Is(err, ErrHistoryCompacted):
+		f.noHistory, f.lostAt = true, known
+		pause = 0
+		if f.compacted {
 			pause = retryInterval
-		case err != nil:
-			pause = retryInterval
-		default:
-			sink.Apply(freshness(t, started, b), b)
-			snapshot = false
-			compacted = compacted && b.Full
 		}
-		sleep(ctx, pause-time.Since(started))
+		f.compacted = true
+	case err != nil:
+		pause = retryInterval
+	default:
+		f.compacted = false
+		f.sink.Apply(freshness(f.table, started, b), b)
 	}
+	sleep(ctx, pause-time.Since(started))
+}
+
+// callContext returns the context of one call.
+func (f *follower) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, f.table.Wait+callTimeoutMargin)
 }
 
-// freshness returns the earliest time at which a call may have read the store. A call that
-// the store held for t.Wait without changes is valid as of the end of that wait.
+// freshness returns the earliest time at which a call for changes may have read the store. A
+// call that the store held for t.Wait without changes is valid as of the end of that wait.
 func freshness(t Table, started time.Time, b Batch) time.Time {
-	if t.Wait > 0 && !b.Full && len(b.Rows) == 0 && time.Since(started) >= t.Wait {
+	if t.Wait > 0 && len(b.Rows) == 0 && time.Since(started) >= t.Wait {
 		return started.Add(t.Wait)
 	}
 	return started
 }
 
-func read(ctx context.Context, store Store, t Table, after int64, snapshot bool) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.Wait+callTimeoutMargin)
-	defer cancel()
-	if snapshot || after == 0 {
-		return store.Snapshot(ctx, t.Name)
-	}
-	return store.Changes(ctx, t.Name, after, t.Wait)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -32,7 +33,10 @@
 	return step()
 }
 
-func (s *scriptedStore) Snapshot(context.Context, string) (Batch, error) { return s.next("snapshot") }
+func (s *scriptedStore) Page(_ context.Context, _, from string) (Page, error) {
+	b, err := s.next("page from " + strconv.Quote(from))
+	return Page{Version: b.Version, Rows: b.Rows}, err
+}
 
 func (s *scriptedStore) Changes(_ context.Context, _ string, after int64, _ time.Duration) (Batch, error) {
 	return s.next(fmt.Sprint("changes after ", after))
@@ -49,7 +53,8 @@
 func (s *cacheSink) ReadEnded(_ string, _ time.Time, err error) {
 	s.succeeded = append(s.succeeded, err == nil)
 }
-func (s *cacheSink) ShouldRead(string) bool { return true }
+func (s *cacheSink) CallEnded(Call)               {}
+func (s *cacheSink) ShouldRead(string, bool) bool { return true }
 
 func TestFollowReadsSnapshotWhenHistoryIsCompacted(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -63,7 +68,7 @@
 	}}
 	s := &cacheSink{cache: NewCache()}
 	Follow(ctx, store, Table{Name: "t"}, s)
-	require.Equal(t, []string{"snapshot", "changes after 3", "changes after 7", "snapshot", "changes after 7", "changes after 9"}, store.calls)
+	require.Equal(t, []string{`page from ""`, "changes after 3", "changes after 7", `page from ""`, "changes after 7", "changes after 9"}, store.calls)
 	require.EqualValues(t, 9, s.cache.Version("t"))
 	require.Equal(t, []bool{true, true, false, true, true, false}, s.succeeded)
 }
@@ -81,9 +86,9 @@
 
 type storeWithoutHistory struct{ snapshots int }
 
-func (s *storeWithoutHistory) Snapshot(context.Context, string) (Batch, error) {
+func (s *storeWithoutHistory) Page(context.Context, string, string) (Page, error) {
 	s.snapshots++
-	return Batch{Table: "t", Version: 5, Full: true}, nil
+	return Page{Version: 5}, nil
 }
 
 func (s *storeWithoutHistory) Changes(context.Context, string, int64, time.Duration) (Batch, error) {
