edge: starting instances take the servers' table from a peer of their zone

Cause: a starting instance read the whole table although a peer in its zone, one millisecond away, had a copy.

Change: it reads the first page at once, which is the whole table of a small deployment, and asks the peers of its zone as their links come up, the next one after 0.4 s without an answer. It reads the other pages if no peer has a copy of at most the maximum age, after 0.6 s if links are not up, after 2 s in any case (internal/edge/starting.go). It does not take whole tables over links between regions meanwhile.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,7 +45,7 @@
 	lastID     model.RequestID
 	calls      map[model.RequestID]*call
 
-	// fleetMu guards the state of other instances and of the store, from group to configuration.
+	// fleetMu guards the state of other instances and of the store, from group to startup.
 	fleetMu       sync.Mutex
 	group         *membership.Group
 	listed        map[model.InstanceID]listedInstance
@@ -56,6 +56,7 @@
 	readFailed    map[string]bool                      // tables whose last read failed
 	loaded        map[string]bool                      // tables received from the store or from a peer
 	configuration newestConfiguration
+	startup       *startup
 	applyMu       sync.Mutex // serializes batches from the store and from peers
 
 	stopping         atomic.Bool // no longer returned by lookups
@@ -63,6 +64,7 @@
 	stopWindow       atomic.Pointer[stopWindow]
 	loadedTables     atomic.Int32 // tables in loaded, without the instances table
 	fetching         atomic.Bool
+	copyTurns        chan struct{} // holds an element while a peer has its turn to send a copy
 	registerRequests chan struct{} // requests to write this instance's entry again
 
 	ctx       context.Context // canceled when the instance has left
@@ -151,11 +153,13 @@
 		readFailed:       map[string]bool{},
 		loaded:           map[string]bool{},
 		registerRequests: make(chan struct{}, 1),
+		copyTurns:        make(chan struct{}, 1),
 		ctx:              ctx,
 		cancelCtx:        cancel,
 	}
 	e.bounds.Store(&o.Bounds)
 	e.options.Self.StartedNanos = int64(e.clock.now())
+	e.startup = newStartup(e.clock.now())
 	e.replica = follow.NewReplica(o.tableNames(), e.forwardedToPeers)
 	e.group = e.newGroup()
 	e.links = link.New(&linkpb.Hello{
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -120,6 +120,9 @@
 		e.links.Close(id)
 	}
 	for _, p := range out.Open {
+		if e.listed[p.ID].entry.Zone == e.options.Self.Zone {
+			e.startup.linkRequested(p.ID)
+		}
 		e.links.Open(e.ctx, p.ID, p.Addr)
 	}
 	now := e.clock.now()
@@ -138,7 +141,11 @@
 func (e *Edge) LinkUp(peer model.InstanceID) {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	e.applyOutput(e.group.LinkUp(e.clock.now(), peer))
+	now := e.clock.now()
+	e.applyOutput(e.group.LinkUp(now, peer))
+	if e.waitsForCopy(now) && e.startup.requestCopy(peer) {
+		e.tasks.Go(func() { e.requestCopy(peer) })
+	}
 }
 
 // LinkDown implements link.Events.
@@ -146,6 +153,7 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	e.echoes.Forget(peer)
+	e.startup.linkDown(peer)
 	e.applyOutput(e.group.LinkDown(e.clock.now(), peer))
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,11 +22,15 @@
 }
 
 // ShouldRead implements follow.Sink. Few instances of a region read the store; the others
-// read it only when those do not keep them up to date.
-func (e *Edge) ShouldRead(table string, _ bool) bool {
+// read it only when those do not keep them up to date. A starting instance reads the first
+// page of the servers' table at once, and the rest if no peer has a copy.
+func (e *Edge) ShouldRead(table string, begun bool) bool {
 	now := e.clock.now()
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
+	if begun && table == e.options.Tables.Servers && e.waitsForCopy(now) {
+		return false
+	}
 	results := e.published.Load()
 	if results == nil || results.readerRank < readersPerRegion {
 		return true
@@ -132,8 +136,13 @@
 		e.publishLookups(false)
 		e.fleetMu.Unlock()
 	}
-	if table == e.options.Tables.Instances && len(changed) > 0 {
-		e.instancesChanged(now)
+	if table == e.options.Tables.Instances {
+		if len(changed) > 0 {
+			e.instancesChanged(now)
+		}
+		e.fleetMu.Lock()
+		e.startup.listed = true
+		e.fleetMu.Unlock()
 	}
 }
 
@@ -225,6 +234,16 @@
 		return
 	}
 	defer e.fetching.Store(false)
+	asked, state, err := e.requestState(peer, stateTimeout)
+	if err != nil {
+		return
+	}
+	e.applyPeerState(asked, state)
+}
+
+// requestState returns the changes in the store that a peer knows and this instance lacks,
+// and when they were requested.
+func (e *Edge) requestState(peer model.InstanceID, timeout time.Duration) (model.Instant, *linkpb.State, error) {
 	asked := e.clock.now()
 	request := &linkpb.StateRequest{}
 	e.fleetMu.Lock()
@@ -233,12 +252,11 @@
 	}
 	request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
 	e.fleetMu.Unlock()
-	state, err := e.links.State(peer, request, stateTimeout)
+	state, err := e.links.State(peer, request, timeout)
 	if err != nil {
 		e.log.WithField("peer", peer).WithError(err).Debug("failed to fetch state from peer")
-		return
 	}
-	e.applyPeerState(asked, state)
+	return asked, state, err
 }
 
 // applyPeerState applies a peer's answer to a state request that was sent at the given time.
@@ -378,7 +396,7 @@
 			e.group.ScheduleMessages()
 		}
 	}
-	if incomplete {
+	if incomplete && !(e.inOtherRegion(from) && e.waitsForCopy(now)) {
 		e.tasks.Go(func() { e.fetchState(from) })
 	}
 }
