edge: replay the loss of a region's readers at the sizes of four fleets

TestFailedReaderIsReplacedByDeputies stepped one region of 100 instances. It now steps regions of fleets of 7, 78, 303 and 784, with the reader dead (two reads, as before), the first deputy dead or cut off, and all deputies gone: no copy passes the maximum age, and no instance reads twice.

Seen: if the first deputy fails too, the second one is too late where a change needs 0.6 s to all instances (2.805 + 0.6 s against 3.3 s); each instance then calls once.

--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -41,8 +41,8 @@
 
 // deputyAgeShares are the fractions of the maximum age of a copy after which the instances
 // that follow the reader read the store. If the reader fails, they renew the copies of the
-// others before these reach the maximum age: otherwise all instances of a region read the
-// same changes at once, which costs the store instances times servers.
+// others before these reach the maximum age: otherwise all instances of a region call the
+// store at once.
 var deputyAgeShares = [...]float64{0.75, 0.85}
 
 // ageLimit returns the age of a copy beyond which an instance with the given rank reads the
--- a/internal/edge/readers_test.go
+++ b/internal/edge/readers_test.go
@@ -40,32 +40,68 @@
 	}
 }
 
-// TestFailedReaderIsReplacedByDeputies replays the death of a region's reader: of 100
-// instances whose copies age together, two read the store; the others hear from them in
-// time.
+// TestFailedReaderIsReplacedByDeputies replays the loss of a region's readers, in regions of
+// fleets of 7, 78, 303 and 784 instances whose copies age together. If the reader dies, only
+// its deputies read the store; the others hear from them in time. If the first deputy fails
+// at the same moment or is cut off from the others, the second one may be too late; then each
+// instance reads once, at the maximum age.
 func TestFailedReaderIsReplacedByDeputies(t *testing.T) {
+	none := func(int) bool { return false }
+	reader := func(rank int) bool { return rank == 0 }
+	for _, zones := range [][]int{{2, 1}, {9, 9, 8}, {34, 33, 33}, {87, 87, 87}} {
+		region := fleetOf(zones...)
+		others := len(region) - 1
+		deputies := min(len(deputyAgeShares), others)
+		require.Equal(t, deputies, readsOfAgingCopies(t, region, reader, none), "reader dies")
+		for name, c := range map[string]struct {
+			failed, cut func(rank int) bool // ranks that read nothing, and that nobody hears
+			reads       int                 // at most
+		}{
+			"reader frozen, first deputy dies": {func(rank int) bool { return rank <= 1 }, none, others - 1},
+			"reader dies, first deputy cut":    {reader, func(rank int) bool { return rank == 1 }, others},
+			"all deputies gone":                {func(rank int) bool { return rank <= deputies }, none, others - deputies},
+		} {
+			t.Run(fmt.Sprint(len(region), " ", name), func(t *testing.T) {
+				require.LessOrEqual(t, readsOfAgingCopies(t, region, c.failed, c.cut), c.reads)
+			})
+		}
+	}
+}
+
+// readsOfAgingCopies steps a region in which nobody has read the store since time 0, until
+// all copies have been renewed. It returns how often instances read the store.
+func readsOfAgingCopies(t *testing.T, region []membership.Entry, failed, cut func(rank int) bool) int {
+	t.Helper()
 	const (
 		maxAge = 3300 * time.Millisecond
 		spread = 600 * time.Millisecond // from one instance to all others of a region
 		step   = 10 * time.Millisecond
 	)
-	region := fleetOf(34, 33, 33)
-	var limits []time.Duration // of all but the reader, whose death is not noticed yet
-	for _, m := range region[1:] {
-		limits = append(limits, ageLimit(maxAge, readerRank(m.Instance, m.Zone, region)))
+	limits := map[int]time.Duration{} // by rank
+	for _, m := range region {
+		if rank := readerRank(m.Instance, m.Zone, region); rank > 0 && !failed(rank) {
+			limits[rank] = ageLimit(maxAge, rank)
+		}
 	}
-	reads := 0
-	var renewed time.Duration // when the first deputy read the store
+	reads := map[int]int{}
+	var renewed time.Duration // when the first instance read that the others hear
 	for age := time.Duration(0); age < 2*maxAge; age += step {
-		for _, limit := range limits {
-			heard := renewed > 0 && age >= renewed+spread
-			if !heard && age > limit && age-step <= limit {
-				reads++
-				if renewed == 0 {
-					renewed = age
-				}
+		for rank, limit := range limits {
+			heard := renewed > 0 && age >= renewed+spread && !cut(rank)
+			if heard || age <= limit || age-step > limit {
+				continue
+			}
+			reads[rank]++
+			if renewed == 0 && !cut(rank) {
+				renewed = age
 			}
 		}
 	}
-	require.Equal(t, 2, reads)
+	total := 0
+	for rank := range limits {
+		require.LessOrEqual(t, reads[rank], 1)
+		require.True(t, reads[rank] == 1 || renewed+spread <= maxAge+step, "rank %d has an old copy", rank)
+		total += reads[rank]
+	}
+	return total
 }
