membership: a starting instance hears its zone before it connects to others

Cause: an instance that starts knows its zone from the list only. It took itself for the zone's only bridge, linked to two instances of each other zone, and exchanged the records and versions of the whole fleet with each.

Change: it connects to other zones once it has heard its heartbeat peers in its zone, at the latest 0.6 s after its start, at once if it is alone there.

--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -33,7 +33,9 @@
 	links     map[model.InstanceID]*link
 	linkOrder []*link // sorted by identifier of the peer
 
+	startedAt      model.Instant
 	topologyDirty  bool
+	zoneAwaited    bool                        // links to other zones wait for the peers of this zone
 	zoneIsSmall    bool                        // instances of this zone send their own loads to other zones
 	heartbeatPeers map[model.InstanceID]bool   // peers that exchange heartbeats with this instance and are monitored
 	loadReceivers  map[model.InstanceID]bool   // bridges that only receive this instance's loads
--- a/internal/membership/hold.go
+++ b/internal/membership/hold.go
@@ -31,6 +31,7 @@
 	first := g.lastTick == 0
 	if first {
 		g.hold = hold{reason: holdStart, since: now}
+		g.startedAt = now
 		g.lastTick = now
 	}
 	gap := now.Sub(g.lastTick)
--- a/internal/membership/topology.go
+++ b/internal/membership/topology.go
@@ -20,6 +20,9 @@
 	if g.summaries.probing && g.summaries.probeRound != g.probeRound() {
 		g.topologyDirty = true
 	}
+	if g.zoneAwaited && !g.awaitsZone() {
+		g.topologyDirty = true
+	}
 	if !g.topologyDirty {
 		return
 	}
@@ -30,7 +33,10 @@
 	g.heartbeatPeers = map[model.InstanceID]bool{}
 	g.loadReceivers = map[model.InstanceID]bool{}
 	g.addZonePeers()
-	g.addBridgePeers()
+	g.zoneAwaited = g.awaitsZone()
+	if !g.zoneAwaited {
+		g.addBridgePeers()
+	}
 	g.monitor(previous)
 	g.openLinks()
 	g.generation++
@@ -89,6 +95,22 @@
 	return peers
 }
 
+// zonePatience is the time after its start for which an instance waits for the peers of its
+// zone before it connects to other zones.
+const zonePatience = 600 * time.Millisecond
+
+// awaitsZone reports whether this instance has just started and has not heard all heartbeat
+// peers of its zone yet. It knows them from the list only, so it would take itself for a
+// bridge and exchange all records with two instances of every zone.
+func (g *Group) awaitsZone() bool {
+	if g.now.Sub(g.startedAt) >= zonePatience {
+		return false
+	}
+	return slices.ContainsFunc(g.zones[g.self.record.Zone], func(m *member) bool {
+		return m != g.self && m.lastContact == 0 && m.notLeft() && !m.dead && g.heartbeatPeers[m.record.ID]
+	})
+}
+
 // addBridgePeers pairs the i-th bridge of this zone with the i-th bridge of each
 // other zone. The instances of a zone without live members are probed one after
 // another. If the zone is known only from lists and seeds, instances that are not
