--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,18 +22,36 @@
 }
 
 // ShouldRead implements follow.Sink. Few instances of a region read the store; the others
-// read it only when those do not keep them up to date.
-func (e *Edge) ShouldRead(table string) bool {
+// read it only when those do not keep them up to date. A starting instance reads the first
+// page of the servers' table at once, and the rest if no peer has a copy.
+func (e *Edge) ShouldRead(table string, begun bool) bool {
+	now := e.clock.now()
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	if begun && table == e.options.Tables.Servers && e.waitsForCopy(now) {
+		return false
+	}
 	results := e.published.Load()
 	if results == nil || results.readerRank < readersPerRegion {
 		return true
 	}
-	now := e.clock.now()
-	e.fleetMu.Lock()
-	defer e.fleetMu.Unlock()
 	return e.replica.Age(now, table) > ageLimit(e.maxAge(table), results.readerRank)
 }
 
+// CallEnded implements follow.Sink.
+func (e *Edge) CallEnded(c follow.Call) {
+	reason := string(c.Reason)
+	if c.Reason == follow.ReasonChanges {
+		reason = "reader"
+		if results := e.published.Load(); results != nil && results.readerRank >= readersPerRegion {
+			reason = "old copy"
+		}
+	}
+	e.metrics.storeCalls.WithLabelValues(c.Table, reason).Inc()
+	e.metrics.storeRows.WithLabelValues(c.Table, reason).Add(float64(c.Rows))
+	e.metrics.storeBytes.WithLabelValues(c.Table, reason).Add(float64(c.Bytes))
+}
+
 // ReadEnded implements follow.Sink. It logs when the store becomes unreadable or readable
 // for this instance, and reports reads of the servers' table to the dispatcher.
 func (e *Edge) ReadEnded(table string, started time.Time, err error) {
@@ -118,8 +136,13 @@
 		e.publishLookups(false)
 		e.fleetMu.Unlock()
 	}
-	if table == e.options.Tables.Instances && len(changed) > 0 {
-		e.instancesChanged(now)
+	if table == e.options.Tables.Instances {
+		if len(changed) > 0 {
+			e.instancesChanged(now)
+		}
+		e.fleetMu.Lock()
+		e.startup.listed = true
+		e.fleetMu.Unlock()
 	}
 }
 
@@ -214,6 +237,16 @@
 		return
 	}
 	defer e.fetching.Store(false)
+	asked, state, err := e.requestState(peer, stateTimeout)
+	if err != nil {
+		return
+	}
+	e.applyPeerState(asked, state)
+}
+
+// requestState returns the changes in the store that a peer knows and this instance lacks,
+// and when they were requested.
+func (e *Edge) requestState(peer model.InstanceID, timeout time.Duration) (model.Instant, *linkpb.State, error) {
 	asked := e.clock.now()
 	request := &linkpb.StateRequest{}
 	e.fleetMu.Lock()
@@ -225,12 +258,11 @@
 		request.Known = append(request.Known, &linkpb.TableVersion{Table: departuresTable})
 	}
 	e.fleetMu.Unlock()
-	state, err := e.links.State(peer, request, stateTimeout)
+	state, err := e.links.State(peer, request, timeout)
 	if err != nil {
 		e.log.WithField("peer", peer).WithError(err).Debug("failed to fetch state from peer")
-		return
 	}
-	e.applyPeerState(asked, state)
+	return asked, state, err
 }
 
 // applyPeerState applies a peer's answer to a state request that was sent at the given time.
@@ -385,7 +417,7 @@
 			e.group.ScheduleMessages()
 		}
 	}
-	if incomplete {
+	if incomplete && !(e.inOtherRegion(from) && e.waitsForCopy(now)) {
 		e.tasks.Go(func() { e.fetchState(from) })
 	}
 }
