upstream: a dial whose time ran out while the process did not run is made again

Callers saw (in TestRunThroughIngressAndUpstream beside other load): connections closed without an answer. On the platform, a server that had accepted the connection would have been ejected as "connection failed".

Cause: Go's timers are looked at before its sockets, so a process that did not get the processor for longer than the dial timeout finds the timeout first, although the connection is open by then. Of 29 dials that failed, 27 returned 10 to 1,464 ms after their timeout of 250 ms; ListenOverflows and ListenDrops of the kernel were 0, so the server's accept queue was not the reason.

Change: internal/dialing dials once more if a dial returned more than 5 ms after its timeout. If that happens twice, the attempt counts as this process's own shortage, which ejects no server. The load tool's dials do the same.

Evidence: TestDialsOnceMoreAfterAStallOfTheProcess and TestStallsOfTheProcessAreNotTheServersFailure fail before.

--- a/internal/load/clients.go
+++ b/internal/load/clients.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/dialing"
 	"github.com/valyala/fasthttp"
 )
 
@@ -75,7 +76,7 @@
 	return &fasthttp.HostClient{
 		Addr: r.entry,
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(context.Background(), "tcp", address)
+			conn, err := dialing.Dial(context.Background(), dialer, address)
 			if err != nil {
 				return nil, &dialError{address: address, err: err}
 			}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -78,7 +78,7 @@
 
 // The steps of an attempt.
 const (
-	StepLimit    Step = "connection limit" // also for want of a file descriptor; says nothing about the server
+	StepLimit    Step = "connection limit" // also for want of a file descriptor or processor; says nothing about the server
 	StepDial     Step = "dial"
 	StepSend     Step = "send request"
 	StepReadBody Step = "read request body" // reading the caller's body failed
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/descriptors"
+	"github.com/primrosenotch/primrosenotch/internal/dialing"
 )
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -130,10 +132,10 @@
 	if err := c.reserve(p); err != nil {
 		return nil, StepLimit, err
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", a.Address.String())
+	raw, err := dialing.Dial(ctx, &c.dialer, a.Address.String())
 	if err != nil {
 		p.unreserve()
-		if descriptors.IsShortage(err) {
+		if descriptors.IsShortage(err) || errors.Is(err, dialing.ErrStalled) {
 			return nil, StepLimit, err
 		}
 		return nil, StepDial, err
