dispatch: callers of shed requests return in time if the server has room

Callers saw: a second without an answer after a server had refused their request although it had free slots, and no retry was left. Whatever came of the return, it was late.

Cause: every refusal after a shed named 1 s.

Change: the time is that until the server may accept a request, as estimated for full servers, at least 0.1 s and at most 1 s.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -281,16 +281,27 @@
 func (d *Dispatcher) retry(ev *AttemptEnded, q *request, cause model.Cause, notSent bool) {
 	switch {
 	case ev.BodyNotReplayable && !q.replayable:
-		d.refuse(q, cause, defaultRetryAfter)
+		d.refuse(q, cause, d.returnTime(ev, q))
 	case notSent && q.failedDials >= maxFailedDials, !notSent && q.sends >= q.route.Attempts:
-		d.refuse(q, cause, defaultRetryAfter)
+		d.refuse(q, cause, d.returnTime(ev, q))
 	case !notSent && !d.service(q.service).budget.Take(ev.At, d.instances):
-		d.refuse(q, model.CauseRetryBudget, defaultRetryAfter)
+		d.refuse(q, model.CauseRetryBudget, d.returnTime(ev, q))
 	default:
 		d.send(ev.At, q)
 	}
 }
 
+// returnTime returns when the caller of a request that may not be retried should come back.
+// A server that sheds requests although it has room does not do so for its load, so that a
+// later return has no better chance and may be too late for the objective.
+func (d *Dispatcher) returnTime(ev *AttemptEnded, q *request) time.Duration {
+	if ev.Result != event.AttemptShed {
+		return defaultRetryAfter
+	}
+	last := q.tried[len(q.tried)-1]
+	return min(max(minWait, d.wait(ev.At, last, q)), defaultRetryAfter)
+}
+
 func causeOf(result event.AttemptResult) model.Cause {
 	switch result {
 	case event.AttemptTimeout:
