upstream: a caller's body counts as stalled after 1 s

Servers refuse uploads early there, links are choked, and a caller that sends on after 100 ms meets a closed connection, which may be reset before it has read the answer. A caller that waits for the answer has it 0.9 s later now.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -19,8 +19,9 @@
 const earlyResponseTimeout = 100 * time.Millisecond
 
 // stalledBodyTimeout is how long a caller may take to send on after the server has answered.
-// A caller that waits for the answer sends nothing more.
-const stalledBodyTimeout = 100 * time.Millisecond
+// A caller that waits for the answer sends nothing more. One with a slow link does: if its
+// connection is closed while its bytes arrive, it may be reset before it has the answer.
+const stalledBodyTimeout = time.Second
 
 // Send makes one attempt. The context bounds all of it, up to the end of the response
 // body. When the context is done, the connection is closed, which makes the backend
