edge: a stop aborts requests at 0.96 of the grace time

What callers saw: since links close without a wait, a stopping process ends right after it has aborted requests at 0.93 of the grace time, and requests that would have been answered in the 0.4 s left are cut.

Cause: the share left time for closing, which takes milliseconds now; the last log lines take 0.2 s at most. Change: 0.96, which leaves 0.24 s of 6 s.

No regression test: the share is a setting, and a test of it would repeat it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -264,7 +264,7 @@
 	drainShare = 0.45
 	// abortShare is the fraction of Bounds.StopTimeout after which requests in flight are
 	// aborted.
-	abortShare = 0.93
+	abortShare = 0.96
 )
 
 // stop shuts the instance down: first it is removed from the lookup answers, then it closes
