edge: servers whose entries lapsed are used again by every instance

Cause: a reader passes on rows that differ from what it knew. One reader sees that an entry was removed and written again; another reads later, sees only the new row, takes it for a heartbeat and keeps it to itself. Its digest then says 'complete up to 25, last change 10', which makes a follower that knows the removal (20) complete up to 25 as well, so that it never asks for the row. 2.6 s later it takes the server for gone. What is no news for one reader may be news for its peers: each row that changed has to be in what a digest covers.

Change: a row that changes after 3 s or more, in which the entry may have been removed and written again, is sent to peers. Rows of servers change only then on this platform, so the links carry no more; where each heartbeat changes a row, heartbeats stay with the readers.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,9 +54,9 @@
 	registeredAt  model.Instant                      // when this instance's entry was last written, 0 if never
 	replica       *follow.Replica
 	echoes        *follow.Echoes
-	serverEntries map[model.BackendName]catalog.Server // latest entries, from the store or from peers
-	readFailed    map[string]bool                      // tables whose last read failed
-	loaded        map[string]bool                      // tables received from the store or from a peer
+	serverEntries map[model.BackendName]serverEntry // latest entries, from the store or from peers
+	readFailed    map[string]bool                   // tables whose last read failed
+	loaded        map[string]bool                   // tables received from the store or from a peer
 	configuration newestConfiguration
 	// departuresKnown reports that this instance has been running without a restore of the
 	// store, or has asked a peer for what it missed.
@@ -156,7 +156,7 @@
 		calls:            map[model.RequestID]*call{},
 		listed:           map[model.InstanceID]listedInstance{},
 		missingSince:     map[model.InstanceID]model.Instant{},
-		serverEntries:    map[model.BackendName]catalog.Server{},
+		serverEntries:    map[model.BackendName]serverEntry{},
 		echoes:           follow.NewEchoes(),
 		readFailed:       map[string]bool{},
 		loaded:           map[string]bool{},
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -146,10 +146,22 @@
 	}
 }
 
+// minLapseTime is the time without a change of a server's row from which on the row may have
+// been removed and written again between two reads. It is shorter than the time after which
+// the platform removes the entry of a silent server.
+const minLapseTime = 3 * time.Second
+
+// serverEntry is the latest entry of a server.
+type serverEntry struct {
+	catalog.Server
+	changedAt model.Instant // when this instance learned of the latest change of its row
+}
+
 // forwardedToPeers reports whether a row is sent to peers: every row except heartbeats of
 // backend servers that change nothing else, and entries that are older than what is known of
-// the server. It removes the known entry of a server whose row was deleted or cannot be
-// decoded. The caller must hold fleetMu.
+// the server. A row that changes after minLapseTime counts, since a peer may know of a removal
+// that this instance has not seen. It removes the known entry of a server whose row was
+// deleted or cannot be decoded. The caller must hold fleetMu.
 func (e *Edge) forwardedToPeers(table string, row follow.Row) bool {
 	if table != e.options.Tables.Servers {
 		return true
@@ -162,7 +174,7 @@
 		return true
 	}
 	old, known := e.serverEntries[id]
-	return !e.outdated(&listed.Server) && (!known || listed.Server.DiffersBeyondHeartbeat(&old))
+	return !e.outdated(&listed.Server) && (!known || listed.Server.DiffersBeyondHeartbeat(&old.Server) || e.clock.now().Sub(old.changedAt) >= minLapseTime)
 }
 
 // outdated reports whether a restored store lists a server with an entry that is older than
@@ -209,7 +221,7 @@
 		if listed, ok := change.(*catalog.ServerChange); ok {
 			e.fleetMu.Lock()
 			if !e.outdated(&listed.Server) {
-				e.serverEntries[listed.Server.ID] = listed.Server
+				e.serverEntries[listed.Server.ID] = serverEntry{Server: listed.Server, changedAt: now}
 			}
 			e.fleetMu.Unlock()
 		}
