--- a/internal/edge/starting.go
+++ b/internal/edge/starting.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// linkPatience is the time since the start in which the links to peers come up and the
+	// linkTimeout is the time since the start in which the links to peers come up and the
 	// peers tell whether they have a copy of the servers' table.
-	linkPatience = 600 * time.Millisecond
-	// copyPatience is the time since the start until which a peer may be sending its copy.
-	copyPatience = 2 * time.Second
-	// copyTurn is the time after which the next peer is asked although the previous one has
+	linkTimeout = 600 * time.Millisecond
+	// copyTimeout is the time since the start until which a peer may be sending its copy.
+	copyTimeout = 2 * time.Second
+	// copyAttemptTimeout is the time after which the next peer is asked although the previous one has
 	// not answered.
-	copyTurn = 400 * time.Millisecond
+	copyAttemptTimeout = 400 * time.Millisecond
 )
 
 // startup decides whether a starting instance reads the servers' table from the store or
@@ -68,7 +68,7 @@
 // no peer has one, or the peers take too long.
 func (s *startup) mayReadStore(now model.Instant) bool {
 	waited := now.Sub(s.began)
-	if waited >= copyPatience {
+	if waited >= copyTimeout {
 		return true
 	}
 	pending := !s.listed
@@ -78,7 +78,7 @@
 		}
 		pending = pending || c == copyUnknown
 	}
-	return !pending || waited >= linkPatience
+	return !pending || waited >= linkTimeout
 }
 
 // waitsForCopy reports whether this instance is starting and expects the servers' table from
@@ -104,11 +104,11 @@
 	}
 	endTurn := sync.OnceFunc(func() { <-e.copyTurns })
 	defer endTurn()
-	defer time.AfterFunc(copyTurn, endTurn).Stop()
+	defer time.AfterFunc(copyAttemptTimeout, endTurn).Stop()
 	if e.Version(e.options.Tables.Servers) > 0 {
 		return
 	}
-	asked, state, err := e.requestState(peer, copyPatience)
+	asked, state, err := e.requestState(peer, copyTimeout)
 	if err == nil && e.hasRecentServers(state) {
 		e.applyPeerState(asked, state)
 		return
--- a/internal/edge/starting_test.go
+++ b/internal/edge/starting_test.go
@@ -18,14 +18,14 @@
 		prepare func(s *startup)
 		waits   time.Duration
 	}{
-		"instances unknown":      {func(*startup) {}, linkPatience},
+		"instances unknown":      {func(*startup) {}, linkTimeout},
 		"no peer in the zone":    {func(s *startup) { s.listed = true }, 0},
-		"links not up":           {func(s *startup) { s.listed = true; s.linkRequested("a") }, linkPatience},
+		"links not up":           {func(s *startup) { s.listed = true; s.linkRequested("a") }, linkTimeout},
 		"peer without a copy":    {func(s *startup) { s.listed = true; s.linkRequested("a"); s.requestCopy("a"); s.copyAnswered("a") }, 0},
 		"peer that is down":      {func(s *startup) { s.listed = true; s.linkRequested("a"); s.linkDown("a") }, 0},
-		"peer that is frozen":    {func(s *startup) { s.listed = true; s.linkRequested("a"); s.requestCopy("a") }, copyPatience},
+		"peer that is frozen":    {func(s *startup) { s.listed = true; s.linkRequested("a"); s.requestCopy("a") }, copyTimeout},
 		"link lost while asked":  {func(s *startup) { s.listed = true; s.linkRequested("a"); s.requestCopy("a"); s.linkDown("a") }, 0},
-		"one of two is not up":   {func(s *startup) { s.listed = true; s.linkRequested("a"); s.linkRequested("b"); s.linkDown("a") }, linkPatience},
+		"one of two is not up":   {func(s *startup) { s.listed = true; s.linkRequested("a"); s.linkRequested("b"); s.linkDown("a") }, linkTimeout},
 		"instance of other zone": {func(s *startup) { s.listed = true; s.linkDown("x"); s.requestCopy("x") }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -163,10 +163,10 @@
 		if s.known || a.answerAt > 0 || now < s.turnEnds {
 			continue
 		}
-		a.answerAt, s.turnEnds = now+startStep, now+copyTurn
+		a.answerAt, s.turnEnds = now+startStep, now+copyAttemptTimeout
 		switch {
 		case l.is(l.frozen, a.peer):
-			a.answerAt = now + copyPatience
+			a.answerAt = now + copyTimeout
 		case zone[a.peer].known:
 			a.answerAt = now + transfer(l.servers)
 		}
@@ -230,7 +230,7 @@
 				}
 				rows, slowest := l.play(t)
 				require.LessOrEqual(t, rows, starts*min(startPageRows, f.servers))
-				require.LessOrEqual(t, slowest, copyPatience+transfer(f.servers)+readAlone(f.servers))
+				require.LessOrEqual(t, slowest, copyTimeout+transfer(f.servers)+readAlone(f.servers))
 			})
 		}
 	}
@@ -247,11 +247,11 @@
 			waits time.Duration
 		}{
 			"all at once":           {startLoad{restarts: all}, 2*startRoundTrip + 2*startRing*2*startStep},
-			"others cut off":        {startLoad{restarts: all, cut: func(i int) bool { return i > 0 }}, linkPatience},
-			"others frozen":         {startLoad{restarts: all, frozen: func(i int) bool { return i > 0 }}, copyPatience},
+			"others cut off":        {startLoad{restarts: all, cut: func(i int) bool { return i > 0 }}, linkTimeout},
+			"others frozen":         {startLoad{restarts: all, frozen: func(i int) bool { return i > 0 }}, copyTimeout},
 			"one after the other":   {startLoad{restarts: all, spread: 50 * time.Millisecond}, 2*startRoundTrip + 2*startRing*2*startStep},
-			"one in four cut off":   {startLoad{restarts: all, cut: func(i int) bool { return i%4 == 1 }}, linkPatience},
-			"one in four is frozen": {startLoad{restarts: all, frozen: func(i int) bool { return i%4 == 1 }}, copyPatience},
+			"one in four cut off":   {startLoad{restarts: all, cut: func(i int) bool { return i%4 == 1 }}, linkTimeout},
+			"one in four is frozen": {startLoad{restarts: all, frozen: func(i int) bool { return i%4 == 1 }}, copyTimeout},
 		} {
 			t.Run(fmt.Sprint(f.inZone, " ", name), func(t *testing.T) {
 				l := c.load
--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -159,7 +159,7 @@
 	if b.Span > 0 && f.count == 0 && f.knownAt == 0 {
 		return share{}
 	}
-	n := f.reckoned(now, b)
+	n := f.sharers(now, b)
 	s := share{equal: b.Units / n}
 	left := b.Units % n
 	if left > 0 && f.Listed() && now >= self.since.Add(f.handOver(b)) && f.ranksBelow(now, b, left) {
@@ -200,8 +200,8 @@
 	return -math.Log(hash) / max(weight, math.SmallestNonzeroFloat32)
 }
 
-// reckoned returns the number of instances that may use a bound's units.
-func (f *Fleet) reckoned(now model.Instant, b Bound) int {
+// sharers returns the number of instances that may use a bound's units.
+func (f *Fleet) sharers(now model.Instant, b Bound) int {
 	n := 0
 	for _, m := range f.members {
 		if f.counts(now, m, b) {
