dispatch: each start of a server counts for the detection of crashes

What others saw: a request that crashes servers went on taking them down although the fleet had a strike against it (sends every 5 s or in bursts; 6 to 12 later than 4 s after the third crash, 3 allowed).

Cause: strikes name the server by its identifier. Requests about one object go to the same one or two servers, and a server mostly starts again under its identifier, so the second strike was the same as the first. Class: an identifier that outlives what it names.

Change: strikes name the incarnation. A server that crashes, starts again and crashes under the same request makes two strikes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -23,7 +23,7 @@
 		if d.suspects.RecentlyCompleted(q.fingerprint) {
 			return
 		}
-		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.entry.ID, a.startedAt))
+		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt))
 		d.probeBroken(a.server)
 	case event.AttemptNotSent:
 		if ev.Refused {
@@ -58,7 +58,7 @@
 
 // serverCrashed records a strike against each request that may have crashed a server.
 func (d *Dispatcher) serverCrashed(now model.Instant, s *server) {
-	d.logStrikes(now, s, d.suspects.ServerFailed(now, s.entry.ID))
+	d.logStrikes(now, s, d.suspects.ServerFailed(now, s.incarnation()))
 }
 
 func (d *Dispatcher) logStrikes(now model.Instant, s *server, fingerprints []uint64) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -183,3 +184,28 @@
 		require.Nil(t, f.send(i, sound, false))
 	}
 }
+
+// TestRequestThatCrashesOneServerAgainAndAgainIsRefused guards against a request whose only
+// server starts again under its identifier after each crash.
+func TestRequestThatCrashesOneServerAgainAndAgainIsRefused(t *testing.T) {
+	d := New(testSettings("north"))
+	d.Step(&InstancesCounted{At: start, Instances: 1})
+	d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(1, testRoute())}})
+	crashes := 0
+	for round := range 6 {
+		now := at(time.Duration(round) * 10 * time.Second)
+		entry := testServer("only", "north-a", "shop")
+		entry.StartedMillis = int64(1 + round)
+		d.Step(&CatalogChanged{At: now, Change: &catalog.ServerChange{Server: entry}})
+		id := model.RequestID(round + 1)
+		sent, ok := requestEffect(d.Step(&RequestArrived{At: now, Request: id, Host: "shop.example", Path: "/browse/x", Affinity: "k", Fingerprint: 1})).(*Send)
+		if !ok {
+			continue
+		}
+		crashes++
+		for _, server := range probedServers(d.Step(&AttemptEnded{At: now, Request: id, Attempt: sent.Attempt, Result: event.AttemptBroken})) {
+			d.Step(&ServerProbed{At: now, Server: server, Refused: true})
+		}
+	}
+	require.Equal(t, 2, crashes)
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -42,6 +42,12 @@
 	shed         average
 }
 
+// incarnation names one start of the server, so that a failure after the next start counts as
+// that of another server.
+func (s *server) incarnation() model.BackendName {
+	return model.BackendName(s.entry.Incarnation())
+}
+
 // otherLoadDecay is the time constant after which a reported load of other instances has
 // lost 63 % of its weight: about two mean run times of a typical service.
 const otherLoadDecay = time.Second
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -113,6 +113,6 @@
 // servers.
 type Suspect struct {
 	Fingerprint uint64
-	Servers     []model.BackendName // distinct servers that crashed, sorted
+	Servers     []model.BackendName // distinct servers, or starts of one, that crashed; sorted
 	Expires     model.Instant
 }
