health, dispatch: a server that falls silent beneath a request is a strike

Cause: a strike needed a connection that broke. A silent server breaks none, and its requests end with their deadline or their caller, which was no evidence at all. Class: the absence of a signal taken as the absence of a fault.

Change: attempts that end without an answer are kept for 10 s, those that run are known; when a health check gets no connection, each of them that ended after the server's last answer is a strike. A request that had a strike when it arrived gets no second attempt beside the first.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
@@ -25,6 +27,8 @@
 		}
 		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt))
 		d.probeBroken(a.server)
+	case event.AttemptTimeout, event.AttemptCancelled:
+		d.suspects.Unanswered(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt)
 	case event.AttemptNotSent:
 		if ev.Refused {
 			d.serverCrashed(ev.At, a.server)
@@ -61,13 +65,39 @@
 	d.logStrikes(now, s, d.suspects.ServerFailed(now, s.incarnation()))
 }
 
+// serverSilent records a strike against each request that a server has not answered and that
+// may have crashed it. The load pattern is a request that crashes servers whose machines lose
+// their power, so that no connection breaks.
+func (d *Dispatcher) serverSilent(now model.Instant, s *server) {
+	for _, q := range d.requestsAt(s) {
+		for _, a := range q.running {
+			if a.server == s {
+				d.suspects.Unanswered(now, q.fingerprint, s.incarnation(), a.startedAt)
+			}
+		}
+	}
+	d.logStrikes(now, s, d.suspects.ServerSilent(now, s.incarnation(), s.answeredAt))
+}
+
+// requestsAt returns the requests that are running at a server, in order of their arrival.
+func (d *Dispatcher) requestsAt(s *server) []*request {
+	var list []*request
+	for _, q := range d.requests {
+		if slices.ContainsFunc(q.running, func(a *attempt) bool { return a.server == s }) {
+			list = append(list, q)
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
 func (d *Dispatcher) logStrikes(now model.Instant, s *server, fingerprints []uint64) {
 	for _, fingerprint := range fingerprints {
 		message := "suspected of crashing servers"
 		if d.suspects.Blocked(now, fingerprint) {
 			message = "refused from now on"
 		}
-		d.warn(now, fmt.Sprintf("request %016x", fingerprint), message, fmt.Sprintf("its connection to %s broke, and the server failed", s.entry.ID))
+		d.warn(now, fmt.Sprintf("request %016x", fingerprint), message, fmt.Sprintf("no answer from %s, and the server failed", s.entry.ID))
 	}
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -145,6 +145,7 @@
 func (d *Dispatcher) noteReachable(ev *ServerProbed, s *server) {
 	s.unreachable = !ev.Healthy && !ev.Reached
 	if s.unreachable {
+		d.serverSilent(ev.At, s)
 		d.hedgeAttempts(ev.At)
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -30,6 +30,7 @@
 	answered    bool // an answer is being passed on to the caller
 	failed      bool // a server's failure is held for the caller
 	hedgePaid   bool // the retry budget was charged for an attempt that reached no server
+	suspected   bool // a server had failed beneath the same request before this one arrived
 	arrivedAt   model.Instant
 	// failedChoice is set if no server was found.
 	failedChoice *FailedChoice
@@ -46,7 +47,7 @@
 // mayHedge reports whether the request may be sent to a second server while its first
 // attempt runs.
 func (q *request) mayHedge() bool {
-	return q.route.Kind.Repeatable() && q.replayable && !q.answered && !q.failed &&
+	return q.route.Kind.Repeatable() && q.replayable && !q.suspected && !q.answered && !q.failed &&
 		q.sends < q.route.Attempts && q.failedDials < maxFailedDials
 }
 
@@ -101,6 +102,7 @@
 		deadline:    ev.At.Add(effectiveTimeout(ev.CallerTimeout, route.Timeout)),
 		replayable:  ev.Replayable,
 		fingerprint: ev.Fingerprint,
+		suspected:   d.suspects.HasStrike(ev.At, ev.Fingerprint),
 		arrivedAt:   ev.At,
 	}
 	q.runTimes = d.service(q.service).runTimesOf(route)
--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -6,13 +6,14 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// brokenConnection is a connection that broke before any response. It is kept until
-// its server is known to have failed or the correlation window has passed.
-type brokenConnection struct {
+// lostAttempt is an attempt that ended without a response: its connection broke, or nobody
+// waits for the response any longer. It is kept until its server is known to have failed or
+// the correlation window has passed.
+type lostAttempt struct {
 	fingerprint uint64
 	backend     model.BackendName
 	started     model.Instant // when the attempt began
-	at          model.Instant // when it broke
+	at          model.Instant // when its connection broke or the wait ended
 }
 
 // ConnectionBroken records that the connection of a request's attempt, begun at
@@ -20,11 +21,8 @@
 // the window count as a failure of the server; the result is then that of ServerFailed.
 func (s *SuspectTracker) ConnectionBroken(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) []uint64 {
 	s.dropExpiredBroken(now)
-	others := slices.ContainsFunc(s.broken, func(b brokenConnection) bool { return b.backend == backend })
-	if len(s.broken) >= s.settings.MaxBroken {
-		s.broken = slices.Delete(s.broken, 0, 1)
-	}
-	s.broken = append(s.broken, brokenConnection{fingerprint: fingerprint, backend: backend, started: started, at: now})
+	others := slices.ContainsFunc(s.broken, func(b lostAttempt) bool { return b.backend == backend })
+	s.broken = appendBounded(s.broken, s.settings.MaxBroken, lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now})
 	if others {
 		return s.ServerFailed(now, backend)
 	}
@@ -48,13 +46,38 @@
 			struck = append(struck, b.fingerprint)
 		}
 	}
-	s.broken = slices.DeleteFunc(s.broken, func(b brokenConnection) bool { return b.backend == backend })
+	s.broken = slices.DeleteFunc(s.broken, func(b lostAttempt) bool { return b.backend == backend })
 	return struck
 }
 
-// countsAsStrike reports whether a broken connection whose server has failed counts
+// Unanswered records that the wait for the response of an attempt, begun at started, has ended
+// although its connection did not break. Load explains that as well as a crash, so it counts
+// only with ServerSilent.
+func (s *SuspectTracker) Unanswered(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) {
+	s.dropExpiredUnanswered(now)
+	s.unanswered = appendBounded(s.unanswered, s.settings.MaxBroken, lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now})
+}
+
+// ServerSilent records that a server accepts no connection and refuses none: a server that
+// loses its power breaks no connection. Every request whose attempt at the server was lost
+// after the server's last answer gets a strike; their fingerprints are returned. Attempts that
+// are still running must have been passed to Unanswered.
+func (s *SuspectTracker) ServerSilent(now model.Instant, backend model.BackendName, lastAnswer model.Instant) []uint64 {
+	s.dropExpiredUnanswered(now)
+	var struck []uint64
+	for _, a := range s.unanswered {
+		if a.backend == backend && a.at > lastAnswer && s.countsAsStrike(now, a) {
+			s.strike(now, a.fingerprint, backend, a.at)
+			struck = append(struck, a.fingerprint)
+		}
+	}
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(a lostAttempt) bool { return a.backend == backend })
+	return append(struck, s.ServerFailed(now, backend)...)
+}
+
+// countsAsStrike reports whether a lost attempt whose server has failed counts
 // as a strike against its request.
-func (s *SuspectTracker) countsAsStrike(now model.Instant, b brokenConnection) bool {
+func (s *SuspectTracker) countsAsStrike(now model.Instant, b lostAttempt) bool {
 	if s.completed.has(b.fingerprint) {
 		return false
 	}
@@ -67,7 +90,21 @@
 
 // dropExpiredBroken drops broken connections older than the window.
 func (s *SuspectTracker) dropExpiredBroken(now model.Instant) {
-	s.broken = slices.DeleteFunc(s.broken, func(b brokenConnection) bool {
+	s.broken = slices.DeleteFunc(s.broken, func(b lostAttempt) bool {
 		return now.Sub(b.at) > s.settings.Window
 	})
 }
+
+func (s *SuspectTracker) dropExpiredUnanswered(now model.Instant) {
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(a lostAttempt) bool {
+		return now.Sub(a.at) > s.settings.SilenceWindow
+	})
+}
+
+// appendBounded appends an attempt and drops the oldest one if there are limit.
+func appendBounded(list []lostAttempt, limit int, a lostAttempt) []lostAttempt {
+	if len(list) >= limit {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, a)
+}
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -22,6 +22,7 @@
 
 	defaultSuspectLifetime   = 10 * time.Minute
 	defaultCorrelationWindow = 2 * time.Second
+	defaultSilenceWindow     = 10 * time.Second
 	defaultMaxSuspects       = 128
 	defaultMaxBroken         = 256
 )
@@ -33,6 +34,9 @@
 	// Window is the time after a broken connection within which its server must fail
 	// for the broken connection to count as a strike.
 	Window time.Duration
+	// SilenceWindow is the time after an attempt that was not answered within which its
+	// server must be found silent for the attempt to count as a strike.
+	SilenceWindow time.Duration
 	// Spacing is the time after the connection of a strike broke within which a new attempt
 	// gets no strike. It is for instances that retry at once: servers that lose their power
 	// together may break an attempt and its retry.
@@ -40,14 +44,15 @@
 	// MaxSuspects bounds the number of fingerprints. Beyond it the one that expires
 	// first is evicted.
 	MaxSuspects int
-	// MaxBroken bounds the number of broken connections that are kept until their
-	// server is known to have failed.
+	// MaxBroken bounds the number of broken connections, and of unanswered attempts, that
+	// are kept until their server is known to have failed.
 	MaxBroken int
 }
 
 func (s SuspectSettings) withDefaults() SuspectSettings {
 	s.Lifetime = lo.CoalesceOrEmpty(s.Lifetime, defaultSuspectLifetime)
 	s.Window = lo.CoalesceOrEmpty(s.Window, defaultCorrelationWindow)
+	s.SilenceWindow = lo.CoalesceOrEmpty(s.SilenceWindow, defaultSilenceWindow)
 	s.MaxSuspects = lo.CoalesceOrEmpty(s.MaxSuspects, defaultMaxSuspects)
 	s.MaxBroken = lo.CoalesceOrEmpty(s.MaxBroken, defaultMaxBroken)
 	return s
@@ -55,12 +60,14 @@
 
 // SuspectTracker tracks requests that may crash the servers that run them. A request
 // gets a strike when its connection breaks before any response and its server then
-// fails, unless a server has recently answered the request in full. After strikes at
-// two distinct servers the request is blocked.
+// fails, or when it gets no response and its server is found silent, unless a server has
+// recently answered the request in full. After strikes at two distinct servers the request
+// is blocked.
 type SuspectTracker struct {
 	settings      SuspectSettings
 	byFingerprint map[uint64]*suspect
-	broken        []brokenConnection // oldest first
+	broken        []lostAttempt // with broken connections, oldest first
+	unanswered    []lostAttempt // without, oldest first
 	// completed holds requests that were recently answered in full. They get no
 	// strikes.
 	completed completedSet
--- a/internal/health/suspects_test.go
+++ b/internal/health/suspects_test.go
@@ -127,3 +127,26 @@
 	require.False(t, s.HasStrike(at(30), popular))
 	require.True(t, s.Blocked(at(30), crashing))
 }
+
+// TestRequestWhoseServersFallSilentIsBlocked has servers that lose their power beneath a
+// request: nothing refuses a connection or breaks one.
+func TestRequestWhoseServersFallSilentIsBlocked(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	s.Unanswered(at(2), testFingerprint, "permits-1", at(1))
+	require.Equal(t, []uint64{testFingerprint}, s.ServerSilent(at(3), "permits-1", at(0.9)))
+	s.Unanswered(at(12), testFingerprint, "permits-2", at(11))
+	s.ServerSilent(at(13), "permits-2", at(10.9))
+	require.True(t, s.Blocked(at(13), testFingerprint))
+}
+
+// TestLateAnswersAreNoStrike covers servers that are too slow for their callers.
+func TestLateAnswersAreNoStrike(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	s.Unanswered(at(2), testFingerprint, "permits-1", at(1))
+	require.Empty(t, s.ServerSilent(at(5), "permits-1", at(2.5)), "the server has answered since")
+	s.Unanswered(at(6), testFingerprint, "permits-2", at(5))
+	require.Empty(t, s.ServerFailed(at(6.5), "permits-2"), "the caller left before the server failed")
+	s.Unanswered(at(7), testFingerprint, "permits-3", at(6))
+	require.Empty(t, s.ServerSilent(at(7).Add(defaultSilenceWindow+1), "permits-3", at(5)), "too long ago")
+	require.False(t, s.HasStrike(at(7), testFingerprint))
+}
