health, membership: failures at one moment leave a request in doubt, not free

Cause: failures that began before the last strike may come from a failing network, so they were dropped as evidence; the next burst met a request with a single strike at every instance. The filter was also undone by relays: a peer's list of both servers arrived as two separate strikes. Class: doubt kept as innocence.

Change: such failures are kept as coincident. While there are any, one instance of the fleet (pacing.Fleet, no messages) sends the request, at most every 5 s; a failure then is a separate one. The rule for joining what two instances know stands in one place, membership.Suspect, for the tracker and for relays. A full answer at one instance clears the strike at all.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
 // strikeSpacing is the time within which failures of several servers may have one cause.
@@ -36,6 +38,31 @@
 	}
 }
 
+// admitSuspect decides whether a request that may have crashed servers is sent. If not, it
+// returns after what time it may be, 0 for never.
+func (d *Dispatcher) admitSuspect(now model.Instant, fingerprint uint64) (admitted bool, retryAfter time.Duration) {
+	switch {
+	case !d.suspects.HasStrike(now, fingerprint):
+		return true, 0
+	case d.suspects.Blocked(now, fingerprint):
+		return false, 0
+	}
+	if left := d.suspects.SpacingLeft(now, fingerprint); left > 0 {
+		return false, left
+	}
+	if d.suspects.Doubtful(now, fingerprint) && !d.mayTry(now, fingerprint) {
+		return false, defaultRetryAfter
+	}
+	return true, 0
+}
+
+// mayTry reports whether this instance may send a doubtful request. The load pattern is a
+// request that comes at all instances at the same moment: one of them sends it.
+func (d *Dispatcher) mayTry(now model.Instant, fingerprint uint64) bool {
+	share := d.instances.Share(now, pacing.Bound{Key: fingerprint, Units: 1, Span: health.TrialInterval})
+	return share > 0 && d.suspects.Trial(now, fingerprint)
+}
+
 // probeBroken starts a health check of a server at which a connection broke. A refused
 // connection shows that the server crashed.
 func (d *Dispatcher) probeBroken(s *server) {
@@ -94,8 +121,11 @@
 func (d *Dispatcher) logStrikes(now model.Instant, s *server, fingerprints []uint64) {
 	for _, fingerprint := range fingerprints {
 		message := "suspected of crashing servers"
-		if d.suspects.Blocked(now, fingerprint) {
+		switch {
+		case d.suspects.Blocked(now, fingerprint):
 			message = "refused from now on"
+		case d.suspects.Doubtful(now, fingerprint):
+			message = "sent by one instance only"
 		}
 		d.warn(now, fmt.Sprintf("request %016x", fingerprint), message, fmt.Sprintf("no answer from %s, and the server failed", s.entry.ID))
 	}
--- a/internal/dispatch/crashrepeat_test.go
+++ b/internal/dispatch/crashrepeat_test.go
@@ -37,12 +37,16 @@
 	name  string
 	every time.Duration
 	all   bool // at all instances at the same moment, otherwise at one of them
+	// scattered requests concern no object, so that instances choose servers by load.
+	scattered bool
 }
 
 var repeatPatterns = []repeatPattern{
 	{name: "steady", every: 300 * time.Millisecond},
 	{name: "bursts", every: 5 * time.Second, all: true},
 	{name: "slow", every: 5 * time.Second},
+	{name: "scattered", every: 300 * time.Millisecond, scattered: true},
+	{name: "scattered bursts", every: 5 * time.Second, all: true, scattered: true},
 }
 
 const (
@@ -61,6 +65,7 @@
 // crashSim replays a fleet at which sound requests and one that crashes servers arrive.
 type crashSim struct {
 	mode      crashMode
+	route     catalog.Route
 	random    *rand.Rand
 	instances []*Dispatcher
 	members   []pacing.Member
@@ -83,9 +88,9 @@
 	running  []func(event.AttemptResult) // ends the attempts at the server
 }
 
-func newCrashSim(mode crashMode, instances, servers int, seed uint64) *crashSim {
+func newCrashSim(mode crashMode, route catalog.Route, instances, servers int, seed uint64) *crashSim {
 	s := &crashSim{
-		mode: mode, random: rand.New(rand.NewPCG(seed, 1)), now: start,
+		mode: mode, route: route, random: rand.New(rand.NewPCG(seed, 1)), now: start,
 		servers: map[model.BackendName]*crashServer{}, events: map[model.Instant][]func(){}, blind: map[int]bool{},
 	}
 	for i := range instances {
@@ -106,7 +111,7 @@
 	settings.Self, settings.InstancesMaxAge = s.members[i].ID, 7*time.Second
 	d := New(settings)
 	d.Step(&InstancesCounted{At: s.now.Add(-time.Minute), Instances: len(s.members), Members: s.members, RegionShare: 1})
-	d.Step(&CatalogChanged{At: s.now, Change: &catalog.ConfigurationChange{Configuration: configuration(1, testRoute())}})
+	d.Step(&CatalogChanged{At: s.now, Change: &catalog.ConfigurationChange{Configuration: configuration(1, s.route)}})
 	for _, id := range sortedKeys(s.servers) {
 		d.Step(&CatalogChanged{At: s.now, Change: &catalog.ServerChange{Server: s.servers[id].entry}})
 	}
@@ -194,7 +199,9 @@
 		ended = true
 		ev.At, ev.Request, ev.Attempt = s.now, f.Request, f.Attempt
 		s.step(i, ev)
-		s.step(i, &RequestEnded{At: s.now, Request: f.Request})
+		if ev.Result == event.AttemptComplete {
+			s.step(i, &RequestEnded{At: s.now, Request: f.Request})
+		}
 	}
 	s.after(f.TimeLeft, func() { end(&AttemptEnded{Result: event.AttemptTimeout}) })
 	server := s.servers[f.Server.ID]
@@ -330,8 +337,11 @@
 		for _, pattern := range repeatPatterns {
 			for _, instances := range []int{1, 3, 7, 20} {
 				t.Run(fmt.Sprintf("%s/%s/%d", mode.name, pattern.name, instances), func(t *testing.T) {
+					t.Parallel()
 					for seed := range uint64(3) {
-						s := newCrashSim(mode, instances, 24, seed)
+						route := testRoute()
+						route.Sticky = !pattern.scattered
+						s := newCrashSim(mode, route, instances, 24, seed)
 						s.run(40*time.Second, pattern)
 						require.LessOrEqual(t, s.lateSends(), maxLateSends, "seed %d: %d crashes", seed, len(s.crashes))
 						require.Less(t, float64(s.refused), 0.02*float64(s.sound), "sound requests are served")
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -88,8 +88,8 @@
 		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseNoRoute, Configuration: d.config.Version, Inputs: &Inputs{HostKnown: d.config.KnowsHost(ev.Host)}})
 		return
 	}
-	if left := d.suspects.SpacingLeft(ev.At, ev.Fingerprint); left > 0 || d.suspects.Blocked(ev.At, ev.Fingerprint) {
-		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseCrashSuspect, RetryAfter: left, Route: route.Name, Configuration: d.config.Version})
+	if admitted, wait := d.admitSuspect(ev.At, ev.Fingerprint); !admitted {
+		d.add(&Refuse{Request: ev.Request, Outcome: model.NotRun, Cause: model.CauseCrashSuspect, RetryAfter: wait, Route: route.Name, Configuration: d.config.Version})
 		return
 	}
 	q := &request{
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -35,7 +35,7 @@
 		status.Configuration.Revision = c.Version
 	}
 	status.Direct.Servers = e.dispatcher.Servers()
-	status.Direct.CrashSuspects = len(e.dispatcher.Suspects(now))
+	status.Direct.CrashSuspects = lo.CountBy(e.dispatcher.Suspects(now), func(s membership.Suspect) bool { return !s.Cleared() })
 	status.Direct.Restricted = lo.Map(e.dispatcher.RestrictedServers(now), func(s dispatch.ServerStatus, _ int) control.RestrictedServer {
 		return control.RestrictedServer{Server: s.ID, Service: s.Service, Zone: s.Zone, Health: s.Condition, InFlight: s.InFlight}
 	})
--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -31,18 +31,12 @@
 
 // ServerFailed records that a server refused a connection or that another of its
 // connections broke. Every request whose connection to the server broke within the
-// window gets a strike; their fingerprints are returned.
-//
-// An attempt gets no strike if it began before the connection behind the request's
-// last strike broke: when the network fails, the connections of a request that many
-// callers send break at several servers at once, which is no evidence against the
-// request. An attempt that began later, such as a retry, does count.
+// window gets a strike; the fingerprints of those for which it is news are returned.
 func (s *SuspectTracker) ServerFailed(now model.Instant, backend model.BackendName) []uint64 {
 	s.dropExpiredBroken(now)
 	var struck []uint64
 	for _, b := range s.broken {
-		if b.backend == backend && s.countsAsStrike(now, b) {
-			s.strike(now, b.fingerprint, backend, b.at)
+		if b.backend == backend && s.strike(now, &b) {
 			struck = append(struck, b.fingerprint)
 		}
 	}
@@ -66,8 +60,7 @@
 	s.dropExpiredUnanswered(now)
 	var struck []uint64
 	for _, a := range s.unanswered {
-		if a.backend == backend && a.at > lastAnswer && s.countsAsStrike(now, a) {
-			s.strike(now, a.fingerprint, backend, a.at)
+		if a.backend == backend && a.at > lastAnswer && s.strike(now, &a) {
 			struck = append(struck, a.fingerprint)
 		}
 	}
@@ -75,19 +68,6 @@
 	return append(struck, s.ServerFailed(now, backend)...)
 }
 
-// countsAsStrike reports whether a lost attempt whose server has failed counts
-// as a strike against its request.
-func (s *SuspectTracker) countsAsStrike(now model.Instant, b lostAttempt) bool {
-	if s.completed.has(b.fingerprint) {
-		return false
-	}
-	entry := s.byFingerprint[b.fingerprint]
-	if entry == nil || entry.expires <= now || len(entry.servers) == 0 {
-		return true
-	}
-	return b.started >= entry.lastStrikeAt.Add(s.settings.Spacing)
-}
-
 // dropExpiredBroken drops broken connections older than the window.
 func (s *SuspectTracker) dropExpiredBroken(now model.Instant) {
 	s.broken = slices.DeleteFunc(s.broken, func(b lostAttempt) bool {
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -12,14 +12,6 @@
 )
 
 const (
-	// blockThreshold is the number of distinct servers at which a request needs
-	// strikes to be refused everywhere.
-	blockThreshold = 2
-
-	// simultaneousStrikeWindow is the time between strikes at two servers below
-	// which they count as one event.
-	simultaneousStrikeWindow = 500 * time.Millisecond
-
 	defaultSuspectLifetime   = 10 * time.Minute
 	defaultCorrelationWindow = 2 * time.Second
 	defaultSilenceWindow     = 10 * time.Second
@@ -37,8 +29,8 @@
 	// SilenceWindow is the time after an attempt that was not answered within which its
 	// server must be found silent for the attempt to count as a strike.
 	SilenceWindow time.Duration
-	// Spacing is the time after the connection of a strike broke within which a new attempt
-	// gets no strike. It is for instances that retry at once: servers that lose their power
+	// Spacing is the time after the connection of a strike broke within which a strike at a
+	// new attempt is coincident. It is for instances that retry at once: servers that lose their power
 	// together may break an attempt and its retry.
 	Spacing time.Duration
 	// MaxSuspects bounds the number of fingerprints. Beyond it the one that expires
@@ -73,14 +65,11 @@
 	completed completedSet
 }
 
-// suspect holds the strikes of one fingerprint. A suspect without servers was
-// cleared and is kept so that merging from peers does not restore its strikes.
+// suspect holds the strikes of one fingerprint.
 type suspect struct {
-	fingerprint    uint64
-	servers        []model.BackendName // sorted, at most blockThreshold
-	lastStrikeAt   model.Instant       // when the connection of the last strike broke
-	expires        model.Instant
-	clearedThrough model.Instant // strikes that expire by then are ignored
+	membership.Suspect
+	lastStrikeAt model.Instant // when the attempt of the last strike that is not coincident was lost
+	lastTrialAt  model.Instant // when Trial last permitted the request
 }
 
 // NewSuspectTracker returns an empty SuspectTracker.
@@ -90,47 +79,85 @@
 
 // Strike records a strike against the request for breaking the server.
 func (s *SuspectTracker) Strike(now model.Instant, fingerprint uint64, backend model.BackendName) {
-	s.strike(now, fingerprint, backend, now)
+	s.strike(now, &lostAttempt{fingerprint: fingerprint, backend: backend, started: now, at: now})
 }
 
-// strike records a strike for a connection that broke at the time at, which may be
-// before now.
-func (s *SuspectTracker) strike(now model.Instant, fingerprint uint64, backend model.BackendName, at model.Instant) {
-	entry := s.getOrCreate(now, fingerprint)
-	if entry == nil {
-		return
+// strike records a strike for an attempt that was lost, maybe some time ago, and reports
+// whether it is news.
+//
+// One that began before the attempt of the request's last strike was lost is coincident: when
+// the network fails, the connections of a request that many callers send break at several
+// servers at once. An attempt that began later, such as a retry, is not.
+func (s *SuspectTracker) strike(now model.Instant, a *lostAttempt) bool {
+	if s.completed.has(a.fingerprint) {
+		return false
 	}
-	entry.add(backend)
-	entry.lastStrikeAt = max(entry.lastStrikeAt, at)
-	entry.expires = max(entry.expires, now.Add(s.settings.Lifetime))
+	entry := s.getOrCreate(now, a.fingerprint)
+	coincident := !entry.Cleared() && a.started < entry.lastStrikeAt.Add(s.settings.Spacing)
+	if !entry.AddServer(a.backend, coincident) {
+		return false
+	}
+	if !coincident {
+		entry.lastStrikeAt = max(entry.lastStrikeAt, a.at)
+	}
+	entry.Expires = max(entry.Expires, now.Add(s.settings.Lifetime))
+	return true
+}
+
+// known returns the suspect of a fingerprint if it has strikes that have not expired.
+func (s *SuspectTracker) known(now model.Instant, fingerprint uint64) *suspect {
+	if len(s.byFingerprint) == 0 {
+		return nil
+	}
+	entry := s.byFingerprint[fingerprint]
+	if entry == nil || entry.Cleared() || entry.Expires <= now {
+		return nil
+	}
+	return entry
 }
 
 // Blocked reports whether the request broke enough distinct servers to be refused.
 func (s *SuspectTracker) Blocked(now model.Instant, fingerprint uint64) bool {
-	if len(s.byFingerprint) == 0 {
+	entry := s.known(now, fingerprint)
+	return entry != nil && entry.Blocked()
+}
+
+// Doubtful reports whether several servers failed beneath the request, maybe for one cause. It
+// should then be sent only with Trial.
+func (s *SuspectTracker) Doubtful(now model.Instant, fingerprint uint64) bool {
+	entry := s.known(now, fingerprint)
+	return entry != nil && entry.Doubtful()
+}
+
+// Trial reports whether a doubtful request may be sent once more, at most once in
+// TrialInterval. All instances together should make no more trials than that.
+func (s *SuspectTracker) Trial(now model.Instant, fingerprint uint64) bool {
+	entry := s.known(now, fingerprint)
+	if entry == nil || entry.lastTrialAt != 0 && now < entry.lastTrialAt.Add(TrialInterval) {
 		return false
 	}
-	entry := s.byFingerprint[fingerprint]
-	return entry != nil && now < entry.expires && len(entry.servers) >= blockThreshold
+	entry.lastTrialAt = now
+	return true
 }
 
+// TrialInterval is the time between two trials of a doubtful request. It covers the time until
+// a server that has fallen silent is found.
+const TrialInterval = 5 * time.Second
+
 // SpacingLeft returns how long a request with a strike should not be sent, because no strike
 // would count, 0 if it may be sent.
 func (s *SuspectTracker) SpacingLeft(now model.Instant, fingerprint uint64) time.Duration {
-	if !s.HasStrike(now, fingerprint) {
+	entry := s.known(now, fingerprint)
+	if entry == nil {
 		return 0
 	}
-	return max(0, s.byFingerprint[fingerprint].lastStrikeAt.Add(s.settings.Spacing).Sub(now))
+	return max(0, entry.lastStrikeAt.Add(s.settings.Spacing).Sub(now))
 }
 
 // HasStrike reports whether the request has a strike. The entry instance should then
 // not retry it by itself.
 func (s *SuspectTracker) HasStrike(now model.Instant, fingerprint uint64) bool {
-	if len(s.byFingerprint) == 0 {
-		return false
-	}
-	entry := s.byFingerprint[fingerprint]
-	return entry != nil && now < entry.expires && len(entry.servers) > 0
+	return s.known(now, fingerprint) != nil
 }
 
 // RecentlyCompleted reports whether a server has recently answered the request in full, so
@@ -146,86 +173,56 @@
 	if len(s.byFingerprint) == 0 {
 		return
 	}
-	entry := s.byFingerprint[fingerprint]
-	if entry == nil || len(entry.servers) >= blockThreshold {
-		return
+	if entry := s.known(now, fingerprint); entry != nil {
+		entry.Clear()
 	}
-	entry.servers = entry.servers[:0]
-	entry.clearedThrough = max(entry.clearedThrough, entry.expires)
 }
 
-// Merge adds the strikes received from a peer.
+// Merge adds what a peer knows, with the same Lifetime.
 func (s *SuspectTracker) Merge(now model.Instant, suspects []membership.Suspect) {
 	for _, remote := range suspects {
-		expires := min(remote.Expires, now.Add(s.settings.Lifetime))
-		if expires <= now {
+		remote.Expires = min(remote.Expires, now.Add(s.settings.Lifetime))
+		if remote.Expires <= now {
 			continue
 		}
 		entry := s.getOrCreate(now, remote.Fingerprint)
-		if entry == nil || expires <= entry.clearedThrough {
-			continue
-		}
-		if entry.simultaneous(remote, expires) {
-			continue
+		servers := len(entry.Servers)
+		if entry.Combine(&remote); len(entry.Servers) > servers {
+			entry.lastStrikeAt = max(entry.lastStrikeAt, remote.Expires.Add(-s.settings.Lifetime))
 		}
-		for _, backend := range remote.Servers {
-			entry.add(backend)
-		}
-		entry.expires = max(entry.expires, expires)
-		entry.lastStrikeAt = max(entry.lastStrikeAt, expires.Add(-s.settings.Lifetime))
 	}
 }
 
-// Snapshot returns the unexpired strikes, sorted by fingerprint, to send to peers.
+// Snapshot returns what has not expired, sorted by fingerprint, to send to peers.
 func (s *SuspectTracker) Snapshot(now model.Instant) []membership.Suspect {
 	var out []membership.Suspect
 	for _, entry := range s.byFingerprint {
-		if entry.expires <= now || len(entry.servers) == 0 {
-			continue
+		if entry.Expires > now {
+			out = append(out, membership.Suspect{
+				Fingerprint: entry.Fingerprint,
+				Servers:     slices.Clone(entry.Servers),
+				Coincident:  slices.Clone(entry.Coincident),
+				Expires:     entry.Expires,
+			})
 		}
-		out = append(out, membership.Suspect{
-			Fingerprint: entry.fingerprint,
-			Servers:     slices.Clone(entry.servers),
-			Expires:     entry.expires,
-		})
 	}
 	slices.SortFunc(out, func(a, b membership.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return out
 }
 
-// simultaneous reports whether both sides hold a single strike and these occurred
-// within simultaneousStrikeWindow, which indicates that the network failed rather
-// than the servers. Strikes carry only their expiry, so this assumes that peers use
-// the same Lifetime.
-func (e *suspect) simultaneous(remote membership.Suspect, expires model.Instant) bool {
-	if len(e.servers) != 1 || len(remote.Servers) != 1 {
-		return false
-	}
-	return expires.Sub(e.expires).Abs() < simultaneousStrikeWindow
-}
-
-// add adds a server, unless the suspect already has blockThreshold servers.
-func (e *suspect) add(backend model.BackendName) {
-	i, present := slices.BinarySearch(e.servers, backend)
-	if present || len(e.servers) >= blockThreshold {
-		return
-	}
-	e.servers = slices.Insert(e.servers, i, backend)
-}
-
 // getOrCreate returns the entry of a fingerprint, creating it if there is none or
 // it has expired. At MaxSuspects it first evicts other entries.
 func (s *SuspectTracker) getOrCreate(now model.Instant, fingerprint uint64) *suspect {
 	if entry := s.byFingerprint[fingerprint]; entry != nil {
-		if entry.expires <= now {
-			*entry = suspect{fingerprint: fingerprint}
+		if entry.Expires <= now {
+			*entry = suspect{Suspect: membership.Suspect{Fingerprint: fingerprint}}
 		}
 		return entry
 	}
 	if len(s.byFingerprint) >= s.settings.MaxSuspects {
 		s.evict(now)
 	}
-	entry := &suspect{fingerprint: fingerprint}
+	entry := &suspect{Suspect: membership.Suspect{Fingerprint: fingerprint}}
 	s.byFingerprint[fingerprint] = entry
 	return entry
 }
@@ -235,7 +232,7 @@
 func (s *SuspectTracker) evict(now model.Instant) {
 	var first *suspect
 	for fingerprint, entry := range s.byFingerprint {
-		if entry.expires <= now {
+		if entry.Expires <= now {
 			delete(s.byFingerprint, fingerprint)
 			continue
 		}
@@ -244,13 +241,13 @@
 		}
 	}
 	if len(s.byFingerprint) >= s.settings.MaxSuspects && first != nil {
-		delete(s.byFingerprint, first.fingerprint)
+		delete(s.byFingerprint, first.Fingerprint)
 	}
 }
 
 func (e *suspect) expiresBefore(other *suspect) bool {
-	if e.expires != other.expires {
-		return e.expires < other.expires
+	if e.Expires != other.Expires {
+		return e.Expires < other.Expires
 	}
-	return e.fingerprint < other.fingerprint
+	return e.Fingerprint < other.Fingerprint
 }
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -89,7 +89,8 @@
 func suspectToProto(now model.Instant, s *Suspect) *linkpb.Suspect {
 	return &linkpb.Suspect{
 		Fingerprint: s.Fingerprint,
-		Servers:     lo.Map(s.Servers, func(b model.BackendName, _ int) string { return string(b) }),
+		Servers:     namesToProto(s.Servers),
+		Coincident:  namesToProto(s.Coincident),
 		TimeLeftNs:  int64(s.Expires.Sub(now)),
 	}
 }
@@ -198,11 +199,24 @@
 
 func suspectFromProto(now model.Instant, s *linkpb.Suspect) Suspect {
 	left := min(time.Duration(s.GetTimeLeftNs()), maxSuspectLifetime)
-	suspect := Suspect{Fingerprint: s.GetFingerprint(), Expires: now.Add(left)}
-	for _, server := range s.GetServers() {
-		suspect.Servers = append(suspect.Servers, model.BackendName(server))
+	return Suspect{
+		Fingerprint: s.GetFingerprint(),
+		Servers:     namesFromProto(s.GetServers()),
+		Coincident:  namesFromProto(s.GetCoincident()),
+		Expires:     now.Add(left),
 	}
-	return suspect
+}
+
+func namesToProto(names []model.BackendName) []string {
+	return lo.Map(names, func(n model.BackendName, _ int) string { return string(n) })
+}
+
+func namesFromProto(names []string) []model.BackendName {
+	var list []model.BackendName
+	for _, n := range names {
+		list = append(list, model.BackendName(n))
+	}
+	return list
 }
 
 func versionFromProto(v *linkpb.RecordVersion) RecordVersion {
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -81,6 +81,7 @@
 			return Suspect{
 				Fingerprint: rapid.Uint64().Draw(t, "fingerprint"),
 				Servers:     drawList(t, func(t *rapid.T) model.BackendName { return drawName[model.BackendName]("b").Draw(t, "b") }),
+				Coincident:  drawList(t, func(t *rapid.T) model.BackendName { return drawName[model.BackendName]("b").Draw(t, "c") }),
 				Expires:     now.Add(left),
 			}
 		}),
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -108,11 +108,3 @@
 	Epoch uint64        // increases with each summary of the zone; a higher one replaces a lower one
 	Loads []ServiceLoad // empty if unchanged since the last summary on the same link
 }
-
-// Suspect is the fingerprint of requests that are suspected of crashing backend
-// servers.
-type Suspect struct {
-	Fingerprint uint64
-	Servers     []model.BackendName // distinct servers, or starts of one, that crashed; sorted
-	Expires     model.Instant
-}
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -54,21 +54,19 @@
 			return false
 		}
 		s.generation++
-		entry := suspectEntry{Suspect: *suspect, generation: s.generation}
-		entry.Servers = sortedNames(slices.Clone(suspect.Servers))
+		entry := suspectEntry{Suspect: Suspect{Fingerprint: suspect.Fingerprint}, generation: s.generation}
+		entry.Combine(suspect)
 		s.list = slices.Insert(s.list, at, entry)
 		return true
 	}
 	known := &s.list[at]
-	servers := sortedNames(append(slices.Clone(known.Servers), suspect.Servers...))
-	later := suspect.Expires.Sub(known.Expires) > minExpiryExtension
-	if len(servers) == len(known.Servers) && !later {
+	before := known.Expires
+	if !known.Combine(suspect) && known.Expires.Sub(before) <= minExpiryExtension {
+		known.Expires = before
 		return false
 	}
 	s.generation++
 	known.generation = s.generation
-	known.Servers = servers
-	known.Expires = max(known.Expires, suspect.Expires)
 	return true
 }
 
@@ -79,7 +77,7 @@
 		suspect := list[i]
 		suspect.Expires = min(suspect.Expires, now.Add(maxSuspectLifetime))
 		if suspect.Expires > now && s.add(&suspect) {
-			changed = append(changed, suspect)
+			changed = append(changed, suspect.clone())
 		}
 	}
 	return changed
