--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -94,14 +94,12 @@
 	}
 	entry := s.getOrCreate(now, a.fingerprint)
 	coincident := !entry.Cleared() && a.started < entry.lastStrikeAt.Add(s.settings.Spacing)
-	if !entry.AddServer(a.backend, coincident) {
-		return false
-	}
+	added := entry.AddServer(a.backend, coincident)
 	if !coincident {
 		entry.lastStrikeAt = max(entry.lastStrikeAt, a.at)
 	}
 	entry.Expires = max(entry.Expires, now.Add(s.settings.Lifetime))
-	return true
+	return added
 }
 
 // known returns the suspect of a fingerprint if it has strikes that have not expired.
