health, dispatch: a server that is back before it is missed is a strike

What others saw: a request whose servers start again at once was passed on for ever: 4 to 45 sends later than 4 s after the third crash, 3 allowed.

Cause: a broken connection counts only if its server refuses a connection within 2 s. A server that is back before the health check arrives accepts it. Class: as before, the absence of a signal taken as the absence of a fault.

Change: that a server has ended is also known when the store lists its next start, and when another server answers at its address, to a request or to a health check (ServerProbed says so now). Lost attempts are kept for 10 s for that, since the next start may be known late; refused connections still count for 2 s only.

TestServerThatIsBackBeforeItIsMissedIsAStrike does not compile before.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -81,9 +81,12 @@
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	d.noteReachable(ev, s)
-	if ev.Refused {
+	switch {
+	case ev.Refused:
 		d.serverCrashed(ev.At, s)
 		d.eject(ev.At, s, "connection refused")
+	case ev.Misdirected:
+		d.serverEnded(ev.At, s)
 	}
 }
 
@@ -96,6 +99,20 @@
 // may have crashed it. The load pattern is a request that crashes servers whose machines lose
 // their power, so that no connection breaks.
 func (d *Dispatcher) serverSilent(now model.Instant, s *server) {
+	d.noteUnanswered(now, s)
+	d.logStrikes(now, s, d.suspects.ServerSilent(now, s.incarnation(), s.answeredAt))
+}
+
+// serverEnded is serverSilent for a server of which the next start, or another server at its
+// address, is known. The load pattern is a request that crashes servers which are back before
+// a health check reaches them.
+func (d *Dispatcher) serverEnded(now model.Instant, s *server) {
+	d.noteUnanswered(now, s)
+	d.logStrikes(now, s, d.suspects.ServerEnded(now, s.incarnation(), s.answeredAt))
+}
+
+// noteUnanswered records the attempts that run at a server that cannot answer them.
+func (d *Dispatcher) noteUnanswered(now model.Instant, s *server) {
 	for _, q := range d.requestsAt(s) {
 		for _, a := range q.running {
 			if a.server == s {
@@ -103,7 +120,6 @@
 			}
 		}
 	}
-	d.logStrikes(now, s, d.suspects.ServerSilent(now, s.incarnation(), s.answeredAt))
 }
 
 // requestsAt returns the requests that are running at a server, in order of their arrival.
--- a/internal/dispatch/crashrepeat_test.go
+++ b/internal/dispatch/crashrepeat_test.go
@@ -244,7 +244,7 @@
 		healthy := server.up && !server.replaced
 		s.step(i, &ServerProbed{
 			At: s.now, Server: id, Healthy: healthy, Reached: server.up || server.replaced,
-			Refused: !server.up && !server.replaced && !s.mode.silent,
+			Refused: !server.up && !server.replaced && !s.mode.silent, Misdirected: server.replaced,
 		})
 	})
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -229,6 +229,7 @@
 	s.coldUntil = at.Add(entry.ColdLeft)
 	s.regionLoad = d.service(entry.Service).loadOf(s.region)
 	if old != nil {
+		d.serverEnded(at, old)
 		d.dropServer(at, old)
 		d.record(at, string(entry.ID), "restarted", "newer incarnation")
 	}
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -139,6 +139,8 @@
 	Reached bool
 	// Refused reports that the server's address refused the connection.
 	Refused bool
+	// Misdirected reports that a different server answered at the address.
+	Misdirected bool
 	// OwnShortage reports that the check was not sent, as in AttemptEnded.
 	OwnShortage bool
 	Report      ServerReport
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -27,6 +27,7 @@
 	case ev.Misdirected:
 		s.misdirected = true
 		d.warn(ev.At, string(s.entry.ID), "not used", "another server answers at its address")
+		d.serverEnded(ev.At, s)
 		d.add(&ClosePooledConnections{Server: &s.entry})
 	case ev.OwnShortage:
 	case ev.Result == event.AttemptNotSent:
@@ -114,8 +115,11 @@
 		s.ejectedUntil = ev.At.Add(minEjection) // checked again then
 		return
 	}
-	if ev.Refused {
+	switch {
+	case ev.Refused:
 		d.serverCrashed(ev.At, s)
+	case ev.Misdirected:
+		d.serverEnded(ev.At, s)
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -300,6 +300,7 @@
 		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 		if err == nil {
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
+			probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
 			probed.Report = e.serverReport(server.ID, &answer.Report)
 		}
 		probed.At = e.clock.now()
--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -2,13 +2,14 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
 // lostAttempt is an attempt that ended without a response: its connection broke, or nobody
-// waits for the response any longer. It is kept until its server is known to have failed or
-// the correlation window has passed.
+// waits for the response any longer. It is kept until its server is known to have failed, for
+// at most the evidence window.
 type lostAttempt struct {
 	fingerprint uint64
 	backend     model.BackendName
@@ -20,8 +21,8 @@
 // started, broke before any response. Two broken connections to one server within
 // the window count as a failure of the server; the result is then that of ServerFailed.
 func (s *SuspectTracker) ConnectionBroken(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) []uint64 {
-	s.dropExpiredBroken(now)
-	others := slices.ContainsFunc(s.broken, func(b lostAttempt) bool { return b.backend == backend })
+	s.dropExpired(now)
+	others := slices.ContainsFunc(s.broken, func(b lostAttempt) bool { return b.backend == backend && now.Sub(b.at) <= s.settings.Window })
 	s.broken = appendBounded(s.broken, s.settings.MaxBroken, lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now})
 	if others {
 		return s.ServerFailed(now, backend)
@@ -33,10 +34,15 @@
 // connections broke. Every request whose connection to the server broke within the
 // window gets a strike; the fingerprints of those for which it is news are returned.
 func (s *SuspectTracker) ServerFailed(now model.Instant, backend model.BackendName) []uint64 {
-	s.dropExpiredBroken(now)
+	s.dropExpired(now)
+	return s.strikeBroken(now, backend, s.settings.Window)
+}
+
+// strikeBroken strikes the requests whose connection to a server broke within a window.
+func (s *SuspectTracker) strikeBroken(now model.Instant, backend model.BackendName, window time.Duration) []uint64 {
 	var struck []uint64
 	for _, b := range s.broken {
-		if b.backend == backend && s.strike(now, &b) {
+		if b.backend == backend && now.Sub(b.at) <= window && s.strike(now, &b) {
 			struck = append(struck, b.fingerprint)
 		}
 	}
@@ -48,16 +54,28 @@
 // although its connection did not break. Load explains that as well as a crash, so it counts
 // only with ServerSilent.
 func (s *SuspectTracker) Unanswered(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) {
-	s.dropExpiredUnanswered(now)
+	s.dropExpired(now)
 	s.unanswered = appendBounded(s.unanswered, s.settings.MaxBroken, lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now})
 }
 
 // ServerSilent records that a server accepts no connection and refuses none: a server that
 // loses its power breaks no connection. Every request whose attempt at the server was lost
-// after the server's last answer gets a strike; their fingerprints are returned. Attempts that
-// are still running must have been passed to Unanswered.
+// after the server's last answer gets a strike; the fingerprints of those for which it is news
+// are returned. Attempts that are still running must have been passed to Unanswered.
 func (s *SuspectTracker) ServerSilent(now model.Instant, backend model.BackendName, lastAnswer model.Instant) []uint64 {
-	s.dropExpiredUnanswered(now)
+	s.dropExpired(now)
+	return append(s.strikeUnanswered(now, backend, lastAnswer), s.strikeBroken(now, backend, s.settings.Window)...)
+}
+
+// ServerEnded records that a server has ended since its last answer, because it has started
+// again or another one has its address. It is ServerSilent for a server that is back before it
+// is missed, and looks back further, since the next start may be known late.
+func (s *SuspectTracker) ServerEnded(now model.Instant, backend model.BackendName, lastAnswer model.Instant) []uint64 {
+	s.dropExpired(now)
+	return append(s.strikeUnanswered(now, backend, lastAnswer), s.strikeBroken(now, backend, s.settings.EvidenceWindow)...)
+}
+
+func (s *SuspectTracker) strikeUnanswered(now model.Instant, backend model.BackendName, lastAnswer model.Instant) []uint64 {
 	var struck []uint64
 	for _, a := range s.unanswered {
 		if a.backend == backend && a.at > lastAnswer && s.strike(now, &a) {
@@ -65,20 +83,14 @@
 		}
 	}
 	s.unanswered = slices.DeleteFunc(s.unanswered, func(a lostAttempt) bool { return a.backend == backend })
-	return append(struck, s.ServerFailed(now, backend)...)
-}
-
-// dropExpiredBroken drops broken connections older than the window.
-func (s *SuspectTracker) dropExpiredBroken(now model.Instant) {
-	s.broken = slices.DeleteFunc(s.broken, func(b lostAttempt) bool {
-		return now.Sub(b.at) > s.settings.Window
-	})
+	return struck
 }
 
-func (s *SuspectTracker) dropExpiredUnanswered(now model.Instant) {
-	s.unanswered = slices.DeleteFunc(s.unanswered, func(a lostAttempt) bool {
-		return now.Sub(a.at) > s.settings.SilenceWindow
-	})
+// dropExpired drops lost attempts older than the evidence window.
+func (s *SuspectTracker) dropExpired(now model.Instant) {
+	expired := func(a lostAttempt) bool { return now.Sub(a.at) > s.settings.EvidenceWindow }
+	s.broken = slices.DeleteFunc(s.broken, expired)
+	s.unanswered = slices.DeleteFunc(s.unanswered, expired)
 }
 
 // appendBounded appends an attempt and drops the oldest one if there are limit.
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -14,7 +14,7 @@
 const (
 	defaultSuspectLifetime   = 10 * time.Minute
 	defaultCorrelationWindow = 2 * time.Second
-	defaultSilenceWindow     = 10 * time.Second
+	defaultEvidenceWindow    = 10 * time.Second
 	defaultMaxSuspects       = 128
 	defaultMaxBroken         = 256
 )
@@ -26,9 +26,9 @@
 	// Window is the time after a broken connection within which its server must fail
 	// for the broken connection to count as a strike.
 	Window time.Duration
-	// SilenceWindow is the time after an attempt that was not answered within which its
-	// server must be found silent for the attempt to count as a strike.
-	SilenceWindow time.Duration
+	// EvidenceWindow is the time for which an attempt without a response is kept, so that it
+	// counts as a strike if its server is found to be silent or to have started again.
+	EvidenceWindow time.Duration
 	// Spacing is the time after the connection of a strike broke within which a strike at a
 	// new attempt is coincident. It is for instances that retry at once: servers that lose their power
 	// together may break an attempt and its retry.
@@ -44,7 +44,7 @@
 func (s SuspectSettings) withDefaults() SuspectSettings {
 	s.Lifetime = lo.CoalesceOrEmpty(s.Lifetime, defaultSuspectLifetime)
 	s.Window = lo.CoalesceOrEmpty(s.Window, defaultCorrelationWindow)
-	s.SilenceWindow = lo.CoalesceOrEmpty(s.SilenceWindow, defaultSilenceWindow)
+	s.EvidenceWindow = lo.CoalesceOrEmpty(s.EvidenceWindow, defaultEvidenceWindow)
 	s.MaxSuspects = lo.CoalesceOrEmpty(s.MaxSuspects, defaultMaxSuspects)
 	s.MaxBroken = lo.CoalesceOrEmpty(s.MaxBroken, defaultMaxBroken)
 	return s
--- a/internal/health/suspects_test.go
+++ b/internal/health/suspects_test.go
@@ -147,6 +147,17 @@
 	s.Unanswered(at(6), testFingerprint, "permits-2", at(5))
 	require.Empty(t, s.ServerFailed(at(6.5), "permits-2"), "the caller left before the server failed")
 	s.Unanswered(at(7), testFingerprint, "permits-3", at(6))
-	require.Empty(t, s.ServerSilent(at(7).Add(defaultSilenceWindow+1), "permits-3", at(5)), "too long ago")
+	require.Empty(t, s.ServerSilent(at(7).Add(defaultEvidenceWindow+1), "permits-3", at(5)), "too long ago")
 	require.False(t, s.HasStrike(at(7), testFingerprint))
 }
+
+// TestServerThatIsBackBeforeItIsMissedIsAStrike has servers whose next start is known only
+// after they have accepted a health check.
+func TestServerThatIsBackBeforeItIsMissedIsAStrike(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	s.ConnectionBroken(at(1), testFingerprint, "permits-1", at(0.9))
+	require.Equal(t, []uint64{testFingerprint}, s.ServerEnded(at(5), "permits-1", at(0.5)))
+	s.Unanswered(at(11), testFingerprint, "permits-2", at(10))
+	s.ServerEnded(at(15), "permits-2", at(9))
+	require.True(t, s.Blocked(at(15), testFingerprint))
+}
