health: an old answer no longer excuses a request that crashes servers

Cause: a request that was answered in full gets no strikes, for one to two periods of 5 minutes, and for ever if no other answer follows. Class: a fact without a time.

Change: the answer counts for 30 s. A request that many callers send, the case it is for, is answered again within that time.

Result: TestRequestThatWasAnsweredLongAgoIsRefusedOnceItCrashesServers fails with the old time, passes now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -24,7 +24,7 @@
 	case event.AttemptComplete, event.AttemptFailed:
 		d.suspects.Completed(ev.At, q.fingerprint)
 	case event.AttemptBroken, event.AttemptStaleBroken:
-		if d.suspects.RecentlyCompleted(q.fingerprint) {
+		if d.suspects.RecentlyCompleted(ev.At, q.fingerprint) {
 			return
 		}
 		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt))
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -209,3 +209,20 @@
 	}
 	require.Equal(t, 2, crashes)
 }
+
+// TestRequestThatWasAnsweredLongAgoIsRefusedOnceItCrashesServers guards against a request whose
+// equal was answered by a server before.
+func TestRequestThatWasAnsweredLongAgoIsRefusedOnceItCrashesServers(t *testing.T) {
+	f := newCrashFleet(t, 7)
+	const poison = 4711
+	for i := range f.instances {
+		require.Nil(t, f.send(i, poison, false))
+	}
+	f.pass(time.Minute)
+	for i := range 40 {
+		f.send(i%7, poison, true)
+		f.gossip()
+		f.pass(300 * time.Millisecond)
+	}
+	require.LessOrEqual(t, f.crashes, 4)
+}
--- a/internal/health/completed.go
+++ b/internal/health/completed.go
@@ -10,38 +10,37 @@
 	// maxGenerationSize bounds the number of requests in each of the two
 	// generations of completed requests.
 	maxGenerationSize = 4096
-	// generationPeriod is the time after which a new generation is started.
-	generationPeriod = 5 * time.Minute
+	// completedLifetime is the time after a full answer in which a request gets no strikes. A
+	// request that many callers send is answered again within it.
+	completedLifetime = 30 * time.Second
 )
 
-// completedSet holds the fingerprints of requests that were recently answered in
-// full, for one to two generations. It distinguishes a request that crashes
-// servers from one that many callers send and that is therefore in flight at every
-// crash.
+// completedSet holds when requests were last answered in full, by fingerprint, in two
+// generations. It distinguishes a request that crashes servers from one that many
+// callers send and that is therefore in flight at every crash.
 type completedSet struct {
-	current, previous map[uint64]struct{}
+	current, previous map[uint64]model.Instant
 	since             model.Instant // start of the current generation
 }
 
 func newCompletedSet() completedSet {
-	return completedSet{current: make(map[uint64]struct{}), previous: make(map[uint64]struct{})}
+	return completedSet{current: make(map[uint64]model.Instant), previous: make(map[uint64]model.Instant)}
 }
 
 func (c *completedSet) add(now model.Instant, fingerprint uint64) {
-	if len(c.current) >= maxGenerationSize || now.Sub(c.since) > generationPeriod {
+	if len(c.current) >= maxGenerationSize || now.Sub(c.since) > completedLifetime {
 		c.current, c.previous = c.previous, c.current
 		clear(c.current)
 		c.since = now
 	}
-	if _, ok := c.current[fingerprint]; !ok {
-		c.current[fingerprint] = struct{}{}
-	}
+	c.current[fingerprint] = now
 }
 
-func (c *completedSet) has(fingerprint uint64) bool {
-	if _, ok := c.current[fingerprint]; ok {
-		return true
+// has reports whether a request was answered in full within completedLifetime.
+func (c *completedSet) has(now model.Instant, fingerprint uint64) bool {
+	at, ok := c.current[fingerprint]
+	if !ok {
+		at, ok = c.previous[fingerprint]
 	}
-	_, ok := c.previous[fingerprint]
-	return ok
+	return ok && now.Sub(at) <= completedLifetime
 }
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -89,7 +89,7 @@
 // the network fails, the connections of a request that many callers send break at several
 // servers at once. An attempt that began later, such as a retry, is not.
 func (s *SuspectTracker) strike(now model.Instant, a *lostAttempt) bool {
-	if s.completed.has(a.fingerprint) {
+	if s.completed.has(now, a.fingerprint) {
 		return false
 	}
 	entry := s.getOrCreate(now, a.fingerprint)
@@ -160,8 +160,8 @@
 
 // RecentlyCompleted reports whether a server has recently answered the request in full, so
 // that a broken connection is no evidence against it.
-func (s *SuspectTracker) RecentlyCompleted(fingerprint uint64) bool {
-	return s.completed.has(fingerprint)
+func (s *SuspectTracker) RecentlyCompleted(now model.Instant, fingerprint uint64) bool {
+	return s.completed.has(now, fingerprint)
 }
 
 // Completed records that a server answered the request in full. This clears its
