reducer: a server that falls silent beneath a request is a strike

Change: a status query that gets no connection in time and no refusal (ServerReported says so now) is a strike for the requests that run at the server and for those that it left unanswered since its last answer. internal/health is the same tracker as on the platform.

Result: TestRequestWhoseServersFallSilentIsRefused fails without the call, passes with it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -189,6 +189,8 @@
 	Slots    int
 	// Err is set if the report could not be obtained.
 	Err error
+	// Unreachable reports that the server accepted no connection in time and refused none.
+	Unreachable bool
 }
 
 // PlatformListed carries the platform's list of instances.
--- a/internal/health/report.go
+++ b/internal/health/report.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// LastAnswer returns when a server last reported or answered a request successfully, 0 if it
+// has not.
+func (t *Tracker) LastAnswer(name model.BackendName) model.Instant {
+	s := t.byName[name]
+	if s == nil {
+		return 0
+	}
+	return max(s.report.at, s.lastSuccess)
+}
+
 // reportedDrain applies a reported drain immediately. It withdraws the drain only
 // ReportLifetime after the server last announced it, since an earlier report may
 // lag behind the announcement.
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -60,11 +60,24 @@
 	case event.AttemptBroken, event.AttemptTruncated, event.AttemptStaleBroken:
 		r.suspects.ConnectionBroken(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
 		r.out.add(&event.Probe{Backend: ev.Backend}) // a refused probe connection proves a crash
+	case event.AttemptTimeout, event.AttemptCancelled:
+		r.suspects.Unanswered(ev.At, o.meta.Fingerprint, ev.Backend, o.started)
 	case event.AttemptNotSent:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
 	}
 }
 
+// serverSilent records a strike against each request that a server has not answered and that
+// may have crashed it, so that its connections did not break.
+func (r *Reducer) serverSilent(now model.Instant, backend model.BackendName) {
+	for _, o := range r.offers {
+		if o.running && o.backend == backend {
+			r.suspects.Unanswered(now, o.meta.Fingerprint, backend, o.started)
+		}
+	}
+	r.suspects.ServerSilent(now, backend, r.health.LastAnswer(backend))
+}
+
 // closePooledConnections closes the pooled connections to a server when one of
 // them became unresponsive or was found broken: a device on the path that dropped
 // the state of one connection may have dropped that of the others too.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -249,8 +249,11 @@
 func (r *Reducer) serverReported(ev *event.ServerReported) {
 	r.health.RecordReport(ev.At, ev)
 	refused := errors.Is(ev.Err, syscall.ECONNREFUSED)
-	if refused {
+	switch {
+	case refused:
 		r.suspects.ServerFailed(ev.At, ev.Backend)
+	case ev.Unreachable:
+		r.serverSilent(ev.At, ev.Backend)
 	}
 	r.resumeParked(ev.At, ev.Backend, refused)
 	r.syncLimits(ev.At)
--- a/internal/reducer/crash_test.go
+++ b/internal/reducer/crash_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"testing"
@@ -106,3 +107,20 @@
 	effects := s.step(&event.Tick{At: s.now})
 	require.Contains(t, effects, event.Effect(&event.RefuseOffer{Request: 1, Outcome: model.Unknown, Cause: model.CauseConnectionBroken}))
 }
+
+// TestRequestWhoseServersFallSilentIsRefused has servers that lose their power beneath a
+// request, so that no connection breaks and none is refused.
+func TestRequestWhoseServersFallSilentIsRefused(t *testing.T) {
+	s := newSession(t, threeServersText)
+	for id := model.RequestID(1); id <= 2; id++ {
+		s.now = s.now.Add(10 * time.Millisecond)
+		m := s.meta(id, "browse")
+		m.Fingerprint = 1
+		sent := dispatchOf(t, s.step(&event.OfferReceived{At: s.now, Request: id, From: "entry-2", Meta: m}))
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.step(&event.ServerReported{At: s.now, Backend: sent.Backend, Err: errors.New("dial: timeout"), Unreachable: true})
+		s.attempt(id, sent.Backend, event.AttemptTimeout)
+		require.True(t, s.r.suspects.HasStrike(s.now, 1), "request %d", id)
+	}
+	require.True(t, s.r.suspects.Blocked(s.now, 1))
+}
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
@@ -12,6 +13,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
+	"github.com/primrosenotch/primrosenotch/internal/upstream"
 )
 
 const (
@@ -86,7 +88,7 @@
 	}
 	go func() {
 		status, err := r.upstream.Status(r.ctx, name, backend.Address)
-		ev := &event.ServerReported{At: r.clock.now(), Backend: name, Err: err}
+		ev := &event.ServerReported{At: r.clock.now(), Backend: name, Err: err, Unreachable: unreachable(err)}
 		if err == nil {
 			ev.Healthy = status.Healthy
 			ev.Draining = status.Draining
@@ -98,6 +100,13 @@
 	}()
 }
 
+// unreachable reports whether a query failed because the server did not react to the
+// connection.
+func unreachable(err error) bool {
+	var failed *upstream.SendError
+	return errors.As(err, &failed) && failed.Step == upstream.StepDial && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (r *Runtime) closePooledConnections(name model.BackendName) {
 	if backend, ok := r.view.Load().backend(name); ok {
 		go r.upstream.ClosePooledConnections(backend.Address)
