dispatch, membership: a server gets no more requests than it says it takes

What callers saw: nothing at first.

Cause: no code read the field. Class: what a server says of itself is known at the edge of the process and reaches no decision.

Change: the limit is read from the head of each answer, refusals and health checks included, and takes effect with the head. It is divided among the instances by pacing.Fleet, without messages for requests: units in the shortest span of 1 to 4 s that has one for each instance, below that one unit for some instances; the share outlives a list of instances that cannot be read anew. Health checks count. A server without a unit left is passed over, not taken for full or broken, so that requests go to the next one; if none is left, they are refused with the time until a unit is free, less urgent routes first. What servers say travels between instances with the membership messages (ServerTerms, at most every 2 s and server), so that those without units learn of the end. It holds for one start of a server.

--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -45,7 +45,8 @@
 	Server   model.BackendName `json:"server"`
 	Service  model.ServiceName `json:"service"`
 	Zone     model.ZoneName    `json:"zone"`
-	Health   string            `json:"health"`    // such as ejected, draining, evacuated, cold
+	Health   string            `json:"health"` // such as ejected, draining, evacuated, cold, takes 1.6/s
+	Detail   string            `json:"detail,omitempty"`
 	InFlight int               `json:"in_flight"` // requests of this instance
 }
 
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -40,6 +40,9 @@
 	best := choice{cause: model.CauseNoBackend, wait: defaultRetryAfter}
 	var bestCost time.Duration
 	candidates := d.candidatesFor(now, q)
+	if len(candidates) == 0 {
+		best.wait = d.shortestTermsWait(now, q, best.wait)
+	}
 	for _, s := range candidates {
 		if wait := d.wait(now, s, q); wait > 0 {
 			if best.server == nil {
@@ -292,6 +295,8 @@
 		return standing
 	case slices.Contains(q.tried, s):
 		return excludedTried
+	case d.termsWait(now, s, q) > 0:
+		return excludedLimited
 	default:
 		return d.excludedRegion(s.region, q)
 	}
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -14,23 +14,29 @@
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
 
-// largeFleet returns the dispatchers of instances in all zones, a third of which receive
-// most of the requests, and the number of requests that each receives.
-func largeFleet(instances int, c *catalog.Configuration) ([]*Dispatcher, []int) {
+// fleetMembers returns instances in all zones, a third of which receive most of the requests.
+func fleetMembers(instances int) []pacing.Member {
 	zones := []model.ZoneName{"north-a", "north-b", "south-a", "south-b"}
 	var members []pacing.Member
-	var weights []int
 	for i := range instances {
 		weight := 1
 		if i%3 == 0 {
 			weight = 10
 		}
-		weights = append(weights, weight)
 		region := regions[zones[i%len(zones)]]
 		members = append(members, pacing.Member{ID: model.InstanceID(fmt.Sprint("edge-", i)), Region: region, Weight: float64(weight)})
 	}
+	return members
+}
+
+// largeFleet returns the dispatchers of fleetMembers and the number of requests that each
+// receives.
+func largeFleet(instances int, c *catalog.Configuration) ([]*Dispatcher, []int) {
+	members := fleetMembers(instances)
+	var weights []int
 	var fleet []*Dispatcher
 	for _, m := range members {
+		weights = append(weights, int(m.Weight))
 		settings := testSettings(m.Region)
 		settings.Self, settings.InstancesMaxAge = m.ID, 7*time.Second
 		d := New(settings)
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -28,7 +28,7 @@
 			return
 		}
 		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt))
-		d.probeBroken(a.server)
+		d.probeBroken(ev.At, a.server)
 	case event.AttemptTimeout, event.AttemptCancelled:
 		d.suspects.Unanswered(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt)
 	case event.AttemptNotSent:
@@ -65,13 +65,13 @@
 
 // probeBroken starts a health check of a server at which a connection broke. A refused
 // connection shows that the server crashed.
-func (d *Dispatcher) probeBroken(s *server) {
+func (d *Dispatcher) probeBroken(now model.Instant, s *server) {
 	svc := d.config.Service(s.entry.Service)
-	if svc == nil || s.probing || s.misdirected || s.ejectedUntil != 0 || s.unlistedAt != 0 {
+	if svc == nil || s.probing || s.misdirected || s.ejectedUntil != 0 || s.unlistedAt != 0 || d.checkWait(now, s) > 0 {
 		return
 	}
-	s.probing, s.probedBroken = true, true
-	d.add(&Probe{Server: &s.entry, Path: svc.HealthPath, Reason: ProbeBroken})
+	s.probedBroken = true
+	d.startProbe(now, s, svc.HealthPath, ProbeBroken)
 }
 
 // brokenServerProbed applies the health check of a server that is not ejected.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -53,6 +54,7 @@
 	store         storeHealth
 	overflow      overflow
 	suspects      *health.SuspectTracker
+	termed        map[*server]bool // servers that said what they take
 	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
 	ranked     []rankedServer
@@ -66,8 +68,10 @@
 	runTimes  map[model.RouteName]*runTimes
 	capacity  capacity
 	placement *placement
-	loads     map[model.RegionName]*average // of other instances' requests at a server, over reports
-	losses    *pacing.Counter               // recent failures, departures and evacuations of servers; a server may count more than once
+	// mostUrgent is the priority of the most urgent route to the service.
+	mostUrgent int
+	loads      map[model.RegionName]*average // of other instances' requests at a server, over reports
+	losses     *pacing.Counter               // recent failures, departures and evacuations of servers; a server may count more than once
 }
 
 // New returns a Dispatcher without a configuration.
@@ -84,6 +88,7 @@
 		randomState: 1,
 		instances:   &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
 		overflow:    newOverflow(),
+		termed:      map[*server]bool{},
 		suspects:    health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
 }
@@ -125,6 +130,10 @@
 		d.serverProbed(ev)
 	case *SuspectsReceived:
 		d.suspects.Merge(ev.At, ev.Suspects)
+	case *TermsNamed:
+		d.termsNamed(ev)
+	case *TermsReceived:
+		d.termsReceived(ev)
 	}
 	return d.effects
 }
@@ -200,6 +209,13 @@
 	}
 	for _, s := range d.services {
 		s.dropRunTimes(known)
+		s.mostUrgent = math.MaxInt
+	}
+	for i := range c.Routes {
+		for _, target := range c.Routes[i].Targets {
+			s := d.service(target.Service)
+			s.mostUrgent = min(s.mostUrgent, c.Routes[i].Priority)
+		}
 	}
 	if old == nil || old.Limits != c.Limits {
 		d.add(&LimitsChanged{Limits: c.Limits})
@@ -289,6 +305,7 @@
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.unindex(s)
+	delete(d.termed, s)
 	d.capacityStale = true
 	d.add(&CloseConnections{Server: &s.entry})
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -95,6 +95,25 @@
 	TimeFactor float64
 	HasCold    bool
 	ColdLeft   time.Duration
+	// Limit is the number of requests per second that the server takes from all instances
+	// together. LimitNamed is also set if the server named a limit that could not be read.
+	HasLimit   bool
+	Limit      float64
+	LimitNamed bool
+}
+
+// TermsNamed reports the head of an answer in which a server says what it takes, before the
+// attempt ends.
+type TermsNamed struct {
+	At     model.Instant
+	Server catalog.Server
+	Report ServerReport
+}
+
+// TermsReceived reports what servers said they take, as known by a peer.
+type TermsReceived struct {
+	At    model.Instant
+	Terms []membership.ServerTerms
 }
 
 // AttemptEnded reports the result of sending a request to a backend server. With
@@ -167,6 +186,8 @@
 func (*RequestEnded) event()       {}
 func (*ServerProbed) event()       {}
 func (*SuspectsReceived) event()   {}
+func (*TermsNamed) event()         {}
+func (*TermsReceived) event()      {}
 
 // Effect is an action that the caller of Step must carry out.
 type Effect interface{ effect() }
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -21,6 +21,7 @@
 	excludedEjected
 	excludedConnections
 	excludedTried
+	excludedLimited
 	excludedHomeRegions
 	excludedOtherRegion
 
@@ -34,6 +35,7 @@
 	excludedEjected:     "ejected",
 	excludedConnections: "no share of its connections",
 	excludedTried:       "tried already",
+	excludedLimited:     "takes no more at the moment",
 	excludedHomeRegions: "outside the home regions",
 	excludedOtherRegion: "another region",
 }
@@ -123,6 +125,12 @@
 				left--
 			}
 		}
+		for s := range d.termed {
+			if s.region == r.region && s.entry.Service == q.service && d.excluded(now, s, q) == excludedLimited {
+				add(excludedLimited, 1)
+				left--
+			}
+		}
 		if x := d.excludedRegion(r.region, q); x != notExcluded {
 			add(x, left)
 		}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -83,19 +83,25 @@
 	}
 	for _, svc := range d.config.Services {
 		for _, s := range d.byService[svc.Name] {
-			if s.ejectedUntil == 0 || now < s.ejectedUntil || s.probing || s.misdirected || s.unlistedAt != 0 {
+			if s.ejectedUntil == 0 || now < s.ejectedUntil || s.probing || s.misdirected || s.unlistedAt != 0 || d.checkWait(now, s) > 0 {
 				continue
 			}
-			s.probing = true
 			reason := ProbeEjected
 			if s.suspected {
 				reason = ProbeSuspected
 			}
-			d.add(&Probe{Server: &s.entry, Path: svc.HealthPath, Reason: reason})
+			d.startProbe(now, s, svc.HealthPath, reason)
 		}
 	}
 }
 
+// startProbe starts a health check, which counts for what the server takes.
+func (d *Dispatcher) startProbe(now model.Instant, s *server, path string, reason ProbeReason) {
+	s.probing = true
+	s.terms.countSend(now)
+	d.add(&Probe{Server: &s.entry, Path: path, Reason: reason})
+}
+
 // serverProbed ends or extends an ejection. A server that was down returns without its
 // warm objects; a server that was only slow to answer keeps them.
 func (d *Dispatcher) serverProbed(ev *ServerProbed) {
@@ -105,6 +111,9 @@
 		return
 	}
 	s.probing = false
+	if !ev.Misdirected {
+		d.applyTerms(ev.At, s, &ev.Report, false)
+	}
 	broken := s.probedBroken
 	s.probedBroken = false
 	if broken && s.ejectedUntil == 0 {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -30,6 +30,7 @@
 	answered    bool // an answer is being passed on to the caller
 	failed      bool // a server's failure is held for the caller
 	hedgePaid   bool // the retry budget was charged for an attempt that reached no server
+	lessUrgent  bool // a route of higher priority leads to the same service
 	suspected   bool // a server had failed beneath the same request before this one arrived
 	arrivedAt   model.Instant
 	// failedChoice is set if no server was found.
@@ -105,6 +106,7 @@
 		suspected:   d.suspects.HasStrike(ev.At, ev.Fingerprint),
 		arrivedAt:   ev.At,
 	}
+	q.lessUrgent = route.Priority > d.service(q.service).mostUrgent
 	q.runTimes = d.service(q.service).runTimesOf(route)
 	q.runTimes.start(ev.At)
 	d.requests[q.id] = q
@@ -163,6 +165,7 @@
 	if s.cold(now) {
 		s.coldSends.Add(now)
 	}
+	s.terms.countSend(now)
 	if q.sends == 1 {
 		d.service(q.service).budget.RecordSend(now)
 	}
@@ -227,6 +230,9 @@
 		s.unreachable = false
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	if !ev.Misdirected {
+		d.applyTerms(ev.At, s, &ev.Report, ev.Result == event.AttemptComplete && a.startedAt > s.terms.at)
+	}
 	d.updateHealth(ev, s)
 	d.recordCrashEvidence(ev, q, a)
 	switch ev.Result {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,7 @@
 	coldUntil   model.Instant
 	coldSends   pacing.Window
 	warm        warmSet
+	terms       serverTerms
 
 	misdirected  bool // a different server answers at its address
 	failures     int  // consecutive failures
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -13,7 +15,8 @@
 	Service   model.ServiceName
 	Zone      model.ZoneName
 	Condition string
-	InFlight  int // requests of this instance
+	Detail    string // of what the server says it takes, empty if it says nothing
+	InFlight  int    // requests of this instance
 }
 
 // RetryUse counts the sends to a service in the window of its retry budget.
@@ -28,7 +31,7 @@
 	for _, s := range d.servers {
 		if condition := d.condition(now, s); condition != "" {
 			list = append(list, ServerStatus{
-				ID: s.entry.ID, Service: s.entry.Service, Zone: s.entry.Zone, Condition: condition, InFlight: s.inFlight,
+				ID: s.entry.ID, Service: s.entry.Service, Zone: s.entry.Zone, Condition: condition, Detail: d.describeTerms(now, s), InFlight: s.inFlight,
 			})
 		}
 	}
@@ -51,6 +54,8 @@
 		return "ejected"
 	case s.unlistedAt != 0:
 		return "kept" // its entry is missing since the store was not reliable
+	case s.terms.Limited:
+		return fmt.Sprintf("takes %g/s", s.terms.Limit)
 	case s.cold(now):
 		return "cold"
 	default:
@@ -58,6 +63,27 @@
 	}
 }
 
+// describeTerms describes this instance's share of what a server takes.
+func (d *Dispatcher) describeTerms(now model.Instant, s *server) string {
+	if !s.terms.Limited {
+		return ""
+	}
+	share, span := d.limitShare(now, s)
+	age := now.Sub(s.terms.at).Round(100 * time.Millisecond)
+	return fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, s.terms.sends.CountWithin(now, span), share, span.Round(100*time.Millisecond))
+}
+
+// LimitedServers returns the number of servers that name a limit.
+func (d *Dispatcher) LimitedServers() int {
+	n := 0
+	for s := range d.termed {
+		if s.terms.Limited {
+			n++
+		}
+	}
+	return n
+}
+
 // RetryUses returns the use of the retry budgets, sorted by service.
 func (d *Dispatcher) RetryUses(now model.Instant) []RetryUse {
 	var list []RetryUse
--- /dev/null
+++ b/internal/dispatch/terms.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/model"
+	"github.com/primrosenotch/primrosenotch/internal/pacing"
+)
+
+// serverTerms is what a server last said of what it takes, and what this instance has made of
+// it.
+type serverTerms struct {
+	membership.Terms
+	// at is when the server last said so, to this instance or to a peer.
+	at      model.Instant
+	endedAt model.Instant // when a limit was last found to have ended
+	sends   pacing.Window // of requests and health checks, since the server named a limit
+}
+
+const (
+	// minLimitSpan and maxLimitSpan bound the span over which the requests at a server that
+	// names a limit are counted: the shortest in which each instance has a unit.
+	minLimitSpan = time.Second
+	maxLimitSpan = 4 * time.Second
+	// longestLimitSpan is the span of one request at a server whose limit is less than one in
+	// maxLimitSpan. A lower limit counts as none at all.
+	longestLimitSpan = time.Minute
+	// lessUrgentSpan is how much longer less urgent requests wait for a unit, so that more
+	// urgent ones find one.
+	lessUrgentSpan = 1.5
+	// fewUnits is the number of units below which the fraction of a unit that is left of a
+	// limit counts, so that the span is shortened by it.
+	fewUnits = 10
+	// maxLimitUnits bounds the units of a limit.
+	maxLimitUnits = 1 << 20
+	// restateTime is the time for which the end of a limit is confirmed to peers, whose
+	// message that it holds may still be on its way.
+	restateTime = 15 * time.Second
+)
+
+// limitUnits returns a limit as a number of requests, shared by a number of instances, in a
+// span.
+func limitUnits(limit float64, instances int) (int, time.Duration) {
+	span := minLimitSpan
+	for span < maxLimitSpan && limit*span.Seconds() < float64(instances) {
+		span *= 2
+	}
+	units := math.Floor(min(limit*span.Seconds(), maxLimitUnits))
+	switch {
+	case units >= fewUnits:
+		return int(units), span
+	case units >= 1:
+		return int(units), seconds(units / limit)
+	case limit*longestLimitSpan.Seconds() >= 1:
+		return 1, seconds(1 / limit)
+	default:
+		return 0, longestLimitSpan
+	}
+}
+
+// countSend counts a request or health check at a server that names a limit.
+func (t *serverTerms) countSend(now model.Instant) {
+	if t.Limited {
+		t.sends.Add(now)
+	}
+}
+
+// termsWait returns the time until this instance may send the server a request by what the
+// server says it takes, 0 if it may immediately.
+//
+// The load patterns are a server in need among others that have room, all servers of a service
+// in need, and limits of less than one request a second for each instance. The limit is
+// divided among the instances without messages (pacing.Fleet). If routes of different priority
+// lead to the service, the less urgent ones use the units that more urgent ones leave.
+func (d *Dispatcher) termsWait(now model.Instant, s *server, q *request) time.Duration {
+	if !s.terms.Limited {
+		return 0
+	}
+	share, span := d.limitShare(now, s)
+	if q.lessUrgent {
+		span = scale(span, lessUrgentSpan)
+	}
+	return s.terms.sends.TimeUntilBelowWithin(now, share, span)
+}
+
+// checkWait is termsWait for a health check.
+func (d *Dispatcher) checkWait(now model.Instant, s *server) time.Duration {
+	if !s.terms.Limited {
+		return 0
+	}
+	share, span := d.limitShare(now, s)
+	return s.terms.sends.TimeUntilBelowWithin(now, share, span)
+}
+
+// limitShare returns how many requests this instance may send to a server that names a limit
+// within a span. If no instance hears of the limit for long, other instances get the units: those
+// that have them may receive no requests for the server, and do not learn that it has ended.
+func (d *Dispatcher) limitShare(now model.Instant, s *server) (int, time.Duration) {
+	units, span := limitUnits(s.terms.Limit, d.instances.Instances())
+	turn := uint64(now.Sub(s.terms.at) / membership.TermsLifetime)
+	share := d.instances.Share(now, pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true})
+	return share, span
+}
+
+// termsNamed applies the head of an answer.
+func (d *Dispatcher) termsNamed(ev *TermsNamed) {
+	if s := d.servers[ev.Server.ID]; s != nil && s.entry.SameIncarnation(&ev.Server) {
+		d.applyTerms(ev.At, s, &ev.Report, false)
+	}
+}
+
+// termsReceived applies what servers said to other instances.
+func (d *Dispatcher) termsReceived(ev *TermsReceived) {
+	for i := range ev.Terms {
+		t := &ev.Terms[i]
+		if s := d.servers[t.Server]; s != nil && s.entry.Incarnation() == t.Incarnation && t.At > s.terms.at {
+			d.setTerms(ev.At, s, t.Terms, t.At, "told by a peer")
+		}
+	}
+}
+
+// applyTerms applies what a server says in an answer. Without a limit in it, the limit ends
+// if the answer is a complete one to a request that was sent after the limit was last named:
+// refusals and health checks need not name it.
+func (d *Dispatcher) applyTerms(now model.Instant, s *server, r *ServerReport, mayEnd bool) {
+	switch {
+	case r.HasLimit:
+		d.setTerms(now, s, membership.Terms{Limited: true, Limit: r.Limit}, now, "named by the server")
+	case r.LimitNamed:
+		s.terms.at = now
+	case mayEnd && (s.terms.Limited || s.terms.endedAt != 0 && now.Sub(s.terms.endedAt) < restateTime):
+		d.setTerms(now, s, membership.Terms{}, now, "no longer named by the server")
+	}
+}
+
+func (d *Dispatcher) setTerms(now model.Instant, s *server, terms membership.Terms, at model.Instant, reason string) {
+	s.terms.at = at
+	d.termed[s] = true
+	if s.terms.Terms == terms {
+		return
+	}
+	s.terms.Terms = terms
+	if terms.Limited {
+		s.terms.sends.Span = limitMemory(terms.Limit)
+		d.record(now, string(s.entry.ID), fmt.Sprintf("takes %g requests a second", terms.Limit), reason)
+		return
+	}
+	s.terms.sends = pacing.Window{}
+	s.terms.endedAt = now
+	d.record(now, string(s.entry.ID), "takes any number of requests", reason)
+}
+
+// limitMemory returns the time for which sends under a limit are remembered.
+func limitMemory(limit float64) time.Duration {
+	_, span := limitUnits(limit, math.MaxInt32)
+	return scale(span, lessUrgentSpan)
+}
+
+// shortestTermsWait returns the shortest time until a server of a request's service may take it
+// by what the servers say, or longest if that is shorter.
+func (d *Dispatcher) shortestTermsWait(now model.Instant, q *request, longest time.Duration) time.Duration {
+	for s := range d.termed {
+		if s.entry.Service == q.service && d.standingOf(now, s) == notExcluded {
+			if wait := d.termsWait(now, s, q); wait > 0 {
+				longest = min(longest, wait)
+			}
+		}
+	}
+	return longest
+}
+
+// Terms returns what the servers said within TermsLifetime, for peers.
+func (d *Dispatcher) Terms(now model.Instant) []membership.ServerTerms {
+	var list []membership.ServerTerms
+	for s := range d.termed {
+		switch {
+		case now.Sub(s.terms.at) < membership.TermsLifetime:
+			list = append(list, membership.ServerTerms{
+				Server: s.entry.ID, Incarnation: s.entry.Incarnation(), Terms: s.terms.Terms, At: s.terms.at,
+			})
+		case !s.terms.Limited:
+			delete(d.termed, s)
+		}
+	}
+	return list
+}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -40,6 +40,7 @@
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
 	e.group.SetSuspects(e.suspects(now))
+	e.group.SetTerms(e.terms(now))
 	e.applyOutput(e.group.Tick(now))
 	e.publishLookups(true)
 }
@@ -50,6 +51,12 @@
 	return e.dispatcher.Suspects(now)
 }
 
+func (e *Edge) terms(now model.Instant) []membership.ServerTerms {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.Terms(now)
+}
+
 // relistTime is how long an instance counts as listed whose entry was lost in a restore of
 // the store. It covers the time until every live instance has learned that its own entry is
 // missing and has written it again.
@@ -188,6 +195,9 @@
 	if len(out.Suspects) > 0 {
 		e.post(&dispatch.SuspectsReceived{At: now, Suspects: out.Suspects})
 	}
+	if len(out.Terms) > 0 {
+		e.post(&dispatch.TermsReceived{At: now, Terms: out.Terms})
+	}
 	e.publishLookups(false)
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -107,6 +107,11 @@
 		defer e.mu.Unlock()
 		return float64(e.dispatcher.Servers())
 	})
+	gauge("primrosenotch_edge_limited_servers", "Backend servers that name a limit on requests.", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(e.dispatcher.LimitedServers())
+	})
 	gauge("primrosenotch_edge_configuration_version", "Version of the configuration in force.", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -109,6 +110,7 @@
 	}
 	if failed == nil {
 		e.metrics.attempts.WithLabelValues("answered").Inc()
+		e.noteTerms(f.Server, &response.Report)
 		return outcome{answer: &answer{send: f, response: response, started: started, ctx: ctx, cancel: cancel, release: release}}
 	}
 	if failed.Result == event.AttemptCancelled {
@@ -264,6 +266,17 @@
 		TimeFactor: r.Load.TimeFactor,
 		HasCold:    r.HasCold,
 		ColdLeft:   r.ColdLeft,
+		HasLimit:   r.HasLimit,
+		Limit:      r.Limit,
+		LimitNamed: r.LimitNamed,
+	}
+}
+
+// noteTerms reports what a server says of what it takes as soon as the head of its answer is
+// known: the attempt ends only with the answer.
+func (e *Edge) noteTerms(server *catalog.Server, r *upstream.Report) {
+	if r.LimitNamed {
+		e.post(&dispatch.TermsNamed{At: e.clock.now(), Server: *server, Report: e.serverReport(server.ID, r)})
 	}
 }
 
@@ -302,6 +315,8 @@
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
 			probed.Report = e.serverReport(server.ID, &answer.Report)
+		} else if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
+			probed.Report = e.serverReport(server.ID, &failed.Report)
 		}
 		probed.At = e.clock.now()
 		e.metrics.probes.WithLabelValues(string(reason), probeResult(probed)).Inc()
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -37,7 +37,7 @@
 	status.Direct.Servers = e.dispatcher.Servers()
 	status.Direct.CrashSuspects = lo.CountBy(e.dispatcher.Suspects(now), func(s membership.Suspect) bool { return !s.Cleared() })
 	status.Direct.Restricted = lo.Map(e.dispatcher.RestrictedServers(now), func(s dispatch.ServerStatus, _ int) control.RestrictedServer {
-		return control.RestrictedServer{Server: s.ID, Service: s.Service, Zone: s.Zone, Health: s.Condition, InFlight: s.InFlight}
+		return control.RestrictedServer{Server: s.ID, Service: s.Service, Zone: s.Zone, Health: s.Condition, Detail: s.Detail, InFlight: s.InFlight}
 	})
 	status.Direct.Retries = lo.Map(e.dispatcher.RetryUses(now), func(u dispatch.RetryUse, _ int) control.RetryUse {
 		return control.RetryUse{Service: u.Service, FirstSends: u.FirstSends, Retries: u.Retries}
--- a/internal/httpheader/dialect.go
+++ b/internal/httpheader/dialect.go
@@ -30,6 +30,9 @@
 	// ColdMillis is how much longer the backend server remains cold, that is, limited to a
 	// lower request rate after its start, in milliseconds.
 	ColdMillis string
+	// ServerLimit is the number of requests per second, a decimal, that the backend server
+	// takes from all instances together.
+	ServerLimit string
 	// Signature is set on every successful response that a backend server sends after
 	// running the request. It is checked only if EchoesRequestID is set.
 	Signature string
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -34,6 +34,7 @@
 		Records:     lo.Map(m.Records, func(r Record, _ int) *linkpb.Record { return recordToProto(&r) }),
 		Zones:       lo.Map(m.Zones, func(z ZoneSummary, _ int) *linkpb.ZoneSummary { return zoneToProto(&z) }),
 		Suspects:    lo.Map(m.Suspects, func(s Suspect, _ int) *linkpb.Suspect { return suspectToProto(now, &s) }),
+		Terms:       lo.Map(m.Terms, func(t ServerTerms, _ int) *linkpb.ServerTerms { return termsToProto(now, &t) }),
 		Known:       lo.Map(m.Known, func(v RecordVersion, _ int) *linkpb.RecordVersion { return versionToProto(v) }),
 
 		RevisionAcceptedAt: int64(m.Revision.AcceptedAt),
@@ -129,6 +130,9 @@
 	for _, s := range p.GetSuspects() {
 		m.Suspects = append(m.Suspects, suspectFromProto(now, s))
 	}
+	for _, t := range p.GetTerms() {
+		m.Terms = append(m.Terms, termsFromProto(now, t))
+	}
 	for _, v := range p.GetKnown() {
 		m.Known = append(m.Known, versionFromProto(v))
 	}
@@ -207,6 +211,26 @@
 	}
 }
 
+func termsToProto(now model.Instant, t *ServerTerms) *linkpb.ServerTerms {
+	return &linkpb.ServerTerms{
+		Server:      string(t.Server),
+		Incarnation: t.Incarnation,
+		Limited:     t.Terms.Limited,
+		Limit:       t.Terms.Limit,
+		AgeNs:       int64(now.Sub(t.At)),
+	}
+}
+
+// termsFromProto decodes the terms of a server. A limit that is no rate counts as 0.
+func termsFromProto(now model.Instant, t *linkpb.ServerTerms) ServerTerms {
+	terms := Terms{Limited: t.GetLimited()}
+	if limit := t.GetLimit(); terms.Limited && limit > 0 {
+		terms.Limit = limit
+	}
+	age := min(max(0, time.Duration(t.GetAgeNs())), TermsLifetime)
+	return ServerTerms{Server: model.BackendName(t.GetServer()), Incarnation: t.GetIncarnation(), Terms: terms, At: now.Add(-age)}
+}
+
 func namesToProto(names []model.BackendName) []string {
 	return lo.Map(names, func(n model.BackendName, _ int) string { return string(n) })
 }
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -85,6 +85,17 @@
 				Expires:     now.Add(left),
 			}
 		}),
+		Terms: drawList(t, func(t *rapid.T) ServerTerms {
+			terms := ServerTerms{
+				Server:      drawName[model.BackendName]("b").Draw(t, "server"),
+				Incarnation: rapid.String().Draw(t, "incarnation"),
+				At:          now.Add(-time.Duration(rapid.Int64Range(0, int64(TermsLifetime)).Draw(t, "age"))),
+			}
+			if rapid.Bool().Draw(t, "limited") {
+				terms.Terms = Terms{Limited: true, Limit: rapid.Float64Range(0, 1e9).Draw(t, "limit")}
+			}
+			return terms
+		}),
 		Known: drawList(t, func(t *rapid.T) RecordVersion {
 			return RecordVersion{
 				drawName[model.InstanceID]("i").Draw(t, "id"),
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -46,6 +46,7 @@
 	summaries summaries
 	loads     ownLoads
 	suspects  suspectSet
+	terms     termsSet
 
 	revision      config.Order
 	fetchedAt     model.Instant
@@ -215,6 +216,7 @@
 	g.removeExpired()
 	g.summarize()
 	g.suspects.expire(now)
+	g.terms.expire(now)
 	g.heartbeat()
 	return g.finish()
 }
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -22,6 +22,7 @@
 	loadsSent   uint64    // generation of this instance's loads last sent, 0 for none
 	zonesSent   map[model.ZoneName]zoneSent
 	suspectsGen uint64
+	termsGen    uint64
 	redialAt    model.Instant // earliest time of the next replacement of a silent link
 }
 
@@ -46,6 +47,7 @@
 	l.pending = nil
 	l.loadsSent = 0
 	l.suspectsGen = 0
+	l.termsGen = 0
 }
 
 // LinkUp records that the link to a peer works.
@@ -212,11 +214,13 @@
 		Records:     records,
 		Zones:       g.zonesFor(l),
 		Suspects:    g.suspects.since(l.suspectsGen),
+		Terms:       g.terms.since(l.termsGen),
 	}
 	if l.sendDigest {
 		message.Known = g.digest()
 	}
 	l.suspectsGen = g.suspects.generation
+	l.termsGen = g.terms.generation
 	l.sendDigest = false
 	l.due = false
 	l.sentAt = g.now
--- a/internal/membership/output.go
+++ b/internal/membership/output.go
@@ -18,7 +18,9 @@
 	// Suspects are request fingerprints that are new, or have new servers or a later
 	// expiry.
 	Suspects []Suspect
-	Notes    []Note
+	// Terms are news of what backend servers take.
+	Terms []ServerTerms
+	Notes []Note
 }
 
 // Addressed is a message with its receiver.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -34,7 +34,8 @@
 		g.mergeZone(l, &message.Zones[i])
 	}
 	g.out.Suspects = g.suspects.merge(message.Suspects, g.now)
-	if len(g.out.Suspects) > 0 {
+	g.out.Terms = g.terms.merge(message.Terms, g.now)
+	if len(g.out.Suspects) > 0 || len(g.out.Terms) > 0 {
 		g.ScheduleMessages()
 	}
 	g.answerDigest(l, message.Known)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -89,6 +89,7 @@
 	Records     []Record      // changed since the last message to the receiver
 	Zones       []ZoneSummary // newer than those sent before; bridges exchange them between zones
 	Suspects    []Suspect     // requests that crashed backend servers
+	Terms       []ServerTerms // what backend servers said of themselves
 	// Known is a digest of the sender's records that asks the receiver to send newer
 	// ones. It is set on the first message after a link comes up or its peer becomes a
 	// heartbeat peer.
--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -28,6 +28,10 @@
 	// uses a unit that another one held only when that one's uses have left the window. If it
 	// is 0, units change hands at once.
 	Span time.Duration
+	// OutlivesList reports that the units left over are also used while the list of instances
+	// is older than MaxAge. It is for bounds that may be exceeded a little, if two instances
+	// disagree about the list, but must not keep all instances from their units.
+	OutlivesList bool
 }
 
 // Fleet divides bounds among the instances without messages between them. Each instance has
@@ -135,7 +139,7 @@
 // Share returns how many units of a bound this instance may use.
 func (f *Fleet) Share(now model.Instant, b Bound) int {
 	s := f.share(now, b)
-	if b.Span > 0 && now.Sub(f.knownAt) > f.MaxAge {
+	if b.Span > 0 && !b.OutlivesList && now.Sub(f.knownAt) > f.MaxAge {
 		return s.equal
 	}
 	return s.equal + s.leftOver
--- a/internal/pacing/window.go
+++ b/internal/pacing/window.go
@@ -27,17 +27,34 @@
 	return len(w.times)
 }
 
+// CountWithin is Count for a span that is shorter than the window's.
+func (w *Window) CountWithin(now model.Instant, span time.Duration) int {
+	w.expire(now)
+	n := 0
+	for _, at := range w.times {
+		if now.Sub(at) < span {
+			n++
+		}
+	}
+	return n
+}
+
 // TimeUntilBelow returns the time until fewer than limit events are left in the window,
 // 0 if that is already the case. If limit is less than 1, it returns Span.
 func (w *Window) TimeUntilBelow(now model.Instant, limit int) time.Duration {
+	return w.TimeUntilBelowWithin(now, limit, w.Span)
+}
+
+// TimeUntilBelowWithin is TimeUntilBelow for a span that is shorter than the window's.
+func (w *Window) TimeUntilBelowWithin(now model.Instant, limit int, span time.Duration) time.Duration {
 	w.expire(now)
 	if limit < 1 {
-		return w.Span
+		return span
 	}
 	if len(w.times) < limit {
 		return 0
 	}
-	return w.times[len(w.times)-limit].Add(w.Span).Sub(now)
+	return max(0, w.times[len(w.times)-limit].Add(span).Sub(now))
 }
 
 func (w *Window) expire(now model.Instant) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -72,6 +72,11 @@
 	// request rate after its start.
 	ColdLeft time.Duration
 	HasCold  bool
+	// Limit is the number of requests per second that the server takes from all instances
+	// together. LimitNamed is also set if the field could not be parsed.
+	Limit      float64
+	HasLimit   bool
+	LimitNamed bool
 	// Invalid lists the fields that could not be parsed.
 	Invalid []*httpheader.FieldError
 }
--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -33,9 +35,38 @@
 		r.ColdLeft, r.HasCold = left, err == nil
 		r.noteInvalid(d.ColdMillis, value, err)
 	}
+	if values := resp.Header.PeekAll(d.ServerLimit); d.ServerLimit != "" && len(values) > 0 {
+		r.readLimit(d.ServerLimit, values)
+	}
 	return r
 }
 
+// readLimit reads a server's limit. Of several ones the lowest holds.
+func (r *Report) readLimit(name string, values [][]byte) {
+	r.LimitNamed = true
+	for _, value := range values {
+		limit, err := parseLimit(string(value))
+		r.noteInvalid(name, string(value), err)
+		if err == nil && (!r.HasLimit || limit < r.Limit) {
+			r.Limit, r.HasLimit = limit, true
+		}
+	}
+}
+
+var errLimit = errors.New("want requests per second, a decimal that is not negative")
+
+func parseLimit(value string) (float64, error) {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	switch {
+	case err != nil:
+		return 0, err
+	case !(limit >= 0) || math.IsInf(limit, 0):
+		return 0, errLimit
+	default:
+		return limit, nil
+	}
+}
+
 // field returns the value of a header field, or "" if it is missing or has no name.
 func field(resp *fasthttp.Response, name string) string {
 	if name == "" {
