dispatch: a server that refused a request gets nothing for the time it asked for

What others saw: a server that answered 503 with Retry-After got requests on and on (63 from two instances between 0.5 s and 3 s after its first refusal, 4 allowed).

Cause: the field was read for primrosenotch-entry only and dropped on the platform path. Class: as with the limit, a server's word that reaches no decision.

Change: Retry-After of a refusal (503, 429), of requests and health checks, pauses the server at this instance, as a part of what the server says it takes (dispatch/terms.go). The end is up to a quarter later, by instance, and one request at a time goes there until it has answered one, so that it is not flooded by all instances at once. If all servers are paused, requests are refused with the true time. Dates, negative values and others that are no seconds are counted and logged; more than an hour counts as an hour and is logged, too.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -41,7 +41,9 @@
 	var bestCost time.Duration
 	candidates := d.candidatesFor(now, q)
 	if len(candidates) == 0 {
-		best.wait = d.shortestTermsWait(now, q, best.wait)
+		if wait := d.shortestTermsWait(now, q); wait > 0 {
+			best.wait, best.cause = wait, model.CauseQueueFull
+		}
 	}
 	for _, s := range candidates {
 		if wait := d.wait(now, s, q); wait > 0 {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	overflow      overflow
 	suspects      *health.SuspectTracker
 	termed        map[*server]bool // servers that said what they take
+	paused        map[*server]bool // servers that have refused a request and not answered one since
 	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
 	ranked     []rankedServer
@@ -89,6 +90,7 @@
 		instances:   &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
 		overflow:    newOverflow(),
 		termed:      map[*server]bool{},
+		paused:      map[*server]bool{},
 		suspects:    health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
 }
@@ -306,6 +308,7 @@
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.unindex(s)
 	delete(d.termed, s)
+	delete(d.paused, s)
 	d.capacityStale = true
 	d.add(&CloseConnections{Server: &s.entry})
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -100,6 +100,9 @@
 	HasLimit   bool
 	Limit      float64
 	LimitNamed bool
+	// RetryAfter is the time for which a server that refused a request wants nothing from this
+	// instance.
+	RetryAfter time.Duration
 }
 
 // TermsNamed reports the head of an answer in which a server says what it takes, before the
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -125,8 +125,8 @@
 				left--
 			}
 		}
-		for s := range d.termed {
-			if s.region == r.region && s.entry.Service == q.service && d.excluded(now, s, q) == excludedLimited {
+		for _, s := range d.heldBack(now, q) {
+			if s.region == r.region {
 				add(excludedLimited, 1)
 				left--
 			}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -38,6 +38,7 @@
 		s.failures = 0
 		s.ejectedUntil = 0
 		s.shed.add(0)
+		d.resumed(ev.At, s)
 	case ev.Result == event.AttemptCancelled:
 	default:
 		d.recordBrokenAttempt(ev, s)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -54,6 +54,8 @@
 		return "ejected"
 	case s.unlistedAt != 0:
 		return "kept" // its entry is missing since the store was not reliable
+	case now < s.terms.pausedUntil:
+		return "wants nothing"
 	case s.terms.Limited:
 		return fmt.Sprintf("takes %g/s", s.terms.Limit)
 	case s.cold(now):
@@ -65,6 +67,9 @@
 
 // describeTerms describes this instance's share of what a server takes.
 func (d *Dispatcher) describeTerms(now model.Instant, s *server) string {
+	if left := s.terms.pausedUntil.Sub(now); left > 0 {
+		return fmt.Sprintf("for %s", left.Round(100*time.Millisecond))
+	}
 	if !s.terms.Limited {
 		return ""
 	}
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
@@ -18,6 +20,10 @@
 	at      model.Instant
 	endedAt model.Instant // when a limit was last found to have ended
 	sends   pacing.Window // of requests and health checks, since the server named a limit
+	// pausedUntil is until when the server wants nothing from this instance.
+	pausedUntil model.Instant
+	// resuming reports that the server has not answered a request since its pause.
+	resuming bool
 }
 
 const (
@@ -39,6 +45,9 @@
 	// restateTime is the time for which the end of a limit is confirmed to peers, whose
 	// message that it holds may still be on its way.
 	restateTime = 15 * time.Second
+	// maxPauseSpread is how much later than asked, as a fraction of the pause, an instance uses
+	// a server again, so that not all instances do so at the same moment.
+	maxPauseSpread = 0.25
 )
 
 // limitUnits returns a limit as a number of requests, shared by a number of instances, in a
@@ -76,8 +85,8 @@
 // divided among the instances without messages (pacing.Fleet). If routes of different priority
 // lead to the service, the less urgent ones use the units that more urgent ones leave.
 func (d *Dispatcher) termsWait(now model.Instant, s *server, q *request) time.Duration {
-	if !s.terms.Limited {
-		return 0
+	if wait := s.pauseWait(now); wait > 0 || !s.terms.Limited {
+		return wait
 	}
 	share, span := d.limitShare(now, s)
 	if q.lessUrgent {
@@ -86,10 +95,47 @@
 	return s.terms.sends.TimeUntilBelowWithin(now, share, span)
 }
 
+// pauseWait returns the time until a server that has refused a request wants another one. After
+// the pause one request at a time goes there until the server has answered one.
+//
+// The load pattern is a server in need that all instances have just turned to.
+func (s *server) pauseWait(now model.Instant) time.Duration {
+	switch wait := s.terms.pausedUntil.Sub(now); {
+	case wait > 0:
+		return wait
+	case s.terms.resuming && s.inFlight > 0:
+		return minWait
+	default:
+		return 0
+	}
+}
+
+// pause notes that a server wants nothing for some time.
+func (d *Dispatcher) pause(now model.Instant, s *server, length time.Duration) {
+	spread := float64(xxh3.HashStringSeed(string(d.settings.Self), s.hash)>>11) / (1 << 53)
+	until := now.Add(length + scale(length, maxPauseSpread*spread))
+	if until <= s.terms.pausedUntil {
+		return
+	}
+	if !s.terms.resuming {
+		d.record(now, string(s.entry.ID), fmt.Sprintf("wants nothing for %s", length), "refused with Retry-After")
+	}
+	s.terms.pausedUntil, s.terms.resuming = until, true
+	d.paused[s] = true
+}
+
+// resumed notes that a server has answered a request.
+func (d *Dispatcher) resumed(now model.Instant, s *server) {
+	if s.terms.resuming && now >= s.terms.pausedUntil {
+		s.terms.resuming = false
+		delete(d.paused, s)
+	}
+}
+
 // checkWait is termsWait for a health check.
 func (d *Dispatcher) checkWait(now model.Instant, s *server) time.Duration {
-	if !s.terms.Limited {
-		return 0
+	if wait := s.terms.pausedUntil.Sub(now); wait > 0 || !s.terms.Limited {
+		return max(0, wait)
 	}
 	share, span := d.limitShare(now, s)
 	return s.terms.sends.TimeUntilBelowWithin(now, share, span)
@@ -126,6 +172,9 @@
 // if the answer is a complete one to a request that was sent after the limit was last named:
 // refusals and health checks need not name it.
 func (d *Dispatcher) applyTerms(now model.Instant, s *server, r *ServerReport, mayEnd bool) {
+	if r.RetryAfter > 0 {
+		d.pause(now, s, r.RetryAfter)
+	}
 	switch {
 	case r.HasLimit:
 		d.setTerms(now, s, membership.Terms{Limited: true, Limit: r.Limit}, now, "named by the server")
@@ -160,16 +209,31 @@
 }
 
 // shortestTermsWait returns the shortest time until a server of a request's service may take it
-// by what the servers say, or longest if that is shorter.
-func (d *Dispatcher) shortestTermsWait(now model.Instant, q *request, longest time.Duration) time.Duration {
+// by what the servers say, 0 if none of them is kept from it by that.
+func (d *Dispatcher) shortestTermsWait(now model.Instant, q *request) time.Duration {
+	var shortest time.Duration
+	for _, s := range d.heldBack(now, q) {
+		if wait := d.termsWait(now, s, q); shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+// heldBack returns the servers that may not take a request only for what they say.
+func (d *Dispatcher) heldBack(now model.Instant, q *request) []*server {
+	var list []*server
 	for s := range d.termed {
-		if s.entry.Service == q.service && d.standingOf(now, s) == notExcluded {
-			if wait := d.termsWait(now, s, q); wait > 0 {
-				longest = min(longest, wait)
-			}
+		if s.entry.Service == q.service && !d.paused[s] && d.excluded(now, s, q) == excludedLimited {
+			list = append(list, s)
 		}
 	}
-	return longest
+	for s := range d.paused {
+		if s.entry.Service == q.service && d.excluded(now, s, q) == excludedLimited {
+			list = append(list, s)
+		}
+	}
+	return list
 }
 
 // Terms returns what the servers said within TermsLifetime, for peers.
--- a/internal/dispatch/terms_test.go
+++ b/internal/dispatch/terms_test.go
@@ -519,3 +519,50 @@
 		require.LessOrEqual(t, limitMemory(limit), scale(longestLimitSpan, lessUrgentSpan))
 	}
 }
+
+// TestServerIsNotFloodedAfterItsPause has a server refuse one request of each instance with a
+// Retry-After. Nothing may reach it before, and then one request of an instance at a time.
+func TestServerIsNotFloodedAfterItsPause(t *testing.T) {
+	const pause, instances = 2 * time.Second, 20
+	fleet, _ := largeFleet(instances, configuration(1, testRoute()))
+	id := model.RequestID(0)
+	var back []model.Instant
+	for _, d := range fleet {
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: testServer("only", "north-a", "shop")}})
+		id++
+		sent := requireSend(t, arrive(d, start, id, "k"))
+		d.Step(&AttemptEnded{At: start, Request: id, Attempt: sent.Attempt, Result: event.AttemptShed, Report: ServerReport{RetryAfter: pause}})
+		for now := start.Add(10 * time.Millisecond); ; now = now.Add(10 * time.Millisecond) {
+			id++
+			effect := arrive(d, now, id, "k")
+			if refuse, ok := effect.(*Refuse); ok {
+				require.Positive(t, refuse.RetryAfter)
+				require.LessOrEqual(t, refuse.RetryAfter, scale(pause, 1+maxPauseSpread))
+				continue
+			}
+			back = append(back, now)
+			second := arrive(d, now, id+1, "k")
+			requireRefuse(t, second, model.NotRun, model.CauseQueueFull)
+			endAttempt(d, now, id, event.AttemptComplete)
+			id += 2
+			requireSend(t, arrive(d, now, id, "k"))
+			break
+		}
+	}
+	require.GreaterOrEqual(t, slices.Min(back).Sub(start), pause)
+	require.Greater(t, slices.Max(back).Sub(slices.Min(back)), 300*time.Millisecond, "not all at once")
+	require.LessOrEqual(t, slices.Max(back).Sub(start), scale(pause, 1+maxPauseSpread)+20*time.Millisecond)
+}
+
+// TestNoHealthCheckDuringAPause has an ejected server that wants nothing.
+func TestNoHealthCheckDuringAPause(t *testing.T) {
+	d := newDispatcher(testRoute())
+	id := model.BackendName("shop-north-a")
+	d.servers[id].ejectedUntil = start
+	require.Len(t, probedServers(d.Step(&Tick{At: start})), 1)
+	d.Step(&ServerProbed{At: start, Server: id, Reached: true, Report: ServerReport{RetryAfter: 3 * time.Second}})
+	for now := start; now < at(3*time.Second); now = now.Add(100 * time.Millisecond) {
+		require.Empty(t, probedServers(d.Step(&Tick{At: now})))
+	}
+	require.Len(t, probedServers(d.Step(&Tick{At: at(4 * time.Second)})), 1)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -269,6 +269,7 @@
 		HasLimit:   r.HasLimit,
 		Limit:      r.Limit,
 		LimitNamed: r.LimitNamed,
+		RetryAfter: r.RetryAfter,
 	}
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -77,6 +77,9 @@
 	Limit      float64
 	HasLimit   bool
 	LimitNamed bool
+	// RetryAfter is the time for which a server that refused a request wants nothing, 0 if
+	// it named none.
+	RetryAfter time.Duration
 	// Invalid lists the fields that could not be parsed.
 	Invalid []*httpheader.FieldError
 }
--- a/internal/upstream/limit_test.go
+++ b/internal/upstream/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -43,3 +44,34 @@
 		require.Len(t, r.Invalid, c.invalid, c.values)
 	}
 }
+
+// TestPausesOfServersAreReadOrCounted covers what a server may write into Retry-After.
+func TestPausesOfServersAreReadOrCounted(t *testing.T) {
+	for _, c := range []struct {
+		status  int
+		values  []string
+		after   time.Duration
+		invalid int
+	}{
+		{status: 503},
+		{status: 200, values: []string{"2"}},
+		{status: 503, values: []string{"2"}, after: 2 * time.Second},
+		{status: 429, values: []string{" 0.5 "}, after: 500 * time.Millisecond},
+		{status: 503, values: []string{"1", "3"}, after: 3 * time.Second},
+		{status: 503, values: []string{"soon", "3"}, after: 3 * time.Second, invalid: 1},
+		{status: 503, values: []string{"-1"}, invalid: 1},
+		{status: 503, values: []string{"Sat, 05 Dec 2026 11:00:00 GMT"}, invalid: 1},
+		{status: 503, values: []string{"1000000000"}, after: maxRetryAfter, invalid: 1},
+		{status: 503, values: []string{"1e999"}, after: maxRetryAfter, invalid: 1},
+		{status: 503, values: []string{"NaN"}, invalid: 1},
+	} {
+		var resp fasthttp.Response
+		resp.SetStatusCode(c.status)
+		for _, value := range c.values {
+			resp.Header.Add("Retry-After", value)
+		}
+		r := readReport(&httpheader.Dialect{}, &resp)
+		require.Equal(t, c.after, r.RetryAfter, c.values)
+		require.Len(t, r.Invalid, c.invalid, c.values)
+	}
+}
--- a/internal/upstream/report.go
+++ b/internal/upstream/report.go
@@ -38,9 +38,45 @@
 	if values := resp.Header.PeekAll(d.ServerLimit); d.ServerLimit != "" && len(values) > 0 {
 		r.readLimit(d.ServerLimit, values)
 	}
+	if refuses(resp.StatusCode()) {
+		r.readRetryAfter(resp.Header.PeekAll(httpheader.RetryAfter))
+	}
 	return r
 }
 
+// refuses reports whether a status says that the server takes no request at the moment.
+func refuses(status int) bool {
+	return status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests
+}
+
+// readRetryAfter reads for how long a server wants nothing. Of several values the longest
+// holds.
+func (r *Report) readRetryAfter(values [][]byte) {
+	for _, value := range values {
+		after, err := parseRetryAfter(string(value))
+		r.noteInvalid(httpheader.RetryAfter, string(value), err)
+		r.RetryAfter = max(r.RetryAfter, after)
+	}
+}
+
+var errRetryAfter = fmt.Errorf("want seconds between 0 and %g", maxRetryAfter.Seconds())
+
+// parseRetryAfter parses Retry-After in seconds. A longer time than maxRetryAfter is an error
+// and counts as maxRetryAfter.
+func parseRetryAfter(value string) (time.Duration, error) {
+	after, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	switch {
+	case err != nil && !errors.Is(err, strconv.ErrRange):
+		return 0, err
+	case !(after >= 0):
+		return 0, errRetryAfter
+	case after > maxRetryAfter.Seconds():
+		return maxRetryAfter, errRetryAfter
+	default:
+		return time.Duration(after * float64(time.Second)), nil
+	}
+}
+
 // readLimit reads a server's limit. Of several ones the lowest holds.
 func (r *Report) readLimit(name string, values [][]byte) {
 	r.LimitNamed = true
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"strings"
 	"time"
 
@@ -209,13 +208,14 @@
 // shed returns the error of an attempt that the server refused without running it.
 func (c *Client) shed(a *Attempt, resp *fasthttp.Response, body *responseBody) *SendError {
 	d := c.settings.Dialect
+	report := readReport(d, resp)
 	e := &SendError{
 		Result:      event.AttemptShed,
 		Sent:        true,
-		RetryAfter:  retryAfter(resp),
+		RetryAfter:  report.RetryAfter,
 		Draining:    fieldIsTrue(resp, d.Draining),
 		Misdirected: isMisdirected(d, resp),
-		Report:      readReport(d, resp),
+		Report:      report,
 		Step:        StepShed,
 		Backend:     a.Backend,
 		Peer:        a.Address,
@@ -227,15 +227,5 @@
 
 var errShed = errors.New("server refused the request without running it")
 
-// retryAfter parses Retry-After in seconds. It returns 0 for a value that is missing,
-// invalid or longer than maxRetryAfter.
-func retryAfter(resp *fasthttp.Response) time.Duration {
-	seconds, err := strconv.ParseFloat(string(resp.Header.Peek(httpheader.RetryAfter)), 64)
-	if err != nil || !(seconds >= 0 && seconds <= maxRetryAfter.Seconds()) {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // maxRetryAfter is the longest Retry-After that is accepted.
 const maxRetryAfter = time.Hour
