dispatch: a server that says it leaves gets nothing new

Class: two sources of one fact, and the later write wins.

Change: leaving is a part of what a server says it takes. It is read from the head of every answer, refusals, misdirected ones less, and health checks included, holds for that start of the server whatever its entry says, and is told to peers. What a peer tells of a server that is not listed yet is kept until it is, since an instance may start before it has read the store.

The naive version of TestCandidatesEqualAFullScan knows leaving, limits and pauses, and its plays contain them.

--- a/internal/dispatch/balance.go
+++ b/internal/dispatch/balance.go
@@ -52,7 +52,7 @@
 	c := capacity{demand: d.demandShare}
 	for _, s := range d.byService[name] {
 		switch {
-		case s.entry.Draining, d.evacuations.active[s.entry.Zone]:
+		case s.leaves(), d.evacuations.active[s.entry.Zone]:
 		case s.region == d.settings.Region:
 			c.localServers++
 		default:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/health"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
@@ -54,8 +55,9 @@
 	store         storeHealth
 	overflow      overflow
 	suspects      *health.SuspectTracker
-	termed        map[*server]bool // servers that said what they take
-	paused        map[*server]bool // servers that have refused a request and not answered one since
+	termed        map[*server]bool                  // servers that said what they take
+	unlistedTerms map[string]membership.ServerTerms // by incarnation of servers that are not listed
+	paused        map[*server]bool                  // servers that have refused a request and not answered one since
 	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
 	ranked     []rankedServer
@@ -78,20 +80,21 @@
 // New returns a Dispatcher without a configuration.
 func New(s Settings) *Dispatcher {
 	return &Dispatcher{
-		settings:    s,
-		servers:     map[model.BackendName]*server{},
-		byService:   map[model.ServiceName][]*server{},
-		departures:  newDepartures(),
-		evacuations: newEvacuations(),
-		services:    map[model.ServiceName]*service{},
-		splits:      map[model.RouteName]*split{},
-		requests:    map[model.RequestID]*request{},
-		randomState: 1,
-		instances:   &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
-		overflow:    newOverflow(),
-		termed:      map[*server]bool{},
-		paused:      map[*server]bool{},
-		suspects:    health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
+		settings:      s,
+		servers:       map[model.BackendName]*server{},
+		byService:     map[model.ServiceName][]*server{},
+		departures:    newDepartures(),
+		evacuations:   newEvacuations(),
+		services:      map[model.ServiceName]*service{},
+		splits:        map[model.RouteName]*split{},
+		requests:      map[model.RequestID]*request{},
+		randomState:   1,
+		instances:     &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
+		overflow:      newOverflow(),
+		termed:        map[*server]bool{},
+		paused:        map[*server]bool{},
+		unlistedTerms: map[string]membership.ServerTerms{},
+		suspects:      health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
 }
 
@@ -257,6 +260,7 @@
 	d.byService[entry.Service] = slices.Insert(list, pos, s)
 	d.index(at, s)
 	d.capacityStale = true
+	d.applyUnlistedTerms(at, s)
 }
 
 func compareByID(a, b *server) int { return strings.Compare(string(a.entry.ID), string(b.entry.ID)) }
@@ -268,7 +272,7 @@
 		return
 	}
 	s.unlistedAt = 0
-	if entry.Draining && !s.entry.Draining {
+	if entry.Draining && !s.leaves() {
 		d.noteServerLoss(at, s)
 		d.record(at, string(entry.ID), "leaves", "its entry is marked as draining")
 	}
@@ -288,7 +292,7 @@
 		return
 	}
 	s.unlistedAt = at
-	if !d.store.mayHaveExpired(at) || s.entry.Draining {
+	if !d.store.mayHaveExpired(at) || s.leaves() {
 		d.removeServer(at, s, "its entry was removed")
 		return
 	}
@@ -316,6 +320,7 @@
 func (d *Dispatcher) tick(now model.Instant) {
 	d.removeExpired(now)
 	d.releaseHeld(now)
+	d.dropUnlistedTerms(now)
 	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -111,6 +111,8 @@
 	At     model.Instant
 	Server catalog.Server
 	Report ServerReport
+	// Draining reports that the server announced that it is leaving.
+	Draining bool
 }
 
 // TermsReceived reports what servers said they take, as known by a peer.
@@ -166,6 +168,8 @@
 	// OwnShortage reports that the check was not sent, as in AttemptEnded.
 	OwnShortage bool
 	Report      ServerReport
+	// Draining reports that the server announced that it is leaving.
+	Draining bool
 }
 
 // SuspectsReceived reports requests that crashed servers, as known by a peer.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -43,9 +43,8 @@
 	default:
 		d.recordBrokenAttempt(ev, s)
 	}
-	if ev.Draining {
-		d.capacityStale = d.capacityStale || !s.entry.Draining
-		s.entry.Draining = true
+	if !ev.Misdirected {
+		d.applyLeaving(ev.At, s, ev.Draining)
 	}
 }
 
@@ -114,6 +113,7 @@
 	s.probing = false
 	if !ev.Misdirected {
 		d.applyTerms(ev.At, s, &ev.Report, false)
+		d.applyLeaving(ev.At, s, ev.Draining)
 	}
 	broken := s.probedBroken
 	s.probedBroken = false
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -205,7 +205,7 @@
 	switch {
 	case s.misdirected:
 		return excludedMisdirected
-	case s.entry.Draining:
+	case s.leaves():
 		return excludedDraining
 	case d.evacuations.active[s.entry.Zone]:
 		return excludedEvacuated
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -59,7 +59,7 @@
 	switch {
 	case s.misdirected:
 		return excludedMisdirected
-	case s.entry.Draining:
+	case s.entry.Draining || s.terms.Leaving:
 		return excludedDraining
 	case d.evacuations.active[s.entry.Zone]:
 		return excludedEvacuated
@@ -73,6 +73,9 @@
 			return excludedTried
 		}
 	}
+	if d.termsWait(now, s, q) > 0 {
+		return excludedLimited
+	}
 	home := len(q.route.HomeRegions) == 0
 	for _, region := range q.route.HomeRegions {
 		home = home || region == s.region
@@ -179,7 +182,14 @@
 		p.lastID++
 		if s, ok := arrive(d, p.now, p.lastID, fmt.Sprint(p.random.IntN(99))).(*Send); ok {
 			result := []event.AttemptResult{event.AttemptComplete, event.AttemptNotSent, event.AttemptBroken, event.AttemptShed}[p.random.IntN(4)]
-			d.Step(&AttemptEnded{At: p.now, Request: p.lastID, Attempt: s.Attempt, Result: result, Misdirected: p.random.IntN(20) == 0, Draining: p.random.IntN(20) == 0})
+			var report ServerReport
+			switch p.random.IntN(12) {
+			case 0:
+				report = ServerReport{HasLimit: true, LimitNamed: true, Limit: 3 * p.random.Float64()}
+			case 1:
+				report = ServerReport{RetryAfter: time.Duration(p.random.IntN(3000)) * time.Millisecond}
+			}
+			d.Step(&AttemptEnded{At: p.now, Request: p.lastID, Attempt: s.Attempt, Result: result, Misdirected: p.random.IntN(20) == 0, Draining: p.random.IntN(20) == 0, Report: report})
 		}
 	default:
 		reached := p.random.IntN(2) == 0
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -44,7 +44,7 @@
 	switch {
 	case s.misdirected:
 		return "misdirected"
-	case s.entry.Draining:
+	case s.leaves():
 		return "draining"
 	case d.evacuations.active[s.entry.Zone]:
 		return "evacuated"
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -45,6 +45,8 @@
 	// restateTime is the time for which the end of a limit is confirmed to peers, whose
 	// message that it holds may still be on its way.
 	restateTime = 15 * time.Second
+	// maxUnlistedTerms bounds what is kept of servers that are not listed.
+	maxUnlistedTerms = 1024
 	// maxPauseSpread is how much later than asked, as a fraction of the pause, an instance uses
 	// a server again, so that not all instances do so at the same moment.
 	maxPauseSpread = 0.25
@@ -155,15 +157,47 @@
 func (d *Dispatcher) termsNamed(ev *TermsNamed) {
 	if s := d.servers[ev.Server.ID]; s != nil && s.entry.SameIncarnation(&ev.Server) {
 		d.applyTerms(ev.At, s, &ev.Report, false)
+		d.applyLeaving(ev.At, s, ev.Draining)
 	}
 }
 
-// termsReceived applies what servers said to other instances.
+// termsReceived applies what servers said to other instances. Of servers that are not listed
+// yet it is kept: a starting instance may hear of them before it has read the store.
 func (d *Dispatcher) termsReceived(ev *TermsReceived) {
-	for i := range ev.Terms {
-		t := &ev.Terms[i]
-		if s := d.servers[t.Server]; s != nil && s.entry.Incarnation() == t.Incarnation && t.At > s.terms.at {
-			d.setTerms(ev.At, s, t.Terms, t.At, "told by a peer")
+	for _, t := range ev.Terms {
+		s := d.servers[t.Server]
+		switch {
+		case s != nil && s.entry.Incarnation() == t.Incarnation:
+			d.applyPeerTerms(ev.At, s, t)
+		case len(d.unlistedTerms) < maxUnlistedTerms:
+			d.unlistedTerms[t.Incarnation] = t
+		}
+	}
+}
+
+func (d *Dispatcher) applyPeerTerms(now model.Instant, s *server, t membership.ServerTerms) {
+	if t.At > s.terms.at && now.Sub(t.At) < t.Terms.Lifetime() {
+		d.setTerms(now, s, t.Terms, t.At, "told by a peer")
+	}
+}
+
+// applyUnlistedTerms applies what a peer told of a server before it was listed.
+func (d *Dispatcher) applyUnlistedTerms(now model.Instant, s *server) {
+	if len(d.unlistedTerms) == 0 {
+		return
+	}
+	incarnation := s.entry.Incarnation()
+	if t, ok := d.unlistedTerms[incarnation]; ok {
+		delete(d.unlistedTerms, incarnation)
+		d.applyPeerTerms(now, s, t)
+	}
+}
+
+// dropUnlistedTerms forgets what was told of servers that have not been listed since.
+func (d *Dispatcher) dropUnlistedTerms(now model.Instant) {
+	for incarnation, t := range d.unlistedTerms {
+		if now.Sub(t.At) >= t.Terms.Lifetime() {
+			delete(d.unlistedTerms, incarnation)
 		}
 	}
 }
@@ -185,9 +219,22 @@
 	}
 }
 
+// applyLeaving applies an answer that says whether its server is leaving.
+func (d *Dispatcher) applyLeaving(now model.Instant, s *server, leaving bool) {
+	if leaving {
+		terms := s.terms.Terms
+		terms.Leaving = true
+		d.setTerms(now, s, terms, now, "it says so")
+	}
+}
+
 func (d *Dispatcher) setTerms(now model.Instant, s *server, terms membership.Terms, at model.Instant, reason string) {
 	s.terms.at = at
 	d.termed[s] = true
+	if terms.Leaving && !s.terms.Leaving {
+		d.setLeaving(now, s, reason)
+	}
+	terms.Leaving = s.terms.Leaving
 	if s.terms.Terms == terms {
 		return
 	}
@@ -202,6 +249,23 @@
 	d.record(now, string(s.entry.ID), "takes any number of requests", reason)
 }
 
+// setLeaving records that this start of a server is going to end. It gets nothing new; what
+// runs there goes on.
+//
+// The load pattern is a rolling release in which servers say so before their entries do.
+func (d *Dispatcher) setLeaving(now model.Instant, s *server, reason string) {
+	s.terms.Leaving = true
+	d.capacityStale = true
+	if !s.entry.Draining {
+		d.noteServerLoss(now, s)
+		d.record(now, string(s.entry.ID), "leaves", reason)
+	}
+	d.reindex(now, s)
+}
+
+// leaves reports whether a server is going to end, as its entry or the server itself says.
+func (s *server) leaves() bool { return s.entry.Draining || s.terms.Leaving }
+
 // limitMemory returns the time for which sends under a limit are remembered.
 func limitMemory(limit float64) time.Duration {
 	_, span := limitUnits(limit, math.MaxInt32)
@@ -236,12 +300,12 @@
 	return list
 }
 
-// Terms returns what the servers said within TermsLifetime, for peers.
+// Terms returns what the servers said lately, for peers.
 func (d *Dispatcher) Terms(now model.Instant) []membership.ServerTerms {
 	var list []membership.ServerTerms
 	for s := range d.termed {
 		switch {
-		case now.Sub(s.terms.at) < membership.TermsLifetime:
+		case now.Sub(s.terms.at) < s.terms.Lifetime():
 			list = append(list, membership.ServerTerms{
 				Server: s.entry.ID, Incarnation: s.entry.Incarnation(), Terms: s.terms.Terms, At: s.terms.at,
 			})
--- a/internal/dispatch/terms_test.go
+++ b/internal/dispatch/terms_test.go
@@ -566,3 +566,66 @@
 	}
 	require.Len(t, probedServers(d.Step(&Tick{At: at(4 * time.Second)})), 1)
 }
+
+// TestServerThatLeavesIsKeptOut has a server say that it leaves in different answers, while its
+// entry says that it is ready.
+func TestServerThatLeavesIsKeptOut(t *testing.T) {
+	id := model.BackendName("shop-north-a")
+	says := map[string]func(d *Dispatcher, s *server){
+		"answer": func(d *Dispatcher, s *server) {
+			sent := requireSend(t, arrive(d, start, 1, "k"))
+			d.Step(&AttemptEnded{At: start, Request: 1, Attempt: sent.Attempt, Result: event.AttemptComplete, Draining: true})
+		},
+		"head of an answer": func(d *Dispatcher, s *server) { d.Step(&TermsNamed{At: start, Server: s.entry, Draining: true}) },
+		"refusal": func(d *Dispatcher, s *server) {
+			sent := requireSend(t, arrive(d, start, 1, "k"))
+			d.Step(&AttemptEnded{At: start, Request: 1, Attempt: sent.Attempt, Result: event.AttemptShed, Draining: true})
+		},
+		"health check": func(d *Dispatcher, s *server) {
+			d.Step(&ServerProbed{At: start, Server: id, Reached: true, Draining: true})
+		},
+		"peer": func(d *Dispatcher, s *server) {
+			d.Step(&TermsReceived{At: start, Terms: []membership.ServerTerms{{
+				Server: id, Incarnation: s.entry.Incarnation(), Terms: membership.Terms{Leaving: true}, At: start,
+			}}})
+		},
+	}
+	for name, say := range says {
+		t.Run(name, func(t *testing.T) {
+			d := New(testSettings("north"))
+			d.Step(&InstancesCounted{At: start, Instances: 1})
+			d.Step(&CatalogChanged{At: start, Change: &catalog.ConfigurationChange{Configuration: configuration(1, testRoute())}})
+			entry := testServer(string(id), "north-a", "shop")
+			d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: entry}})
+			say(d, d.servers[id])
+			requireRefuse(t, arrive(d, at(time.Second), 2, "k"), model.NotRun, model.CauseNoBackend)
+			entry.Sequence++
+			d.Step(&CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: entry}})
+			requireRefuse(t, arrive(d, at(time.Second), 3, "k"), model.NotRun, model.CauseNoBackend)
+			require.True(t, d.Terms(at(time.Second))[0].Terms.Leaving, "peers are told")
+
+			next := entry
+			next.StartedMillis++
+			d.Step(&CatalogChanged{At: at(2 * time.Second), Change: &catalog.ServerChange{Server: next}})
+			requireSend(t, arrive(d, at(2*time.Second), 4, "k"))
+		})
+	}
+}
+
+// TestTermsOfAServerThatIsNotListedYetAreKept has a starting instance that hears of a server
+// before it has read the store.
+func TestTermsOfAServerThatIsNotListedYetAreKept(t *testing.T) {
+	d := newDispatcher(testRoute())
+	entry := testServer("late", "north-a", "shop")
+	d.Step(&TermsReceived{At: start, Terms: []membership.ServerTerms{{
+		Server: "late", Incarnation: entry.Incarnation(), Terms: membership.Terms{Leaving: true}, At: start,
+	}}})
+	d.Step(&CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: entry}})
+	require.True(t, d.servers["late"].leaves())
+	for i := range 2 * maxUnlistedTerms {
+		d.Step(&TermsReceived{At: start, Terms: []membership.ServerTerms{{Server: "gone", Incarnation: fmt.Sprint(i), At: start}}})
+	}
+	require.Len(t, d.unlistedTerms, maxUnlistedTerms)
+	d.Step(&Tick{At: at(time.Hour)})
+	require.Empty(t, d.unlistedTerms)
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -110,7 +110,7 @@
 	}
 	if failed == nil {
 		e.metrics.attempts.WithLabelValues("answered").Inc()
-		e.noteTerms(f.Server, &response.Report)
+		e.noteTerms(f.Server, response)
 		return outcome{answer: &answer{send: f, response: response, started: started, ctx: ctx, cancel: cancel, release: release}}
 	}
 	if failed.Result == event.AttemptCancelled {
@@ -275,9 +275,10 @@
 
 // noteTerms reports what a server says of what it takes as soon as the head of its answer is
 // known: the attempt ends only with the answer.
-func (e *Edge) noteTerms(server *catalog.Server, r *upstream.Report) {
-	if r.LimitNamed {
-		e.post(&dispatch.TermsNamed{At: e.clock.now(), Server: *server, Report: e.serverReport(server.ID, r)})
+func (e *Edge) noteTerms(server *catalog.Server, r *upstream.Response) {
+	if r.Report.LimitNamed || r.Draining {
+		report := e.serverReport(server.ID, &r.Report)
+		e.post(&dispatch.TermsNamed{At: e.clock.now(), Server: *server, Report: report, Draining: r.Draining})
 	}
 }
 
@@ -316,8 +317,10 @@
 			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
 			probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
 			probed.Report = e.serverReport(server.ID, &answer.Report)
+			probed.Draining = answer.Draining
 		} else if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
 			probed.Report = e.serverReport(server.ID, &failed.Report)
+			probed.Draining = failed.Draining
 		}
 		probed.At = e.clock.now()
 		e.metrics.probes.WithLabelValues(string(reason), probeResult(probed)).Inc()
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -217,17 +217,18 @@
 		Incarnation: t.Incarnation,
 		Limited:     t.Terms.Limited,
 		Limit:       t.Terms.Limit,
+		Leaving:     t.Terms.Leaving,
 		AgeNs:       int64(now.Sub(t.At)),
 	}
 }
 
 // termsFromProto decodes the terms of a server. A limit that is no rate counts as 0.
 func termsFromProto(now model.Instant, t *linkpb.ServerTerms) ServerTerms {
-	terms := Terms{Limited: t.GetLimited()}
+	terms := Terms{Limited: t.GetLimited(), Leaving: t.GetLeaving()}
 	if limit := t.GetLimit(); terms.Limited && limit > 0 {
 		terms.Limit = limit
 	}
-	age := min(max(0, time.Duration(t.GetAgeNs())), TermsLifetime)
+	age := min(max(0, time.Duration(t.GetAgeNs())), terms.Lifetime())
 	return ServerTerms{Server: model.BackendName(t.GetServer()), Incarnation: t.GetIncarnation(), Terms: terms, At: now.Add(-age)}
 }
 
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -94,6 +94,7 @@
 			if rapid.Bool().Draw(t, "limited") {
 				terms.Terms = Terms{Limited: true, Limit: rapid.Float64Range(0, 1e9).Draw(t, "limit")}
 			}
+			terms.Terms.Leaving = rapid.Bool().Draw(t, "leaving")
 			return terms
 		}),
 		Known: drawList(t, func(t *rapid.T) RecordVersion {
--- a/internal/membership/terms.go
+++ b/internal/membership/terms.go
@@ -15,6 +15,9 @@
 	termsRefresh = 2 * time.Second
 	// TermsLifetime is the time after which terms that no server repeats are forgotten.
 	TermsLifetime = time.Minute
+	// leavingLifetime is the same for a server that leaves, which gets no requests to which it
+	// could repeat that. It covers the time that a server takes to leave.
+	leavingLifetime = 10 * time.Minute
 )
 
 // ServerTerms is what a backend server last said of what it takes.
@@ -29,6 +32,16 @@
 type Terms struct {
 	Limited bool
 	Limit   float64 // requests per second from all instances together, if Limited
+	// Leaving reports that the server is going to end. This start of it does not take it back.
+	Leaving bool
+}
+
+// Lifetime returns the time after which the terms are forgotten.
+func (t Terms) Lifetime() time.Duration {
+	if t.Leaving {
+		return leavingLifetime
+	}
+	return TermsLifetime
 }
 
 // termsSet holds the terms of backend servers.
@@ -66,6 +79,7 @@
 		return true
 	}
 	known := &s.list[at]
+	t.Terms.Leaving = t.Terms.Leaving || known.Terms.Leaving
 	if t.At <= known.At || t.Terms == known.Terms && t.At.Sub(known.At) < termsRefresh {
 		return false
 	}
@@ -78,7 +92,7 @@
 func (s *termsSet) merge(list []ServerTerms, now model.Instant) []ServerTerms {
 	var news []ServerTerms
 	for i := range list {
-		if now.Sub(list[i].At) < TermsLifetime && s.add(&list[i]) {
+		if now.Sub(list[i].At) < list[i].Terms.Lifetime() && s.add(&list[i]) {
 			news = append(news, list[i])
 		}
 	}
@@ -100,5 +114,5 @@
 }
 
 func (s *termsSet) expire(now model.Instant) {
-	s.list = slices.DeleteFunc(s.list, func(e termsEntry) bool { return now.Sub(e.At) >= TermsLifetime })
+	s.list = slices.DeleteFunc(s.list, func(e termsEntry) bool { return now.Sub(e.At) >= e.Terms.Lifetime() })
 }
