upstream: a refusal written again refuses no other request

What callers see: where a backend server writes an earlier refusal once more on a kept connection, the next caller is told 'not run' for a request that runs, and a request that must run once may run at a second server.

Cause: primrosenotch-entry did not look at the request ID that servers echo (docs/PLATFORM.md: on every answer); only the platform's dialect did. Class: a rule of the wire that one of two dialects keeps.

Change: responses to other requests are skipped with both dialects. Servers that name no request are still accepted with the own one, but not once they have named one on the connection, and the connection of a refusal without a name is closed, since a copy of it could not be told from a refusal of the next request.

One case of TestSendClassifiesFailures had a refusal without a name on a connection that is kept; it names its request now, as the page says servers do, and a second case wants the connection closed without a name.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,7 @@
 	received         atomic.Int64 // bytes of the current response
 	uploading        atomic.Bool  // a body is being sent while the response is awaited
 	desynchronized   bool         // a response on the connection may belong to another request
+	echoes           bool         // a response on the connection has named its request
 	responded        atomic.Bool  // the response arrived while uploading
 	// readErr is the last error of Read. It is kept because fasthttp returns io.EOF or
 	// an error of its own for any error before the first byte.
--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -20,25 +20,29 @@
 	errUnsigned            = errors.New("successful response without the server's signature")
 )
 
-// skipMismatched returns at once unless the dialect's servers echo request IDs and the
-// attempt has one. It then skips the responses to other requests, because a server may
-// repeat a response on a persistent connection, and rejects a successful response without
-// a signature. A refusal without a request ID is accepted. If it fails, it returns the
-// step that failed.
+// skipMismatched returns at once if the attempt has no request ID. It skips the responses to
+// other requests, because a server may repeat a response on a persistent connection, and
+// rejects a successful response without a signature. A refusal without a request ID is
+// accepted, as is any response without one of a server that has named none on this connection,
+// unless the dialect's servers echo them. If it fails, it returns the step that failed.
 func (c *Client) skipMismatched(a *Attempt, cn *conn, resp *fasthttp.Response) (Step, error) {
-	d := c.settings.Dialect
-	if !d.EchoesRequestID || a.TraceID == "" {
+	if a.TraceID == "" {
 		return "", nil
 	}
+	d := c.settings.Dialect
 	for skipped := 0; ; skipped++ {
-		if string(resp.Header.Peek(d.RequestID)) == a.TraceID {
+		id := string(resp.Header.Peek(d.RequestID))
+		switch {
+		case id == a.TraceID:
+			cn.echoes = true
 			return StepReceive, c.requireSignature(resp)
-		}
-		if c.isNotRun(resp) && len(resp.Header.Peek(d.RequestID)) == 0 {
+		case id == "" && c.isNotRun(resp):
 			// A second copy of this refusal could not be told from a refusal of the next
 			// request, so the connection must not carry one.
 			cn.desynchronized = true
 			return "", nil
+		case id == "" && !d.EchoesRequestID && !cn.echoes:
+			return "", nil
 		}
 		cn.desynchronized = true
 		if skipped == maxMismatchedResponses {
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -78,7 +78,8 @@
 		{"silent", "", true, event.AttemptTimeout},
 		{"cut inside the header", "HTTP/1.1 200 OK\r\nContent-", false, event.AttemptTruncated},
 		{"silent inside the header", "HTTP/1.1 200 OK\r\nContent-", true, event.AttemptTimeout},
-		{"shed", "HTTP/1.1 503 S\r\nX-Not-Run: true\r\nRetry-After: 2\r\nContent-Length: 1\r\n\r\nx", true, event.AttemptShed},
+		{"shed", "HTTP/1.1 503 S\r\nX-Request-Id: t-1\r\nX-Not-Run: true\r\nRetry-After: 2\r\nContent-Length: 1\r\n\r\nx", true, event.AttemptShed},
+		{"shed without a name", "HTTP/1.1 503 S\r\nX-Not-Run: true\r\nRetry-After: 2\r\nContent-Length: 1\r\n\r\nx", true, event.AttemptShed},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -99,6 +100,8 @@
 			require.EqualValues(t, 1, s.requests.Load(), "the library must not repeat a request")
 			if tc.want == event.AttemptShed {
 				require.Equal(t, 2*time.Second, sendErr.RetryAfter)
+			}
+			if tc.name == "shed" {
 				require.Equal(t, Connections{Open: 1, Idle: 1}, c.Count(s.addr))
 				return
 			}
