platform client: an odd entry of the instance list hides no other

What operators saw elsewhere: another writer leaves one odd entry among those of the servers, and the machines that read the list end or stop following it.

Change: the array is split without decoding its elements (encoding/json refuses a document for one element that is nested too deeply), each entry is decoded by itself, and the invalid ones are returned as an error beside the list, counted and logged.

--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/samber/lo"
@@ -14,14 +15,23 @@
 // instancesClient implements Instances.
 type instancesClient struct{ *policy }
 
-// List implements Instances. It fails with *UnavailableError.
+// List implements Instances. It fails with *UnavailableError, or returns a list with an
+// *InvalidEntriesError.
 func (i *instancesClient) List(ctx context.Context) ([]ListedInstance, error) {
 	req := request{step: StepList, method: fasthttp.MethodGet, path: wire.PathInstances, readOnly: true}
-	var list wire.InstancesAnswer
-	if err := i.callJSON(ctx, req, &list); err != nil {
+	got, err := i.call(ctx, req)
+	if err != nil {
 		return nil, err
 	}
-	return lo.Map(list.Instances, func(instance wire.Instance, _ int) ListedInstance { return fromWire(instance) }), nil
+	entries, invalid, err := decodeInstances(got.body)
+	if err != nil {
+		return nil, i.transport.unknownOutcomeError(req, fmt.Errorf("decode answer: %w", err))
+	}
+	list := lo.Map(entries, func(instance wire.Instance, _ int) ListedInstance { return fromWire(instance) })
+	if len(invalid) > 0 {
+		return list, &InvalidEntriesError{Errs: invalid}
+	}
+	return list, nil
 }
 
 // Register implements Instances. It fails with *UnavailableError or
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,6 +73,8 @@
 // Instances is the platform's list of live and leaving instances. The list lags behind
 // the actual state.
 type Instances interface {
+	// List returns the entries that can be decoded. If there are others, it returns an
+	// *InvalidEntriesError as well.
 	List(ctx context.Context) ([]ListedInstance, error)
 	// Register adds or renews the list entry of an entry instance. The list entry
 	// expires after ttl.
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -150,6 +150,8 @@
 	list, err := r.options.Instances.List(ctx)
 	if err != nil {
 		r.platformFailed("list instances", err)
+	}
+	if invalid := (*platform.InvalidEntriesError)(nil); err != nil && !errors.As(err, &invalid) {
 		return
 	}
 	r.post(&event.PlatformListed{At: r.clock.now(), List: list})
