runtime: an answer cut in its head ends the attempt at once

What callers see on primrosenotch-entry: where a server stops in the middle of its answer's head and closes, the caller waits 5.5 s for 502 owner-lost, or for ever (15 s in the test, without an answer). None gets an answer that looks complete.

Cause: such an attempt ends as 'truncated', which the reducer takes for an answer that has begun to be passed on, so that it ends the offer without a word to the ingress. Class: one result for two states, before and after the answer begins.

Change: an attempt of which nothing was passed on ends as broken, and is made again or refused like one whose connection broke before the answer.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -42,6 +42,13 @@
 }
 
 func startFleet(t testing.TB) *fleet {
+	t.Helper()
+	return startFleetVia(t, func(address string) string { return address })
+}
+
+// startFleetVia starts a fleet whose instances reach each backend server at the address that
+// via returns for the server's.
+func startFleetVia(t testing.TB, via func(address string) string) *fleet {
 	t.Helper()
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
@@ -64,7 +71,7 @@
 		t.Cleanup(func() { _ = server.Close() })
 		f.servers[server.Name()] = server
 		text += fmt.Sprintf("[zone %s]\nregion = north\n[backend %s]\nservice = shop\nzone = %s\naddress = %s\nslots = 4\n",
-			zone, server.Name(), zone, server.Addr())
+			zone, server.Name(), zone, via(server.Addr()))
 	}
 	f.text = text
 	client := platform.NewClient(platform.DefaultSettings(store.Addr()))
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -179,7 +179,7 @@
 	stop()
 	if err != nil {
 		o.recordAttemptFailure(cmd.backend, started, err)
-		o.attemptFinished(cmd.backend, err.Result, err)
+		o.attemptFinished(cmd.backend, unansweredResult(err.Result), err)
 		return false
 	}
 	o.recordAnswer(cmd.backend, started, answer.Status)
@@ -249,6 +249,15 @@
 	return a
 }
 
+// unansweredResult returns the result of an attempt of which nothing was passed on. An answer
+// that was cut in its head is no answer: the request may be sent again, or has to be refused.
+func unansweredResult(result event.AttemptResult) event.AttemptResult {
+	if result == event.AttemptTruncated {
+		return event.AttemptBroken
+	}
+	return result
+}
+
 func (o *offer) attemptFinished(backend model.BackendName, result event.AttemptResult, err *upstream.SendError) {
 	ev := &event.AttemptFinished{
 		At:       o.runtime.clock.now(),
