dispatch: replays of a burst beside a limit, a region in need, a rolling release

A burst of three times the load beside a limit is served over 0.97, a region whose servers take one request a second each over 0.9 by the other, and servers that say they leave before their entry does get nothing later than 0.5 s after that.

--- a/internal/dispatch/terms_test.go
+++ b/internal/dispatch/terms_test.go
@@ -629,3 +629,96 @@
 	d.Step(&Tick{At: at(time.Hour)})
 	require.Empty(t, d.unlistedTerms)
 }
+
+// TestBurstBesideALimit replays a burst of requests while one server in need names a limit: the
+// burst goes to the others.
+func TestBurstBesideALimit(t *testing.T) {
+	const limit = 1
+	for _, instances := range []int{3, 7, 20} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			s := newTermsSim(t, instances, 12)
+			s.run(5 * time.Second)
+			server := s.busiest()
+			s.limits[server] = limit
+			s.run(5 * time.Second)
+			from, served, arrived := s.now, s.served, int(s.lastID)
+			s.perSecond = 450
+			s.run(6 * time.Second)
+			s.perSecond = 150
+			s.run(6 * time.Second)
+			require.LessOrEqual(t, s.most(server, from), allowed(limit))
+			require.Greater(t, float64(s.served-served), 0.97*float64(int(s.lastID)-arrived))
+		})
+	}
+}
+
+// TestRegionInNeedIsHelpedByTheOther replays a region whose servers all name a limit. Requests
+// go to the other region as far as they may move, others are refused at once.
+func TestRegionInNeedIsHelpedByTheOther(t *testing.T) {
+	const limit = 1
+	for _, instances := range []int{3, 7, 20} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			s := newTermsSim(t, instances, 24)
+			s.run(5 * time.Second)
+			for i, id := range s.servers {
+				if i%4 < 2 { // zones of region north
+					s.limits[id] = limit
+				}
+			}
+			s.run(5 * time.Second)
+			from, served, arrived := s.now, s.served, int(s.lastID)
+			s.run(20 * time.Second)
+			for id := range s.limits {
+				require.LessOrEqual(t, s.most(id, from), allowed(limit), id)
+			}
+			require.Greater(t, float64(s.served-served), 0.9*float64(int(s.lastID)-arrived))
+			for _, r := range s.refused {
+				require.Positive(t, r.RetryAfter)
+			}
+		})
+	}
+}
+
+// TestReleaseWhoseServersSayTheyLeaveFirst replays a rolling release: each server says that it
+// leaves a second before its entry does and ends three seconds later, and another takes its
+// place.
+func TestReleaseWhoseServersSayTheyLeaveFirst(t *testing.T) {
+	for _, instances := range []int{3, 7, 20} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			s := newTermsSim(t, instances, 12)
+			s.run(5 * time.Second)
+			says := map[model.BackendName]model.Instant{}
+			for _, id := range slices.Clone(s.servers) {
+				entry := s.fleet[0].servers[id].entry
+				next := entry
+				next.ID += "-next"
+				s.list(next)
+				says[id] = s.now
+				for i, d := range s.fleet[:1] { // the instance that hears it in an answer
+					s.step(i, &TermsNamed{At: s.now, Server: d.servers[id].entry, Draining: true})
+				}
+				s.run(time.Second)
+				entry.Draining = true
+				entry.Sequence++
+				s.list(entry)
+				s.run(time.Second)
+			}
+			for id, at := range says {
+				for _, a := range s.arrivals[id] {
+					require.Less(t, a.at.Sub(at), 500*time.Millisecond, "%s: told by a peer within a tick, and on its way", id)
+				}
+			}
+			require.Empty(t, s.refused)
+		})
+	}
+}
+
+// list lists an entry at every instance.
+func (s *termsSim) list(entry catalog.Server) {
+	for i := range s.fleet {
+		s.step(i, &CatalogChanged{At: s.now, Change: &catalog.ServerChange{Server: entry}})
+	}
+}
