membership: messages that are on their way for different times restore no strike

A strike that was on its way for longer than the answer was kept, and restored at the instance that had cleared it. Class: times of two clocks compared to the nanosecond.

Change: one second of tolerance. A limit that cannot be read keeps a limit alive only if there is one.

Result: TestAnsweredRequestLosesItsStrikeEverywhere with messages 0.3 s late fails before, passes now.

--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -212,8 +212,8 @@
 	switch {
 	case r.HasLimit:
 		d.setTerms(now, s, membership.Terms{Limited: true, Limit: r.Limit}, now, "named by the server")
-	case r.LimitNamed:
-		s.terms.at = now
+	case r.LimitNamed && s.terms.Limited:
+		s.terms.at = now // what cannot be read does not end a limit
 	case mayEnd && (s.terms.Limited || s.terms.endedAt != 0 && now.Sub(s.terms.endedAt) < restateTime):
 		d.setTerms(now, s, membership.Terms{}, now, "no longer named by the server")
 	}
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -17,6 +17,9 @@
 	// simultaneousStrikeWindow is the time between strikes at two servers, as seen by two
 	// instances, below which they count as one event.
 	simultaneousStrikeWindow = 500 * time.Millisecond
+	// transitTolerance covers the time for which messages are on their way, by which an expiry
+	// is later at each instance that they pass.
+	transitTolerance = time.Second
 )
 
 // Suspect is the fingerprint of requests that are suspected of crashing backend servers.
@@ -68,14 +71,14 @@
 	expires := max(s.Expires, other.Expires)
 	switch {
 	case other.Cleared():
-		if s.Blocked() || other.Expires < s.Expires {
+		if s.Blocked() || other.Expires < s.Expires.Add(-transitTolerance) {
 			return false
 		}
 		changed := !s.Cleared()
 		s.Clear()
 		s.Expires = expires
 		return changed
-	case s.Cleared() && other.Expires <= s.Expires:
+	case s.Cleared() && s.Expires != 0 && other.Expires <= s.Expires.Add(transitTolerance):
 		return false
 	}
 	coincident := len(s.Servers) == 1 && len(other.Servers) == 1 && other.Expires.Sub(s.Expires).Abs() < simultaneousStrikeWindow
--- a/internal/membership/suspect_test.go
+++ b/internal/membership/suspect_test.go
@@ -44,10 +44,16 @@
 	require.True(t, peer.add(&cleared))
 	require.True(t, peer.list[0].Cleared())
 	require.False(t, peer.add(&struck), "an old message restores nothing")
+	late := strikeAt(300*time.Millisecond, "s1")
+	require.False(t, peer.add(&late), "nor one that was on its way for longer")
 	later := strikeAt(time.Minute, "s2")
 	require.True(t, peer.add(&later))
 	require.Equal(t, later.Servers, peer.list[0].Servers)
 
+	other := strikeAt(300*time.Millisecond, "s1")
+	require.True(t, other.Combine(&cleared), "the strike was on its way for longer than the answer")
+	require.True(t, other.Cleared())
+
 	blocked := strikeAt(2*time.Second, "s1", "s2")
 	require.False(t, blocked.Combine(&cleared), "a block stands")
 	require.True(t, blocked.Blocked())
