dispatch: a server that named a limit of 0 is asked again

Found in the review of the diff: a limit of 0, or of less than one request a minute, gave no instance a unit, so that none ever learned that it had ended: the server was lost to the fleet until its next start. Class: a share of a fleet-wide bound that becomes zero.

--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -31,8 +31,8 @@
 	// names a limit are counted: the shortest in which each instance has a unit.
 	minLimitSpan = time.Second
 	maxLimitSpan = 4 * time.Second
-	// longestLimitSpan is the span of one request at a server whose limit is less than one in
-	// maxLimitSpan. A lower limit counts as none at all.
+	// longestLimitSpan is the longest span of one request. A server with a lower limit, or one
+	// of 0, gets that one, which shows whether it still names its limit.
 	longestLimitSpan = time.Minute
 	// lessUrgentSpan is how much longer less urgent requests wait for a unit, so that more
 	// urgent ones find one.
@@ -65,10 +65,10 @@
 		return int(units), span
 	case units >= 1:
 		return int(units), seconds(units / limit)
-	case limit*longestLimitSpan.Seconds() >= 1:
+	case limit*longestLimitSpan.Seconds() > 1:
 		return 1, seconds(1 / limit)
 	default:
-		return 0, longestLimitSpan
+		return 1, longestLimitSpan
 	}
 }
 
