reducer, stand-in: the own interface has limits of backend servers

The same class on primrosenotch-entry: a server in need could only refuse. Its own interface gets the field X-Limit (docs/PLATFORM.md), which the stand-in names by setting and on command (faults.limit).

Change: the owner, which sends all of a server's requests, counts them in the window of pacing.RateUnits, moved there from the dispatcher, and bounds the slots that admission may use by what runs and what is left of the window. Queues, floors and ranks stay as they are, so that urgent work uses it first. An answer without the field ends it.

--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -27,21 +27,9 @@
 }
 
 const (
-	// minLimitSpan and maxLimitSpan bound the span over which the requests at a server that
-	// names a limit are counted: the shortest in which each instance has a unit.
-	minLimitSpan = time.Second
-	maxLimitSpan = 4 * time.Second
-	// longestLimitSpan is the longest span of one request. A server with a lower limit, or one
-	// of 0, gets that one, which shows whether it still names its limit.
-	longestLimitSpan = time.Minute
 	// lessUrgentSpan is how much longer less urgent requests wait for a unit, so that more
 	// urgent ones find one.
 	lessUrgentSpan = 1.5
-	// fewUnits is the number of units below which the fraction of a unit that is left of a
-	// limit counts, so that the span is shortened by it.
-	fewUnits = 10
-	// maxLimitUnits bounds the units of a limit.
-	maxLimitUnits = 1 << 20
 	// restateTime is the time for which the end of a limit is confirmed to peers, whose
 	// message that it holds may still be on its way.
 	restateTime = 15 * time.Second
@@ -52,26 +40,6 @@
 	maxPauseSpread = 0.25
 )
 
-// limitUnits returns a limit as a number of requests, shared by a number of instances, in a
-// span.
-func limitUnits(limit float64, instances int) (int, time.Duration) {
-	span := minLimitSpan
-	for span < maxLimitSpan && limit*span.Seconds() < float64(instances) {
-		span *= 2
-	}
-	units := math.Floor(min(limit*span.Seconds(), maxLimitUnits))
-	switch {
-	case units >= fewUnits:
-		return int(units), span
-	case units >= 1:
-		return int(units), seconds(units / limit)
-	case limit*longestLimitSpan.Seconds() > 1:
-		return 1, seconds(1 / limit)
-	default:
-		return 1, longestLimitSpan
-	}
-}
-
 // countSend counts a request or health check at a server that names a limit.
 func (t *serverTerms) countSend(now model.Instant) {
 	if t.Limited {
@@ -147,7 +115,7 @@
 // within a span. If no instance hears of the limit for long, other instances get the units: those
 // that have them may receive no requests for the server, and do not learn that it has ended.
 func (d *Dispatcher) limitShare(now model.Instant, s *server) (int, time.Duration) {
-	units, span := limitUnits(s.terms.Limit, d.instances.Instances())
+	units, span := pacing.RateUnits(s.terms.Limit, d.instances.Instances())
 	turn := uint64(now.Sub(s.terms.at) / membership.TermsLifetime)
 	share := d.instances.Share(now, pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true})
 	return share, span
@@ -268,7 +236,7 @@
 
 // limitMemory returns the time for which sends under a limit are remembered.
 func limitMemory(limit float64) time.Duration {
-	_, span := limitUnits(limit, math.MaxInt32)
+	_, span := pacing.RateUnits(limit, math.MaxInt32)
 	return scale(span, lessUrgentSpan)
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -163,6 +163,9 @@
 	// leaving.
 	Draining bool
 	BodyUsed bool
+	// Rate is the number of requests per second that the server said it takes, if RateNamed.
+	Rate      float64
+	RateNamed bool
 	// OwnLimit reports that nothing was sent because this instance has too many
 	// open connections; the result says nothing about the server.
 	OwnLimit bool
--- a/internal/httpheader/dialect.go
+++ b/internal/httpheader/dialect.go
@@ -54,5 +54,6 @@
 		Via:            Via,
 		NotRun:         NotRun,
 		Draining:       Draining,
+		ServerLimit:    ServerLimit,
 	}
 }
--- a/internal/httpheader/names.go
+++ b/internal/httpheader/names.go
@@ -11,6 +11,7 @@
 	RetryAfter     = "Retry-After" // seconds
 	NotRun         = "X-Not-Run"   // set by a backend server that did not run the request
 	Draining       = "X-Draining"  // set by a backend server that is draining
+	ServerLimit    = "X-Limit"     // requests per second that a backend server takes
 	ForwardedFor   = "X-Forwarded-For"
 	Via            = "Via"
 )
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -29,6 +29,7 @@
 		r.handleMayHaveRun(ev, o)
 	}
 	r.syncLimits(ev.At)
+	r.rateNamed(ev)
 	r.runAdmission(ev.At)
 }
 
--- a/internal/reducer/offer.go
+++ b/internal/reducer/offer.go
@@ -95,6 +95,7 @@
 // runAdmission starts the requests that were given a slot and refuses those that
 // can no longer be served in time.
 func (r *Reducer) runAdmission(now model.Instant) {
+	r.applyRates(now)
 	r.admission.Next(now, &r.decisions)
 	for i := range r.decisions.Refuse {
 		refused := &r.decisions.Refuse[i]
@@ -116,6 +117,7 @@
 	o.hasSlot = true
 	o.backend = s.Backend
 	o.started = now
+	r.countRate(now, s.Backend)
 	o.slowRun = r.admission.SlowRunTime(s.ID)
 	if !o.claiming {
 		r.dispatch(s.ID, o)
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -67,6 +67,7 @@
 	limits    []health.LimitChange
 	out       effects
 
+	rates      map[model.BackendName]*serverRate // of owned servers that named one
 	owned      map[model.BackendName]bool
 	ownedNames []model.BackendName                 // sorted
 	addedAt    map[model.BackendName]model.Instant // when a configuration change added a server
@@ -92,6 +93,7 @@
 		suspects:  health.NewSuspectTracker(s.Suspects),
 		calls:     make(map[model.RequestID]*call),
 		offers:    make(map[model.RequestID]*offer),
+		rates:     make(map[model.BackendName]*serverRate),
 		owned:     make(map[model.BackendName]bool),
 		addedAt:   make(map[model.BackendName]model.Instant),
 	}
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -270,6 +270,7 @@
 		ev.OwnLimit = err.Step == upstream.StepLimit
 		ev.RetryAfter = err.RetryAfter
 		ev.Draining = err.Draining
+		ev.Rate, ev.RateNamed = err.Report.Limit, err.Report.HasLimit
 	}
 	o.setCancel(nil)
 	o.waitingSince = ev.At
@@ -324,6 +325,9 @@
 		Backend:  backend,
 		Result:   result,
 		Draining: a.Draining,
+
+		Rate:      a.Report.Limit,
+		RateNamed: a.Report.HasLimit,
 	})
 	if o.meta.Kind == model.Once && readErr == nil {
 		o.store(a, captured)
--- a/internal/standin/backend/config.go
+++ b/internal/standin/backend/config.go
@@ -60,8 +60,11 @@
 // Faults configures injected faults and overrides. It can be changed while the server
 // runs. The zero value injects no faults.
 type Faults struct {
-	Draining  bool `json:"draining"`  // reported in answers and status; requests are still served
-	Unhealthy bool `json:"unhealthy"` // reported in the status; requests are still served
+	Draining bool `json:"draining"` // reported in answers and status; requests are still served
+	// Limit is named in answers as the number of requests per second that the server takes, if
+	// it is positive; more are served.
+	Limit     float64 `json:"limit"`
+	Unhealthy bool    `json:"unhealthy"` // reported in the status; requests are still served
 	// Slots overrides Config.Slots if positive.
 	Slots int `json:"slots"`
 	// Slowdown multiplies service times; 0 means 1.
--- a/internal/standin/backend/protocol.go
+++ b/internal/standin/backend/protocol.go
@@ -7,6 +7,7 @@
 	HeaderIdempotencyKey = "Idempotency-Key"  // its runs are counted, see Runs
 	HeaderBodyDigest     = "X-Body-Digest"    // xxh3 hash of the received body, 16 hex digits
 	HeaderDraining       = "X-Draining"       // "true" while the server is draining
+	HeaderLimit          = "X-Limit"          // requests per second that the server takes
 	HeaderNotRun         = "X-Not-Run"        // "true" on the answer to a shed request, which did not run
 	HeaderDeadline       = "X-Deadline-Ms"    // time in milliseconds until the deadline of the caller
 	HeaderCancellable    = "X-Cancellable"    // "true": cancel the work when the caller closes the connection
--- a/internal/standin/backend/work.go
+++ b/internal/standin/backend/work.go
@@ -73,6 +73,9 @@
 	if j.faults.Draining {
 		j.ctx.Response.Header.Set(HeaderDraining, markerTrue)
 	}
+	if j.faults.Limit > 0 {
+		j.ctx.Response.Header.Set(HeaderLimit, strconv.FormatFloat(j.faults.Limit, 'g', -1, 64))
+	}
 }
 
 // acquireSlot acquires a slot; it waits in the queue if no slot is free and the queue is not
