--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -227,13 +227,8 @@
 
 // wait returns the time until a server may accept a request, 0 if it may immediately.
 func (d *Dispatcher) wait(now model.Instant, s *server, q *request) time.Duration {
-	if d.settings.RandomServers {
-		return d.coldWait(now, s)
-	}
-	if s.inFlight >= d.connectionShare(now, s) {
-		return max(minWait, q.runTimes.slotTime())
-	}
-	return max(d.coldWait(now, s), d.queueWait(now, s, q))
+	wait, _ := d.takes(now, s, q)
+	return wait
 }
 
 // connectionMargin is the fraction of a server's connection limit that is used. The rest
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -51,6 +51,7 @@
 	FullQueue       FullReason = "queue full"
 	FullConnections FullReason = "connection share used"
 	FullCold        FullReason = "cold start limit"
+	FullTerms       FullReason = "takes no more at the moment"
 )
 
 // Inputs are what a refusal was decided on.
@@ -138,13 +139,7 @@
 }
 
 func (d *Dispatcher) describeFull(now model.Instant, s *server, q *request) FullCandidate {
-	reason := FullQueue
-	switch {
-	case s.inFlight >= d.connectionShare(now, s):
-		reason = FullConnections
-	case d.coldWait(now, s) > d.queueWait(now, s, q):
-		reason = FullCold
-	}
+	wait, reason := d.takes(now, s, q)
 	return FullCandidate{
 		Server:  s.entry.ID,
 		Zone:    s.entry.Zone,
@@ -152,7 +147,7 @@
 		Load:    s.load(now),
 		LoadAge: s.loadAge(now),
 		Slots:   s.entry.Slots,
-		Wait:    d.wait(now, s, q),
+		Wait:    wait,
 	}
 }
 
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// takes returns the time until this instance may send a server a request, 0 if it may
+// immediately, and what the wait is for: all that the server says and that its instances share
+// of it. Servers that leave, or may not take the request for another reason, are excluded
+// before.
+func (d *Dispatcher) takes(now model.Instant, s *server, q *request) (time.Duration, FullReason) {
+	cold := d.coldWait(now, s)
+	if d.settings.RandomServers {
+		return cold, FullCold
+	}
+	if s.inFlight >= d.connectionShare(now, s) {
+		return max(minWait, q.runTimes.slotTime()), FullConnections
+	}
+	if wait := d.termsWait(now, s, q); wait > 0 {
+		return wait, FullTerms
+	}
+	if queue := d.queueWait(now, s, q); queue >= cold {
+		return queue, FullQueue
+	}
+	return cold, FullCold
+}
+
 // termsWait returns the time until this instance may send the server a request by what the
 // server says it takes, 0 if it may immediately.
 //
