Review: an answer without a length that is reset passes for whole while an upload is sent

Case 2 of the review. The write of the upload takes the error of the reset, and the reader then sees an orderly end, which counts as the end of the answer.

--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -29,6 +29,7 @@
 	id     string
 	sent   time.Time
 	status int
+	bytes  int64 // of the body
 	err    error
 }
 
@@ -50,7 +51,7 @@
 	resp, err := c.client.Do(q)
 	if err == nil {
 		a.status = resp.StatusCode
-		_, err = io.Copy(io.Discard, resp.Body)
+		a.bytes, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
 	a.err = err
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,14 +32,14 @@
 	name := flag.String("case", "", "case to play")
 	record := flag.String("record", "record.txt", "file to which the case is recorded")
 	program := flag.String("program", "target/primrosenotch-edge", "program of the entry instances")
-	trouble := flag.Bool("trouble", true, "play the disruption")
+	trouble := flag.String("trouble", "1", "1 plays the disruption, 0 leaves it out, control plays only the part that shall be borne")
 	flag.Parse()
 	play, ok := cases[*name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
 		return exitFailed
 	}
-	r, err := newRig(*record, *program, *trouble)
+	r, err := newRig(*record, *program, *trouble == "1", *trouble == "control")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -31,7 +31,8 @@
 // rig is one deployment on loopback.
 type rig struct {
 	program string
-	trouble bool
+	trouble bool   // play the disruption
+	control bool   // play only the part of it that shall be borne
 	dir     string // of settings and logs
 	store   *platformtest.Store
 	started time.Time
@@ -41,11 +42,12 @@
 	file    *os.File
 	edges   []*instance
 	workers []*worker
+	raw     []*rawWorker
 	closed  bool
 	ids     int
 }
 
-func newRig(record, program string, trouble bool) (*rig, error) {
+func newRig(record, program string, trouble, control bool) (*rig, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -55,7 +57,7 @@
 		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
 	return &rig{
-		program: program, trouble: trouble, dir: dir, store: platformtest.NewStore(),
+		program: program, trouble: trouble, control: control, dir: dir, store: platformtest.NewStore(),
 		started: time.Now(), file: file, record: bufio.NewWriter(file),
 	}, nil
 }
@@ -85,7 +87,7 @@
 		return
 	}
 	r.closed = true
-	edges, workers := r.edges, r.workers
+	edges, workers, raw := r.edges, r.workers, r.raw
 	_ = r.record.Flush()
 	_ = r.file.Close()
 	r.mu.Unlock()
@@ -95,6 +97,9 @@
 	for _, w := range workers {
 		w.stop()
 	}
+	for _, w := range raw {
+		w.stop()
+	}
 	r.store.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(r.dir)
@@ -122,6 +127,9 @@
 	return l.Addr().String(), l.Close()
 }
 
+// hostPart is a part of the loopback addresses by which rigs that run at a time differ.
+func hostPart() int { return 16 + os.Getpid()%200 }
+
 var zones = []string{"muc-a", "muc-b", "nue-a", "nue-b", "fra-a", "fra-b"}
 
 func regionOf(zone string) string { return strings.Split(zone, "-")[0] }
@@ -130,7 +138,7 @@
 func (r *rig) addInstance(zone string) (*instance, error) {
 	n := len(r.edges)
 	e := &instance{rig: r, id: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone}
-	host := fmt.Sprintf("127.0.11.%d", n+1)
+	host := fmt.Sprintf("127.%d.11.%d", hostPart(), n+1)
 	for _, to := range []*string{&e.front, &e.ready, &e.lookups, &e.links, &e.metrics_} {
 		address, err := freeAddress(host)
 		if err != nil {
@@ -214,3 +222,9 @@
 	r.logf("%d instances are ready", len(r.edges))
 	return nil
 }
+
+// spell is the length of a disruption, and of the pause after it.
+const spell = 4 * time.Second
+
+// inSpell reports whether a disruption that comes again and again is on.
+func (r *rig) inSpell() bool { return time.Since(r.started)/spell%2 == 1 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -51,7 +51,7 @@
 
 func (r *rig) addWorker(w *worker) error {
 	w.rig = r
-	address, err := freeAddress("127.0.12.1")
+	address, err := freeAddress(fmt.Sprintf("127.%d.12.1", hostPart()))
 	if err != nil {
 		return err
 	}
