Review: a request that crashes workers starts over when all instances are restarted

The rig holds an instance's ports while it chooses them: two starts had failed, the cause is suspected only.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(*rig) (verdict, error){
 	"crash-popular": playCrashPopular,
 	"crash-crowded": playCrashCrowded,
+	"crash-restart": playCrashRestart,
 	"limit-lapse":   playLimitLapse,
 	"refusal-copy":  playRefusalCopy,
 	"cut-unframed":  playCutUnframed,
@@ -139,9 +140,9 @@
 func playCrashCrowded(r *rig) (verdict, error) {
 	const (
 		badPath = "/puje670/reserve-bad"
-		workers = 28
+		workers = 29
 		atOnce  = workers * 14 / 100 // a share of 0.14
-		crashes = 9
+		crashes = 10
 	)
 	r.putConfig(1, []object{{
 		"name": "order-place", "hostname": callersHost, "prefix": "/puje670/", "kind": "non_idempotent",
@@ -182,8 +183,61 @@
 	for i := range 14 {
 		a := bad.send(r.edges[i%len(r.edges)], http.MethodPost, badPath, "order", 4*time.Second)
 		ids[a.id] = true
-		time.Sleep(3 * time.Second)
+		time.Sleep(2500 * time.Millisecond)
+	}
+	crashed, late := r.crashRetries(ids)
+	return verdict{late > 3, fmt.Sprintf("%d workers crashed beneath the request, which reached workers in %d retries later than 4 s after the third crash (at most 3 are allowed)", crashed, late)}, nil
+}
+
+// playCrashRestart has a request that crashes workers come at all instances at the same moment,
+// once before and once after each of two times at which all of them were killed and started again.
+// As a control, none is killed.
+func playCrashRestart(r *rig) (verdict, error) {
+	const badPath = "/puje670/reserve-bad"
+	r.putConfig(1, []object{{
+		"name": "order-place", "hostname": callersHost, "prefix": "/puje670/", "kind": "non_idempotent",
+		"timeoutMs": 3500, "goalMs": 600, "priority": 0, "service": "bestellung", "attempts": 1,
+	}}, []object{service("bestellung")})
+	for i := range 12 {
+		w := &worker{name: fmt.Sprintf("bestellung%d", i), service: "bestellung", zone: zones[i%len(zones)], slots: 8, queue: 24, work: 200 * time.Millisecond, down: 4500 * time.Millisecond}
+		if r.trouble || r.control {
+			w.poison = func(q *http.Request) bool { return q.URL.Path == badPath }
+		}
+		if err := r.addWorker(w); err != nil {
+			return verdict{}, err
+		}
+	}
+	if err := r.startInstances("muc-a", "muc-b", "nue-a", "nue-b", "fra-a", "fra-b", "muc-a"); err != nil {
+		return verdict{}, err
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	others := r.newCaller("clubs", "127.0.0.1")
+	every(20*time.Millisecond, stop, &all, func(i int) {
+		others.send(r.edges[i%len(r.edges)], http.MethodPost, fmt.Sprintf("/puje670/order-%d", i), "order", 4*time.Second)
+	})
+	bad := r.newCaller("club-9", "127.0.0.9")
+	ids := map[string]bool{}
+	for life := range 3 {
+		if life > 0 && r.trouble {
+			if err := r.restartAll(); err != nil {
+				return verdict{}, err
+			}
+		}
+		time.Sleep(5 * time.Second) // all workers are back, all instances in touch
+		var round sync.WaitGroup
+		sent := make([]reply, len(r.edges))
+		for i, e := range r.edges {
+			round.Go(func() { sent[i] = bad.send(e, http.MethodPost, badPath, "order", 4*time.Second) })
+		}
+		round.Wait()
+		for _, a := range sent {
+			ids[a.id] = true
+		}
+		time.Sleep(6 * time.Second)
 	}
+	close(stop)
+	all.Wait()
 	crashed, late := r.crashRetries(ids)
 	return verdict{late > 3, fmt.Sprintf("%d workers crashed beneath the request, which reached workers in %d retries later than 4 s after the third crash (at most 3 are allowed)", crashed, late)}, nil
 }
@@ -252,12 +306,13 @@
 }
 
 // playRefusalCopy has a worker that rejects health checks while it is full, and writes such a
-// refusal once more a moment later. Some of its connections are reset. As a control, no refusal
-// is written twice.
+// refusal once more a moment later. Some of its connections are reset, and more callers come at
+// the same time. As a control, no refusal is written twice.
 func playRefusalCopy(r *rig) (verdict, error) {
 	const (
 		slots, queue = 3, 3
 		work         = 500 * time.Millisecond
+		usual        = 45 * time.Millisecond // from one order to the next; the workers take one in 42 ms
 	)
 	r.putConfig(1, []object{{
 		"name": "order-place", "hostname": callersHost, "prefix": "/puje670/", "kind": "non_idempotent",
@@ -325,13 +380,19 @@
 	clubs := r.newCaller("clubs", "127.0.0.1")
 	var mu sync.Mutex
 	refused := map[string]int{}
-	every(30*time.Millisecond, stop, &all, func(i int) {
+	order := func(i int) {
 		a := clubs.send(r.edges[i%len(r.edges)], http.MethodPost, fmt.Sprintf("/puje670/order-%d", i), "order", 4*time.Second)
 		if a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
 			mu.Lock()
 			refused[a.id] = a.status
 			mu.Unlock()
 		}
+	}
+	every(usual, stop, &all, order)
+	every(usual*10/7, stop, &all, func(i int) { // with these, 1.7 times the usual traffic
+		if (r.trouble || r.control) && r.inSpell() {
+			order(i)
+		}
 	})
 	time.Sleep(80 * time.Second)
 	close(stop)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -108,23 +108,27 @@
 
 // instance is an entry instance.
 type instance struct {
-	rig                                    *rig
-	id, zone                               string
-	front, ready, lookups, links, metrics_ string
-	settings                               string
+	rig                                   *rig
+	id, zone                              string
+	front, ready, lookups, links, control string
+	settings                              string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
-// freeAddress returns an address of a loopback host with a port that is free now.
-func freeAddress(host string) (string, error) {
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
+// freeAddresses sets addresses of a loopback host with different ports that are free now.
+func freeAddresses(host string, to ...*string) error {
+	for _, address := range to {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*address = l.Addr().String()
 	}
-	return l.Addr().String(), l.Close()
+	return nil
 }
 
 // hostPart is a part of the loopback addresses by which rigs that run at a time differ.
@@ -139,17 +143,13 @@
 	n := len(r.edges)
 	e := &instance{rig: r, id: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone}
 	host := fmt.Sprintf("127.%d.11.%d", hostPart(), n+1)
-	for _, to := range []*string{&e.front, &e.ready, &e.lookups, &e.links, &e.metrics_} {
-		address, err := freeAddress(host)
-		if err != nil {
-			return nil, err
-		}
-		*to = address
+	if err := freeAddresses(host, &e.front, &e.ready, &e.lookups, &e.links, &e.control); err != nil {
+		return nil, err
 	}
 	e.settings = filepath.Join(r.dir, e.id+".ini")
 	var text strings.Builder
 	fmt.Fprintf(&text, "[instance]\nid = %s\nzone = %s\nbandwidth mbit = 1000\ncpus = 0.32\n", e.id, zone)
-	fmt.Fprintf(&text, "[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n", e.front, e.links, e.metrics_)
+	fmt.Fprintf(&text, "[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n", e.front, e.links, e.control)
 	fmt.Fprintf(&text, "[direct]\nlookups = %s\nready = %s\nbounds = %s\n", e.lookups, e.ready, bounds)
 	fmt.Fprintf(&text, "[platform]\naddress = %s\n[regions]\n", r.store.Address())
 	for _, z := range zones {
@@ -202,18 +202,40 @@
 	e.rig.logf("%s killed", e.id)
 }
 
-// startInstances starts entry instances in zones and waits until all are ready.
+// startInstances starts entry instances in zones and waits until all are in touch.
 func (r *rig) startInstances(zones ...string) error {
 	for _, zone := range zones {
 		if _, err := r.addInstance(zone); err != nil {
 			return err
 		}
 	}
+	return r.awaitInstances()
+}
+
+// restartAll kills all entry instances at the same moment, starts them again after a short delay
+// and waits until all are in touch.
+func (r *rig) restartAll() error {
+	var all sync.WaitGroup
+	for _, e := range r.edges {
+		all.Go(e.kill)
+	}
+	all.Wait()
+	time.Sleep(500 * time.Millisecond)
+	for _, e := range r.edges {
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	return r.awaitInstances()
+}
+
+func (r *rig) awaitInstances() error {
 	deadline := time.Now().Add(10 * time.Second)
 	for _, e := range r.edges {
 		for !e.isReady() {
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", e.id)
+				log, _ := os.ReadFile(e.settings + ".log")
+				return fmt.Errorf("%s is not ready; the end of its log: %s", e.id, log[max(0, len(log)-800):])
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -224,7 +246,7 @@
 }
 
 // spell is the length of a disruption, and of the pause after it.
-const spell = 4 * time.Second
+const spell = 3 * time.Second
 
 // inSpell reports whether a disruption that comes again and again is on.
 func (r *rig) inSpell() bool { return time.Since(r.started)/spell%2 == 1 }
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -51,11 +51,9 @@
 
 func (r *rig) addWorker(w *worker) error {
 	w.rig = r
-	address, err := freeAddress(fmt.Sprintf("127.%d.12.1", hostPart()))
-	if err != nil {
+	if err := freeAddresses(fmt.Sprintf("127.%d.12.1", hostPart()), &w.address); err != nil {
 		return err
 	}
-	w.address = address
 	r.mu.Lock()
 	r.workers = append(r.workers, w)
 	r.mu.Unlock()
