--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/rig ./review/rig
+go build -tags review -o review/bin/rig ./review/rig
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig plays the cases of this folder that cannot be put as a day for the bench. It
 // starts entry instances as processes, serves the platform's store, backend servers and
 // callers itself, all on loopback, and judges one rule by what callers and servers saw.
