membership, health: the latest and the gravest suspects are kept

Cause: each request in flight at a crash is a suspect for ten minutes. What instances tell one another had room for 256 and ignored further ones; the own list had room for 128 and evicted the one that expires first, also a blocked one.

Evidence: without the crashes before, the request is stopped after two.

Change: one bound (1,024) and one order in which all instances forget suspects, so that a new strike and every block are kept.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -147,7 +147,12 @@
 	}
 }
 
-// Suspects returns the requests that are suspected of crashing servers, for peers.
+// Suspects returns the requests that are suspected of crashing servers.
 func (d *Dispatcher) Suspects(now model.Instant) []membership.Suspect {
 	return d.suspects.Snapshot(now)
 }
+
+// ChangedSuspects returns the suspects that have changed since its last call, for peers.
+func (d *Dispatcher) ChangedSuspects(now model.Instant) []membership.Suspect {
+	return d.suspects.TakeChanges(now)
+}
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -39,16 +39,16 @@
 func (e *Edge) tickFleet(now model.Instant) {
 	e.fleetMu.Lock()
 	defer e.fleetMu.Unlock()
-	e.group.SetSuspects(e.suspects(now))
+	e.group.SetSuspects(e.changedSuspects(now))
 	e.group.SetTerms(e.terms(now))
 	e.applyOutput(e.group.Tick(now))
 	e.publishLookups(true)
 }
 
-func (e *Edge) suspects(now model.Instant) []membership.Suspect {
+func (e *Edge) changedSuspects(now model.Instant) []membership.Suspect {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.dispatcher.Suspects(now)
+	return e.dispatcher.ChangedSuspects(now)
 }
 
 func (e *Edge) terms(now model.Instant) []membership.ServerTerms {
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,7 +16,6 @@
 	defaultSuspectLifetime   = 10 * time.Minute
 	defaultCorrelationWindow = 2 * time.Second
 	defaultEvidenceWindow    = 10 * time.Second
-	defaultMaxSuspects       = 128
 	defaultMaxBroken         = 256
 )
 
@@ -33,8 +33,8 @@
 	// new attempt is coincident. It is for instances that retry at once: servers that lose their power
 	// together may break an attempt and its retry.
 	Spacing time.Duration
-	// MaxSuspects bounds the number of fingerprints. Beyond it the one that expires
-	// first is evicted.
+	// MaxSuspects bounds the number of fingerprints. Beyond it the last one in the order of
+	// membership.Suspect.Compare is evicted.
 	MaxSuspects int
 	// MaxBroken bounds the number of broken connections, and of unanswered attempts, that
 	// are kept until their server is known to have failed.
@@ -45,7 +45,7 @@
 	s.Lifetime = lo.CoalesceOrEmpty(s.Lifetime, defaultSuspectLifetime)
 	s.Window = lo.CoalesceOrEmpty(s.Window, defaultCorrelationWindow)
 	s.EvidenceWindow = lo.CoalesceOrEmpty(s.EvidenceWindow, defaultEvidenceWindow)
-	s.MaxSuspects = lo.CoalesceOrEmpty(s.MaxSuspects, defaultMaxSuspects)
+	s.MaxSuspects = lo.CoalesceOrEmpty(s.MaxSuspects, membership.MaxSuspects)
 	s.MaxBroken = lo.CoalesceOrEmpty(s.MaxBroken, defaultMaxBroken)
 	return s
 }
@@ -58,8 +58,9 @@
 type SuspectTracker struct {
 	settings      SuspectSettings
 	byFingerprint map[uint64]*suspect
-	broken        []lostAttempt // with broken connections, oldest first
-	unanswered    []lostAttempt // without, oldest first
+	changed       map[uint64]struct{} // fingerprints that have changed since the last TakeChanges
+	broken        []lostAttempt       // with broken connections, oldest first
+	unanswered    []lostAttempt       // without, oldest first
 	// completed holds requests that were recently answered in full. They get no
 	// strikes.
 	completed completedSet
@@ -74,7 +75,12 @@
 
 // NewSuspectTracker returns an empty SuspectTracker.
 func NewSuspectTracker(s SuspectSettings) *SuspectTracker {
-	return &SuspectTracker{settings: s.withDefaults(), byFingerprint: make(map[uint64]*suspect), completed: newCompletedSet()}
+	return &SuspectTracker{
+		settings:      s.withDefaults(),
+		byFingerprint: make(map[uint64]*suspect),
+		changed:       make(map[uint64]struct{}),
+		completed:     newCompletedSet(),
+	}
 }
 
 // Strike records a strike against the request for breaking the server.
@@ -99,6 +105,7 @@
 		entry.lastStrikeAt = max(entry.lastStrikeAt, a.at)
 	}
 	entry.Expires = max(entry.Expires, now.Add(s.settings.Lifetime))
+	s.changed[a.fingerprint] = struct{}{}
 	return added
 }
 
@@ -173,6 +180,7 @@
 	}
 	if entry := s.known(now, fingerprint); entry != nil {
 		entry.Clear()
+		s.changed[fingerprint] = struct{}{}
 	}
 }
 
@@ -180,7 +188,7 @@
 func (s *SuspectTracker) Merge(now model.Instant, suspects []membership.Suspect) {
 	for _, remote := range suspects {
 		remote.Expires = min(remote.Expires, now.Add(s.settings.Lifetime))
-		if remote.Expires <= now {
+		if remote.Expires <= now || !s.hasRoom(now, &remote) {
 			continue
 		}
 		entry := s.getOrCreate(now, remote.Fingerprint)
@@ -191,10 +199,30 @@
 	}
 }
 
-// Snapshot returns what has not expired, sorted by fingerprint, to send to peers.
+// Snapshot returns what has not expired, sorted by fingerprint.
 func (s *SuspectTracker) Snapshot(now model.Instant) []membership.Suspect {
+	return snapshot(now, slices.Collect(maps.Values(s.byFingerprint)))
+}
+
+// TakeChanges returns what has changed since its last call and has not expired, sorted by
+// fingerprint, to send to peers.
+func (s *SuspectTracker) TakeChanges(now model.Instant) []membership.Suspect {
+	if len(s.changed) == 0 {
+		return nil
+	}
+	var list []*suspect
+	for fingerprint := range s.changed {
+		if entry := s.byFingerprint[fingerprint]; entry != nil {
+			list = append(list, entry)
+		}
+	}
+	clear(s.changed)
+	return snapshot(now, list)
+}
+
+func snapshot(now model.Instant, list []*suspect) []membership.Suspect {
 	var out []membership.Suspect
-	for _, entry := range s.byFingerprint {
+	for _, entry := range list {
 		if entry.Expires > now {
 			out = append(out, membership.Suspect{
 				Fingerprint: entry.Fingerprint,
@@ -218,34 +246,36 @@
 		return entry
 	}
 	if len(s.byFingerprint) >= s.settings.MaxSuspects {
-		s.evict(now)
+		s.dropExpiredSuspects(now)
+	}
+	if len(s.byFingerprint) >= s.settings.MaxSuspects {
+		delete(s.byFingerprint, s.last().Fingerprint)
 	}
 	entry := &suspect{Suspect: membership.Suspect{Fingerprint: fingerprint}}
 	s.byFingerprint[fingerprint] = entry
 	return entry
 }
 
-// evict removes all expired entries or, if none has expired, the one that expires
-// first.
-func (s *SuspectTracker) evict(now model.Instant) {
-	var first *suspect
-	for fingerprint, entry := range s.byFingerprint {
-		if entry.Expires <= now {
-			delete(s.byFingerprint, fingerprint)
-			continue
-		}
-		if first == nil || entry.expiresBefore(first) {
-			first = entry
-		}
-	}
-	if len(s.byFingerprint) >= s.settings.MaxSuspects && first != nil {
-		delete(s.byFingerprint, first.Fingerprint)
+// hasRoom reports whether a suspect is known, or need not be forgotten before all others.
+func (s *SuspectTracker) hasRoom(now model.Instant, remote *membership.Suspect) bool {
+	if _, known := s.byFingerprint[remote.Fingerprint]; known || len(s.byFingerprint) < s.settings.MaxSuspects {
+		return true
 	}
+	s.dropExpiredSuspects(now)
+	return len(s.byFingerprint) < s.settings.MaxSuspects || remote.Compare(&s.last().Suspect) < 0
+}
+
+func (s *SuspectTracker) dropExpiredSuspects(now model.Instant) {
+	maps.DeleteFunc(s.byFingerprint, func(_ uint64, entry *suspect) bool { return entry.Expires <= now })
 }
 
-func (e *suspect) expiresBefore(other *suspect) bool {
-	if e.Expires != other.Expires {
-		return e.Expires < other.Expires
+// last returns the suspect to forget first.
+func (s *SuspectTracker) last() *suspect {
+	var last *suspect
+	for _, entry := range s.byFingerprint {
+		if last == nil || entry.Compare(&last.Suspect) > 0 {
+			last = entry
+		}
 	}
-	return e.Fingerprint < other.Fingerprint
+	return last
 }
--- a/internal/health/suspects_test.go
+++ b/internal/health/suspects_test.go
@@ -161,3 +161,32 @@
 	s.ServerEnded(at(15), "permits-2", at(9))
 	require.True(t, s.Blocked(at(15), testFingerprint))
 }
+
+// TestBlockOutlivesManySuspects guards against a block that is forgotten because more requests
+// were in flight at servers that crashed than a tracker holds.
+func TestBlockOutlivesManySuspects(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	s.Strike(at(1), testFingerprint, "permits-1")
+	s.Strike(at(2), testFingerprint, "permits-2")
+	for i := range uint64(3 * membership.MaxSuspects) {
+		s.Strike(at(3), 1000+i, "permits-3")
+	}
+	require.True(t, s.Blocked(at(4), testFingerprint))
+	s.Strike(at(5), 8, "permits-4")
+	require.True(t, s.HasStrike(at(5), 8), "the latest strike is kept")
+	s.Merge(at(6), []membership.Suspect{{Fingerprint: 9, Servers: []model.BackendName{"permits-5"}, Expires: at(6).Add(time.Second)}})
+	require.False(t, s.HasStrike(at(6), 9), "one that expires before all others is not")
+	require.Len(t, s.Snapshot(at(6)), membership.MaxSuspects)
+}
+
+// TestTakeChangesReturnsEachChangeOnce covers what peers are told.
+func TestTakeChangesReturnsEachChangeOnce(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	s.Strike(at(1), testFingerprint, "permits-1")
+	require.Equal(t, s.Snapshot(at(1)), s.TakeChanges(at(1)))
+	require.Empty(t, s.TakeChanges(at(1)))
+	s.Completed(at(2), testFingerprint)
+	changes := s.TakeChanges(at(2))
+	require.Len(t, changes, 1)
+	require.True(t, changes[0].Cleared())
+}
--- a/internal/membership/suspect.go
+++ b/internal/membership/suspect.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	// simultaneousStrikeWindow is the time between strikes at two servers, as seen by two
 	// instances, below which they count as one event.
 	simultaneousStrikeWindow = 500 * time.Millisecond
+	// MaxSuspects bounds the requests that an instance suspects. It is several times the number
+	// of requests in flight at a seventh of the servers of the largest deployments.
+	MaxSuspects = 1024
 	// transitTolerance covers the time for which messages are on their way, by which an expiry
 	// is later at each instance that they pass.
 	transitTolerance = time.Second
@@ -45,6 +49,30 @@
 // cause.
 func (s *Suspect) Doubtful() bool { return !s.Blocked() && len(s.Coincident) > 0 }
 
+// Compare orders suspects by what is lost if one is forgotten: first blocked ones, then doubtful
+// ones, those with one strike and cleared ones, and the latest first among equals. All instances
+// forget the last ones first, so that they keep the same ones.
+func (s *Suspect) Compare(other *Suspect) int {
+	return cmp.Or(
+		cmp.Compare(other.severity(), s.severity()),
+		cmp.Compare(other.Expires, s.Expires),
+		cmp.Compare(s.Fingerprint, other.Fingerprint),
+	)
+}
+
+func (s *Suspect) severity() int {
+	switch {
+	case s.Blocked():
+		return 3
+	case s.Doubtful():
+		return 2
+	case !s.Cleared():
+		return 1
+	default:
+		return 0
+	}
+}
+
 // AddServer adds a server that failed beneath the request. It reports whether it was new.
 func (s *Suspect) AddServer(server model.BackendName, coincident bool) bool {
 	list, limit := &s.Servers, blockThreshold
--- a/internal/membership/suspects.go
+++ b/internal/membership/suspects.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	maxSuspects        = 256
 	minExpiryExtension = time.Second // an expiry later by no more than this is ignored unless the servers changed too
 	maxSuspectLifetime = time.Hour   // longest time to expiry accepted from a peer
 )
@@ -44,14 +43,16 @@
 	}
 }
 
-// add merges a suspect into the set and reports whether it changed the set.
+// add merges a suspect into the set and reports whether it changed the set. At MaxSuspects it
+// replaces the last one in the order of Suspect.Compare, or is ignored if it is the last.
 func (s *suspectSet) add(suspect *Suspect) bool {
-	at, found := slices.BinarySearchFunc(s.list, suspect.Fingerprint, func(e suspectEntry, fingerprint uint64) int {
-		return cmp.Compare(e.Fingerprint, fingerprint)
-	})
+	at, found := s.find(suspect.Fingerprint)
 	if !found {
-		if len(s.list) >= maxSuspects {
-			return false
+		if len(s.list) >= MaxSuspects {
+			if !s.evict(suspect) {
+				return false
+			}
+			at, _ = s.find(suspect.Fingerprint)
 		}
 		s.generation++
 		entry := suspectEntry{Suspect: Suspect{Fingerprint: suspect.Fingerprint}, generation: s.generation}
@@ -70,6 +71,27 @@
 	return true
 }
 
+func (s *suspectSet) find(fingerprint uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.list, fingerprint, func(e suspectEntry, fingerprint uint64) int {
+		return cmp.Compare(e.Fingerprint, fingerprint)
+	})
+}
+
+// evict removes the last suspect unless the given one comes after it.
+func (s *suspectSet) evict(suspect *Suspect) bool {
+	last := 0
+	for i := range s.list {
+		if s.list[i].Compare(&s.list[last].Suspect) > 0 {
+			last = i
+		}
+	}
+	if suspect.Compare(&s.list[last].Suspect) > 0 {
+		return false
+	}
+	s.list = slices.Delete(s.list, last, last+1)
+	return true
+}
+
 // merge adds suspects received from a peer and returns those that changed the set.
 func (s *suspectSet) merge(list []Suspect, now model.Instant) []Suspect {
 	var changed []Suspect
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -290,7 +290,7 @@
 		r.out.record(now, "", string(c.Name), fmt.Sprintf("%s, was %s", c.To, c.From), string(c.Reason))
 	}
 	r.group.SetLoads(now, r.admission.Loads(now))
-	r.group.SetSuspects(r.suspects.Snapshot(now))
+	r.group.SetSuspects(r.suspects.TakeChanges(now))
 	r.applyGroup(now, r.group.Tick(now))
 	r.runAdmission(now)
 	r.probe(now)
