dispatch, platform: requests that crash servers are known after all instances were killed

Cause: strikes lived in the memory of the instances only.

Each instance reads the table once as it starts. After a restore of the store the suspects are written again.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -134,10 +134,12 @@
 		Dialect:     platform.Dialect(),
 		Store:       store,
 		Registry:    store,
+		Suspects:    store,
 		Tables: edge.Tables{
 			Operator:  platform.TableOperator,
 			Servers:   platform.TableServers,
 			Instances: platform.TableInstances,
+			Suspects:  platform.TableSuspects,
 		},
 		Decode:          platform.Decode,
 		Log:             do.MustInvoke[*logrus.Entry](i),
--- a/internal/dispatch/crashsim_test.go
+++ b/internal/dispatch/crashsim_test.go
@@ -6,8 +6,11 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
@@ -66,6 +69,8 @@
 	entryDelay = 300 * time.Millisecond
 	// lapseDelay is the time after which the entry of a server that is gone is removed.
 	lapseDelay = 4 * time.Second
+	// storeDelay is the time that a call of the store takes.
+	storeDelay = 100 * time.Millisecond
 	simStep    = 10 * time.Millisecond
 )
 
@@ -87,6 +92,8 @@
 	startedAt map[int]model.Instant // of instances that have started again
 	sound     int
 	blocked   int // sound requests
+	// saved holds the suspects in the store, by fingerprint. It outlives the instances.
+	saved map[uint64]membership.Suspect
 }
 
 type crashServer struct {
@@ -100,6 +107,7 @@
 	s := &crashSim{
 		mode: mode, route: route, random: rand.New(rand.NewPCG(seed, 1)), now: start,
 		servers: map[model.BackendName]*crashServer{}, events: map[model.Instant][]func(){}, cut: map[int]bool{}, startedAt: map[int]model.Instant{},
+		saved: map[uint64]membership.Suspect{},
 	}
 	for i := range instances {
 		s.members = append(s.members, pacing.Member{ID: model.InstanceID(fmt.Sprint("edge-", i)), Region: "north", Weight: 1})
@@ -189,6 +197,8 @@
 			s.attempt(i, d, f.Send)
 		case *Probe:
 			s.probe(i, d, f.Server.ID)
+		case *SaveSuspects:
+			s.save(i, d, f.Suspects)
 		case *Refuse:
 			if f.Request%2 == 1 && f.Cause == model.CauseCrashSuspect {
 				s.blocked++
@@ -281,10 +291,29 @@
 	})
 }
 
-// restart replaces an instance by one that knows only what its peers tell.
+// save writes suspects to the store, also if the instance ends meanwhile.
+func (s *crashSim) save(i int, d *Dispatcher, list []membership.Suspect) {
+	s.after(storeDelay, func() {
+		for _, suspect := range list {
+			s.saved[suspect.Fingerprint] = suspect
+		}
+		if s.instances[i] == d {
+			s.step(i, &SuspectsSaved{OK: true, Suspects: list})
+		}
+	})
+}
+
+// restart replaces an instance by one that knows only what its peers tell and what the store
+// holds.
 func (s *crashSim) restart(i int) {
-	s.instances[i] = s.newInstance(i)
+	d := s.newInstance(i)
+	s.instances[i] = d
 	s.startedAt[i] = s.now
+	s.after(storeDelay, func() {
+		if s.instances[i] == d {
+			s.step(i, &SuspectsReceived{At: s.now, Suspects: lo.Values(s.saved)})
+		}
+	})
 }
 
 func (s *crashSim) gossip() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	store         storeHealth
 	overflow      overflow
 	suspects      *health.SuspectTracker
+	saver         suspectSaver
 	termed        map[*server]bool                  // servers that said what they take
 	unlistedTerms map[string]membership.ServerTerms // by incarnation of servers that are not listed
 	paused        map[*server]bool                  // servers that have refused a request and not answered one since
@@ -115,6 +116,7 @@
 		d.store.suspectRead(ev.At)
 	case *StoreRestored:
 		d.store.restored(ev.At)
+		d.suspects.ForgetSaved()
 	case *DeparturesLearned:
 		d.departuresLearned(ev)
 	case *BoundsChanged:
@@ -135,6 +137,8 @@
 		d.serverProbed(ev)
 	case *SuspectsReceived:
 		d.suspects.Merge(ev.At, ev.Suspects)
+	case *SuspectsSaved:
+		d.suspectsSaved(ev)
 	case *TermsNamed:
 		d.termsNamed(ev)
 	case *TermsReceived:
@@ -326,6 +330,7 @@
 	d.ejectSilent(now)
 	d.hedgeAttempts(now)
 	d.probeEjected(now)
+	d.saveSuspects(now)
 }
 
 // removeExpired removes servers whose entries did not reappear after a store outage.
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -172,7 +172,14 @@
 	Draining bool
 }
 
-// SuspectsReceived reports requests that crashed servers, as known by a peer.
+// SuspectsSaved reports how a SaveSuspects effect ended.
+type SuspectsSaved struct {
+	OK       bool
+	Suspects []membership.Suspect // of the effect
+}
+
+// SuspectsReceived reports requests that crashed servers, as known by a peer or as saved
+// before this instance started.
 type SuspectsReceived struct {
 	At       model.Instant
 	Suspects []membership.Suspect
@@ -193,6 +200,7 @@
 func (*RequestEnded) event()       {}
 func (*ServerProbed) event()       {}
 func (*SuspectsReceived) event()   {}
+func (*SuspectsSaved) event()      {}
 func (*TermsNamed) event()         {}
 func (*TermsReceived) event()      {}
 
@@ -284,6 +292,10 @@
 	Warning bool // something failed
 }
 
+// SaveSuspects requests that suspects be written to the platform's store, where they outlive
+// all instances. SuspectsSaved must follow.
+type SaveSuspects struct{ Suspects []membership.Suspect }
+
 func (*Send) effect()                   {}
 func (*Refuse) effect()                 {}
 func (*Probe) effect()                  {}
@@ -294,3 +306,5 @@
 func (*Record) effect()                 {}
 
 func (*LimitsChanged) effect() {}
+
+func (*SaveSuspects) effect() {}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -236,6 +236,9 @@
 	}
 	e.tasks.Go(func() { e.runPeriodically(tickInterval, e.tick) })
 	e.tasks.Go(e.keepRegistered)
+	if e.options.Suspects != nil {
+		e.tasks.Go(e.loadSuspects)
+	}
 	e.tasks.Go(func() { e.runPeriodically(sweepInterval, e.sweep) })
 	var err error
 	select {
@@ -347,6 +350,8 @@
 		e.probe(f)
 	case *dispatch.Hedge:
 		e.calls[f.Send.Request].hedge(f.Send)
+	case *dispatch.SaveSuspects:
+		e.saveSuspects(f)
 	case *dispatch.CloseConnections:
 		e.upstream.CloseConnections(f.Server.Address)
 	case *dispatch.ClosePooledConnections:
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -45,6 +45,8 @@
 	Operator  string // configuration and evacuations
 	Servers   string
 	Instances string
+	// Suspects is read at the start only.
+	Suspects string
 }
 
 // Options holds the settings and dependencies of an Edge.
@@ -57,6 +59,7 @@
 	Dialect       *httpheader.Dialect
 	Store         follow.Store
 	Registry      Registry
+	Suspects      SuspectStore // nil to keep suspects in memory only
 	Tables        Tables
 	Decode        func(table string, row follow.Row) (catalog.Change, error)
 	Log           *logrus.Entry
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -1,7 +1,6 @@
 package health
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -59,6 +58,7 @@
 	settings      SuspectSettings
 	byFingerprint map[uint64]*suspect
 	changed       map[uint64]struct{} // fingerprints that have changed since the last TakeChanges
+	maybeUnsaved  bool                // Unsaved may return suspects
 	broken        []lostAttempt       // with broken connections, oldest first
 	unanswered    []lostAttempt       // without, oldest first
 	// completed holds requests that were recently answered in full. They get no
@@ -71,6 +71,8 @@
 	membership.Suspect
 	lastStrikeAt model.Instant // when the attempt of the last strike that is not coincident was lost
 	lastTrialAt  model.Instant // when Trial last permitted the request
+	struckHere   bool          // this instance has seen a strike itself
+	saved        doubt         // as saved beyond the end of all instances
 }
 
 // NewSuspectTracker returns an empty SuspectTracker.
@@ -105,7 +107,9 @@
 		entry.lastStrikeAt = max(entry.lastStrikeAt, a.at)
 	}
 	entry.Expires = max(entry.Expires, now.Add(s.settings.Lifetime))
+	entry.struckHere = true
 	s.changed[a.fingerprint] = struct{}{}
+	s.maybeUnsaved = true
 	return added
 }
 
@@ -196,6 +200,7 @@
 		if entry.Combine(&remote); len(entry.Servers) > servers {
 			entry.lastStrikeAt = max(entry.lastStrikeAt, remote.Expires.Add(-s.settings.Lifetime))
 		}
+		s.maybeUnsaved = s.maybeUnsaved || entry.struckHere
 	}
 }
 
@@ -220,22 +225,6 @@
 	return snapshot(now, list)
 }
 
-func snapshot(now model.Instant, list []*suspect) []membership.Suspect {
-	var out []membership.Suspect
-	for _, entry := range list {
-		if entry.Expires > now {
-			out = append(out, membership.Suspect{
-				Fingerprint: entry.Fingerprint,
-				Servers:     slices.Clone(entry.Servers),
-				Coincident:  slices.Clone(entry.Coincident),
-				Expires:     entry.Expires,
-			})
-		}
-	}
-	slices.SortFunc(out, func(a, b membership.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
-	return out
-}
-
 // getOrCreate returns the entry of a fingerprint, creating it if there is none or
 // it has expired. At MaxSuspects it first evicts other entries.
 func (s *SuspectTracker) getOrCreate(now model.Instant, fingerprint uint64) *suspect {
