edge: a stopping instance takes only requests that end in time, or usually do

What callers saw (report of other operators): in a planned stop, in calm, orders that were taken late in the grace time ran and were cut with no answer at its end (LOST).

Cause: for 3 s or 0.45 of the grace time all requests were accepted, whatever they may take.

Evidence: TestLateRequestsOfPlannedStopAreNotCut, with processes, fails before: orders of 2 s, sent 900 ms and later after SIGTERM with a grace time of 3 s, ran and got EOF.

Change: in that time a request is accepted if its time-out ends before requests are aborted, or if twice the observed time of slow requests of its route does; others are refused at once as not run. Dispatcher.TimeNeeded holds the decision, TestStoppingInstanceAcceptsOnlyWhatItCanFinish the cases of the window.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -303,6 +303,7 @@
 // warm.
 func (d *Dispatcher) recordRunTime(now model.Instant, q *request, a *attempt) {
 	s, run := a.server, now.Sub(a.startedAt)
+	q.runTimes.any.add(run.Seconds(), q.runTimes.any.n < minObservations)
 	if s.region != d.settings.Region {
 		run = max(0, run-regionRoundTrip)
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -17,6 +17,7 @@
 	unqueued lowQuantile
 	cold     average       // seconds, of other requests, except those at cold servers
 	slow     highQuantile  // of the same, in seconds
+	any      highQuantile  // of all requests, in seconds, with the way to the server
 	since    model.Instant // when the first request was sent
 }
 
@@ -64,6 +65,33 @@
 	return observed
 }
 
+// usualTimeMargin is how much longer than the observed slow requests of its route a request may
+// usually take.
+const usualTimeMargin = 2
+
+// TimeNeeded returns the longest time that a request may take, and the time that it usually does
+// not exceed, which is the same as long as too few requests of its route have been observed. The
+// load pattern is a planned stop: requests that come late in it must end before the process does.
+func (d *Dispatcher) TimeNeeded(host, path string, callerTimeout time.Duration) (most, usual time.Duration) {
+	most = effectiveTimeout(callerTimeout, 0)
+	if d.config == nil {
+		return most, most
+	}
+	route := d.config.Match(host, path)
+	if route == nil {
+		return most, most
+	}
+	most = effectiveTimeout(callerTimeout, route.Timeout)
+	for _, target := range route.Targets {
+		r := d.service(target.Service).runTimesOf(route)
+		if r.any.n < minObservations {
+			return most, most
+		}
+		usual = max(usual, seconds(usualTimeMargin*r.any.value))
+	}
+	return most, min(usual, most)
+}
+
 // runTimesOf returns the run times of a route at the service, creating them if needed.
 func (s *service) runTimesOf(route *catalog.Route) *runTimes {
 	r := s.runTimes[route.Name]
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -293,8 +293,8 @@
 	e.log.WithField("in_flight", e.callerServer.InFlight()).Info("stopping")
 	e.stopping.Store(true)
 	e.stopWindow.Store(&stopWindow{
-		acceptAll: earlier(started.Add(maxAcceptAll), deadline(drainShare)),
-		abort:     deadline(abortShare),
+		acceptUsual: earlier(started.Add(maxAcceptUsual), deadline(drainShare)),
+		abort:       deadline(abortShare),
 	})
 	e.callerServer.StartDraining()
 	e.setState(membership.Leaving)
