dispatch: what a server said of itself outlives the removal of its entry

Cause: its limit, the sends under it, its pause and its leaving were dropped with the entry; the entry of the same start began without them.

Evidence: TestLimitOutlivesLapsedEntry (15 and 11 in 4 s, 8 allowed) and TestPauseAndLeavingOutliveLapsedEntry fail without restoreTerms.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	saver         suspectSaver
 	termed        map[*server]bool                  // servers that said what they take
 	unlistedTerms map[string]membership.ServerTerms // by incarnation of servers that are not listed
+	lapsedTerms   map[string]serverTerms            // by incarnation, of servers whose entries were removed
 	paused        map[*server]bool                  // servers that have refused a request and not answered one since
 	randomState   uint64
 	// ranked and candidates are buffers that are reused across calls of choose.
@@ -95,6 +96,7 @@
 		termed:        map[*server]bool{},
 		paused:        map[*server]bool{},
 		unlistedTerms: map[string]membership.ServerTerms{},
+		lapsedTerms:   map[string]serverTerms{},
 		suspects:      health.NewSuspectTracker(health.SuspectSettings{Spacing: strikeSpacing}),
 	}
 }
@@ -253,6 +255,7 @@
 	}
 	s.coldUntil = at.Add(entry.ColdLeft)
 	s.regionLoad = d.service(entry.Service).loadOf(s.region)
+	d.restoreTerms(at, s)
 	if old != nil {
 		d.serverEnded(at, old)
 		d.dropServer(at, old)
@@ -315,6 +318,7 @@
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.unindex(s)
+	d.keepTerms(at, s)
 	delete(d.termed, s)
 	delete(d.paused, s)
 	d.capacityStale = true
@@ -325,6 +329,7 @@
 	d.removeExpired(now)
 	d.releaseHeld(now)
 	d.dropUnlistedTerms(now)
+	d.dropLapsedTerms(now)
 	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
