pacing: a process that has just started uses no extra retries

Cause: each instance has a share of the extra retries of a window. A process that starts has used none of it, although the one before it may have.

Evidence: TestRestartedInstancesStayWithinRetryBudget fails without the change (110 in 10 s, 88 allowed).

Change: for one window after its start, a process uses none of them.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -34,6 +34,8 @@
 	RandomServers bool
 	// InstancesMaxAge is the age up to which a list of instances is taken to be the latest.
 	InstancesMaxAge time.Duration
+	// StartedAt is when this process started, 0 if long ago.
+	StartedAt model.Instant
 }
 
 // Dispatcher holds the state of all dispatch decisions. It is not safe for concurrent
@@ -91,7 +93,7 @@
 		splits:        map[model.RouteName]*split{},
 		requests:      map[model.RequestID]*request{},
 		randomState:   1,
-		instances:     &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge},
+		instances:     &pacing.Fleet{Self: s.Self, MaxAge: s.InstancesMaxAge, StartedAt: s.StartedAt},
 		overflow:      newOverflow(),
 		termed:        map[*server]bool{},
 		paused:        map[*server]bool{},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,10 +137,11 @@
 // New returns an instance; Run starts it.
 func New(o Options) *Edge {
 	ctx, cancel := context.WithCancel(context.Background())
+	clock := clock{start: time.Now()}
 	e := &Edge{
 		options:  o,
 		log:      o.Log,
-		clock:    clock{start: time.Now()},
+		clock:    clock,
 		upstream: upstream.New(upstreamSettings(&o)),
 		dispatcher: dispatch.New(dispatch.Settings{
 			Self:          o.Self.ID,
@@ -152,6 +153,7 @@
 			RandomServers: o.RandomServers,
 			// A copy that is older is read again at once.
 			InstancesMaxAge: instancesMaxAge + readAllowance,
+			StartedAt:       clock.now(),
 		}),
 		calls:            map[model.RequestID]*call{},
 		listed:           map[model.InstanceID]listedInstance{},
--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -47,6 +47,8 @@
 type Fleet struct {
 	Self   model.InstanceID
 	MaxAge time.Duration
+	// StartedAt is when this process started, 0 if long ago.
+	StartedAt model.Instant
 
 	count   int
 	members map[model.InstanceID]*member
@@ -82,6 +84,12 @@
 	clear(f.shares)
 }
 
+// startedWithin reports whether this process started less than a span ago. An earlier process
+// of the instance may have used its share of a bound within the span.
+func (f *Fleet) startedWithin(now model.Instant, span time.Duration) bool {
+	return f.StartedAt != 0 && now.Sub(f.StartedAt) < span
+}
+
 // Instances returns the number of listed instances, at least 1.
 func (f *Fleet) Instances() int { return max(1, f.count) }
 
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -95,3 +95,69 @@
 		}
 	})
 }
+
+// TestRestartedInstancesStayWithinRetryBudget guards against instances that start again one
+// after the other while servers fail, and of which each takes its share once more.
+func TestRestartedInstancesStayWithinRetryBudget(t *testing.T) {
+	const (
+		instances = 7
+		step      = 50 * time.Millisecond
+		length    = 60 * time.Second
+	)
+	s := RetrySettings{Window: 10 * time.Second, Ratio: 0.2, Extra: 60}
+	for _, restartEvery := range []time.Duration{time.Second, 3 * time.Second, 30 * time.Second} {
+		var members []Member
+		for i := range instances {
+			members = append(members, Member{ID: model.InstanceID(rune('a' + i)), Region: "r", Weight: 1})
+		}
+		start := model.Instant(time.Hour)
+		fleets, budgets := make([]*Fleet, instances), make([]*RetryBudget, instances)
+		begin := func(i int, now model.Instant, restarted bool) {
+			fleets[i] = &Fleet{Self: members[i].ID, MaxAge: time.Hour}
+			fleets[i].SetListed(now.Add(-time.Hour), members)
+			fleets[i].Confirm(now)
+			if restarted {
+				fleets[i].StartedAt = now
+			}
+			budgets[i] = NewRetryBudget(7, s)
+		}
+		for i := range instances {
+			begin(i, start, false)
+		}
+		var sends, retries []model.Instant
+		for now := start; now < start.Add(length); now = now.Add(step) {
+			elapsed := now.Sub(start)
+			if elapsed > 0 && elapsed%restartEvery == 0 {
+				if restartEvery == 30*time.Second {
+					for i := range instances {
+						begin(i, now, true)
+					}
+				} else {
+					begin(int(elapsed/restartEvery)%instances, now, true)
+				}
+			}
+			for i := range instances {
+				if elapsed%(10*step) == 0 {
+					budgets[i].RecordSend(now)
+					sends = append(sends, now)
+				}
+				for budgets[i].Take(now, fleets[i]) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for at := start; at < start.Add(length-s.Window); at = at.Add(step) {
+			within := func(list []model.Instant) int {
+				n := 0
+				for _, t := range list {
+					if t >= at && t < at.Add(s.Window) {
+						n++
+					}
+				}
+				return n
+			}
+			allowed := s.Ratio*float64(within(sends)) + s.Extra
+			require.LessOrEqual(t, float64(within(retries)), allowed, "restarts every %s, from %s", restartEvery, at.Sub(start))
+		}
+	}
+}
--- a/internal/pacing/retry.go
+++ b/internal/pacing/retry.go
@@ -43,8 +43,13 @@
 func (b *RetryBudget) RecordSend(now model.Instant) { b.firstSends.Add(now, 1) }
 
 // Take reports whether one more retry is within this instance's share, and counts it if so.
+// The load pattern is servers that fail while instances start again in turn: a process that has
+// just started uses none of the extra retries, which the one before it may have used.
 func (b *RetryBudget) Take(now model.Instant, instances *Fleet) bool {
-	extra := instances.Share(now, Bound{Key: b.key, Units: int(retryMargin * b.settings.Extra), Span: maxCounted(b.settings.Window)})
+	extra, span := 0, maxCounted(b.settings.Window)
+	if !instances.startedWithin(now, span) {
+		extra = instances.Share(now, Bound{Key: b.key, Units: int(retryMargin * b.settings.Extra), Span: span})
+	}
 	share := retryMargin*b.settings.Ratio*float64(b.firstSends.Count(now)) + float64(extra)
 	if float64(b.retries.Count(now)+1) > share {
 		return false
