upstream: the refusal of a health check ends its connection, too

Cause: a refusal without an identifier marks its connection as one that must carry no other request, since a second copy could not be told from the refusal of the next request. Health checks returned before that mark, and their connections are pooled.

Evidence: TestRefusalOfHealthCheckWrittenAgainRefusesNoRequest fails before, with both dialects.

--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -20,13 +20,15 @@
 	errUnsigned            = errors.New("successful response without the server's signature")
 )
 
-// skipMismatched returns at once if the attempt has no request ID. It skips the responses to
+// skipMismatched skips nothing if the attempt has no request ID, as a health check. It skips the responses to
 // other requests, because a server may repeat a response on a persistent connection, and
 // rejects a successful response without a signature. A refusal without a request ID is
 // accepted, as is any response without one of a server that has named none on this connection,
 // unless the dialect's servers echo them. If it fails, it returns the step that failed.
 func (c *Client) skipMismatched(a *Attempt, cn *conn, resp *fasthttp.Response) (Step, error) {
 	if a.TraceID == "" {
+		// A second copy of this refusal could not be told from a refusal of the next request.
+		cn.desynchronized = cn.desynchronized || c.isNotRun(resp)
 		return "", nil
 	}
 	d := c.settings.Dialect
@@ -37,8 +39,7 @@
 			cn.echoes = true
 			return StepReceive, c.requireSignature(resp)
 		case id == "" && c.isNotRun(resp):
-			// A second copy of this refusal could not be told from a refusal of the next
-			// request, so the connection must not carry one.
+			// The same holds here, so the connection must not carry another request.
 			cn.desynchronized = true
 			return "", nil
 		case id == "" && !d.EchoesRequestID && !cn.echoes:
--- a/internal/upstream/refusalcopy_test.go
+++ b/internal/upstream/refusalcopy_test.go
@@ -68,3 +68,42 @@
 		}
 	}
 }
+
+// TestRefusalOfHealthCheckWrittenAgainRefusesNoRequest has a server write the refusal of a health
+// check, which names no request, once more on a kept connection. The next request there runs.
+func TestRefusalOfHealthCheckWrittenAgainRefusesNoRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for dialect, settings := range map[string]Settings{"own": {AcceptCloseDelimited: true}, "echoing": echoingSettings()} {
+		t.Run(dialect, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+				for refused := false; ; {
+					head, err := s.readHead(br)
+					if err != nil {
+						return
+					}
+					id := fieldOf(head, "X-Request-Id")
+					if id == "" {
+						_, _ = io.WriteString(c, refusal)
+						refused = true
+						continue
+					}
+					if refused {
+						_, _ = io.WriteString(c, refusal)
+						time.Sleep(segmentGap)
+					}
+					_, _ = io.WriteString(c, answerTo(id))
+				}
+			})
+			c := newClient(t, settings)
+			check := newGet(s)
+			check.TraceID = ""
+			_, err := c.Check(testContext(t), check)
+			require.Error(t, err)
+			attempt := newGet(s)
+			attempt.TraceID = "next"
+			response, sendErr := c.Send(testContext(t), attempt)
+			require.Equal(t, "answer to next", readBody(t, response, sendErr))
+		})
+	}
+}
