pacing: a process that has just started uses the extra retries of the margin

Seven tests of platform/ failed with it (TestSecondServerAnswersForSilentOne, TestStopKeepsRequestsWhoseSecondAttemptFails and others): second attempts at silent servers were not made.

Change: within a window of its start a process uses its share of what the margin of the budget leaves (a fifth of the extra retries). A restart of all instances within a window stays within the limit.

--- a/internal/pacing/retry.go
+++ b/internal/pacing/retry.go
@@ -43,13 +43,15 @@
 func (b *RetryBudget) RecordSend(now model.Instant) { b.firstSends.Add(now, 1) }
 
 // Take reports whether one more retry is within this instance's share, and counts it if so.
-// The load pattern is servers that fail while instances start again in turn: a process that has
-// just started uses none of the extra retries, which the one before it may have used.
+// The load pattern is servers that fail while instances start again in turn: the process before
+// one that has just started may have used the whole share of the extra retries, so that this
+// one uses its share of those that the margin leaves.
 func (b *RetryBudget) Take(now model.Instant, instances *Fleet) bool {
-	extra, span := 0, maxCounted(b.settings.Window)
-	if !instances.startedWithin(now, span) {
-		extra = instances.Share(now, Bound{Key: b.key, Units: int(retryMargin * b.settings.Extra), Span: span})
+	part, span := retryMargin, maxCounted(b.settings.Window)
+	if instances.startedWithin(now, span) {
+		part = 1 - retryMargin
 	}
+	extra := instances.Share(now, Bound{Key: b.key, Units: int(part * b.settings.Extra), Span: span})
 	share := retryMargin*b.settings.Ratio*float64(b.firstSends.Count(now)) + float64(extra)
 	if float64(b.retries.Count(now)+1) > share {
 		return false
