--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -206,7 +207,7 @@
 
 // Snapshot returns what has not expired, sorted by fingerprint.
 func (s *SuspectTracker) Snapshot(now model.Instant) []membership.Suspect {
-	return snapshot(now, slices.Collect(maps.Values(s.byFingerprint)))
+	return copyUnexpired(now, slices.Collect(maps.Values(s.byFingerprint)))
 }
 
 // TakeChanges returns what has changed since its last call and has not expired, sorted by
@@ -222,7 +223,24 @@
 		}
 	}
 	clear(s.changed)
-	return snapshot(now, list)
+	return copyUnexpired(now, list)
+}
+
+// copyUnexpired returns copies of the suspects that have not expired, sorted by fingerprint.
+func copyUnexpired(now model.Instant, list []*suspect) []membership.Suspect {
+	var out []membership.Suspect
+	for _, entry := range list {
+		if entry.Expires > now {
+			out = append(out, membership.Suspect{
+				Fingerprint: entry.Fingerprint,
+				Servers:     slices.Clone(entry.Servers),
+				Coincident:  slices.Clone(entry.Coincident),
+				Expires:     entry.Expires,
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b membership.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
 }
 
 // getOrCreate returns the entry of a fingerprint, creating it if there is none or
--- a/internal/health/unsaved.go
+++ b/internal/health/unsaved.go
@@ -1,9 +1,6 @@
 package health
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -43,7 +40,7 @@
 		}
 	}
 	s.maybeUnsaved = len(list) > 0
-	return snapshot(now, list)
+	return copyUnexpired(now, list)
 }
 
 // Saved records that suspects have been saved as they were returned by Unsaved.
@@ -62,22 +59,3 @@
 	}
 	s.maybeUnsaved = true
 }
-
-func byFingerprint(a, b membership.Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
-
-// snapshot returns copies of the suspects that have not expired, sorted by fingerprint.
-func snapshot(now model.Instant, list []*suspect) []membership.Suspect {
-	var out []membership.Suspect
-	for _, entry := range list {
-		if entry.Expires > now {
-			out = append(out, membership.Suspect{
-				Fingerprint: entry.Fingerprint,
-				Servers:     slices.Clone(entry.Servers),
-				Coincident:  slices.Clone(entry.Coincident),
-				Expires:     entry.Expires,
-			})
-		}
-	}
-	slices.SortFunc(out, byFingerprint)
-	return out
-}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,10 +48,10 @@
 	// readErr is the last error of Read. It is kept because fasthttp returns io.EOF or
 	// an error of its own for any error before the first byte.
 	readErr error
-	// aborted is the first error with which the operating system ended the connection. It
+	// brokenBy is the first error with which the operating system ended the connection. It
 	// reports such an error once, to a read or a write; after a write has got it, reads
 	// return the data received so far and then io.EOF, as after an orderly end.
-	aborted atomic.Pointer[syscall.Errno]
+	brokenBy atomic.Pointer[syscall.Errno]
 }
 
 func newConn(c net.Conn, p *pool, now time.Time, progressTimeout time.Duration) *conn {
@@ -99,7 +99,7 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
-	c.noteAbort(err)
+	c.noteBroken(err)
 	if err != nil && c.responded.Load() {
 		return n, errEarlyResponse
 	}
@@ -114,24 +114,24 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
-	c.noteAbort(err)
+	c.noteBroken(err)
 	c.readErr = asNoProgress(err)
 	return n, c.readErr
 }
 
-// noteAbort records an error of a read or a write if the connection was reset or timed out.
+// noteBroken records an error of a read or a write if the connection was reset or timed out.
 // EPIPE is none: the peer had ended its side in order before it reset the connection.
-func (c *conn) noteAbort(err error) {
+func (c *conn) noteBroken(err error) {
 	var errno syscall.Errno
 	if err != nil && errors.As(err, &errno) && errno != syscall.EPIPE {
-		c.aborted.CompareAndSwap(nil, &errno)
+		c.brokenBy.CompareAndSwap(nil, &errno)
 	}
 }
 
-// abortError returns the error with which the connection was ended out of order, nil if it
+// brokenError returns the error with which the connection was ended out of order, nil if it
 // was not.
-func (c *conn) abortError() error {
-	if errno := c.aborted.Load(); errno != nil {
+func (c *conn) brokenError() error {
+	if errno := c.brokenBy.Load(); errno != nil {
 		return *errno
 	}
 	return nil
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -98,9 +98,9 @@
 		_, err = cn.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
 		if aborted {
-			require.ErrorIs(t, cn.abortError(), errno)
+			require.ErrorIs(t, cn.brokenError(), errno)
 		} else {
-			require.NoError(t, cn.abortError())
+			require.NoError(t, cn.brokenError())
 		}
 	}
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -118,8 +118,8 @@
 // response.
 func (b *responseBody) handleEOF() error {
 	switch {
-	case b.closeDelimited && b.cn != nil && b.cn.abortError() != nil:
-		b.fail(b.cn.abortError())
+	case b.closeDelimited && b.cn != nil && b.cn.brokenError() != nil:
+		b.fail(b.cn.brokenError())
 	case b.closeDelimited && b.client.settings.AcceptCloseDelimited:
 		b.finish()
 	case b.closeDelimited:
