edge: a process outlives the reader of its log

Callers saw closed connections: when the reader of an instance's standard output ended (a log collector that is restarted, a closed terminal, a head in a pipe), the instance ended at its next log line and cut all that it served, orders that were running at their servers among them. An instance whose output had no reader from the start never became ready.

Cause: Go ends a process that writes to standard output or error without a reader (SIGPIPE). The process ignores that signal and the one of a file at its size limit from its first moment on, so that such a write fails with an error, which the log's sink counts and reports once it can write again. SIGHUP and SIGTERM are received from the first moment on, too, to the last. fasthttp's servers of lookups, readiness and control wrote their errors to standard error directly, blocking; they log through the sink.

--- a/cmd/primrosenotch-edge/main.go
+++ b/cmd/primrosenotch-edge/main.go
@@ -8,6 +8,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
 
 // Exit codes.
@@ -25,6 +27,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	received := signals.Receive()
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var usage *flags.Error
@@ -42,7 +45,7 @@
 		fmt.Println(o.Settings, "is valid")
 		return exitOK
 	}
-	if err := serve(s); err != nil {
+	if err := serve(s, received); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -24,6 +20,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/signals"
 	"github.com/primrosenotch/primrosenotch/platform"
 )
 
@@ -54,11 +51,11 @@
 	return loadedSettings{Settings: s, file: name, text: text, bounds: bounds}, nil
 }
 
-func serve(s loadedSettings) error {
+func serve(s loadedSettings, received signals.Set) error {
 	injector := do.New()
 	do.ProvideValue(injector, s)
 	sink := logsink.New(os.Stdout)
-	defer sink.Close(logFlushTimeout)
+	defer sink.Close(logsink.FlushTimeout)
 	do.ProvideValue(injector, sink)
 	do.Provide(injector, newLog)
 	do.Provide(injector, newStore)
@@ -72,23 +69,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	reload := &reloader{file: s.file, text: s.text, current: s, log: log, setBounds: e.SetBounds}
-	go reload.run(ctx, hangups)
+	go reload.run(received.Stop, received.Hangups)
 	serveEndpoint(log, e.Accepting("ready", l.ready), platform.ReadyHandler(e))
 	serveEndpoint(log, e.Accepting("lookups", l.lookups), platform.LookupHandler(e))
 	serveEndpoint(log, e.Accepting("control", l.control), controlHandler(e))
 	log.WithField("callers", s.Listen.Callers).Info("started")
-	return e.Run(ctx, edge.Listeners{Callers: l.callers, Links: l.links})
+	return e.Run(received.Stop, edge.Listeners{Callers: l.callers, Links: l.links})
 }
 
-// logFlushTimeout limits the time for writing the last log lines at the end of the process.
-const logFlushTimeout = 200 * time.Millisecond
-
 // logTimeFormat is RFC 3339 in milliseconds, so that the lines of several instances can be
 // put in order.
 const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
@@ -145,6 +134,7 @@
 		Log:             do.MustInvoke[*logrus.Entry](i),
 		RandomServers:   s.Direct.Naive,
 		DroppedLogLines: do.MustInvoke[*logsink.Sink](i).Dropped,
+		FailedLogLines:  do.MustInvoke[*logsink.Sink](i).Failed,
 	}), nil
 }
 
@@ -190,7 +180,7 @@
 
 // serveEndpoint serves handler on l in the background until the process ends.
 func serveEndpoint(log *logrus.Entry, l net.Listener, handler fasthttp.RequestHandler) {
-	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048}
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048, Logger: log}
 	go func() {
 		if err := server.Serve(l); err != nil {
 			log.WithError(err).WithField("address", l.Addr().String()).Error("HTTP endpoint failed")
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -87,7 +87,10 @@
 		m.unlogged, m.invalid, m.probes, m.accepts)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
-	}, e.droppedLogLines))
+	}, func() float64 { return countOf(e.options.DroppedLogLines) }))
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "primrosenotch_edge_failed_log_lines_total", Help: "Log lines that could not be written.",
+	}, func() float64 { return countOf(e.options.FailedLogLines) }))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -128,11 +131,12 @@
 	return m
 }
 
-func (e *Edge) droppedLogLines() float64 {
-	if e.options.DroppedLogLines == nil {
+// countOf returns a counter's value, 0 without a counter.
+func countOf(counter func() int64) float64 {
+	if counter == nil {
 		return 0
 	}
-	return float64(e.options.DroppedLogLines())
+	return float64(counter())
 }
 
 func (m *metrics) requestEnded(outcome model.Outcome, cause model.Cause) {
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -67,6 +67,9 @@
 	// DroppedLogLines returns the number of log lines dropped since the start; nil means
 	// that none are.
 	DroppedLogLines func() int64
+	// FailedLogLines returns the number of log lines that could not be written; nil means that
+	// none are.
+	FailedLogLines func() int64
 }
 
 const (
--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -1,6 +1,6 @@
-// Package logsink writes log lines without ever blocking the caller: lines wait in a bounded
-// queue, and lines that do not fit are counted and dropped. Part of the queue is reserved for
-// warnings and errors.
+// Package logsink writes log lines without ever blocking or failing the caller: lines wait in a
+// bounded queue. Lines that do not fit are counted and dropped, and so are those that the output
+// does not take. Part of the queue is reserved for warnings and errors.
 package logsink
 
 import (
@@ -19,6 +19,9 @@
 // accepted.
 const maxQueuedInfoLines = maxQueuedLines / 2
 
+// FlushTimeout is the time that a process gives Close at its end.
+const FlushTimeout = 200 * time.Millisecond
+
 // jsonInfo and textInfo are how logrus marks a line of level info. Quotes in values are
 // escaped in JSON, so that no value contains jsonInfo.
 var (
@@ -34,6 +37,8 @@
 	out       io.Writer
 	queue     chan []byte
 	dropped   atomic.Int64
+	failed    atomic.Int64
+	partial   bool // the output ends within a line; belongs to run
 	done      chan struct{}
 	closeOnce sync.Once
 }
@@ -66,19 +71,21 @@
 	return bytes.Contains(line[:min(len(line), textLevelBytes)], textInfo)
 }
 
-// Dropped returns the number of lines dropped since the start.
+// Dropped returns the number of lines since the start that did not fit into the queue.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
+// Failed returns the number of lines since the start that could not be written.
+func (s *Sink) Failed() int64 { return s.failed.Load() }
+
 func (s *Sink) run() {
 	defer close(s.done)
-	var reported int64
+	var reported losses
 	for line := range s.queue {
-		if line != nil {
-			// A failed write of the log cannot be reported anywhere.
-			_, _ = s.out.Write(line)
+		if line != nil && s.write(line) != nil {
+			s.failed.Add(1)
 		}
 		if len(s.queue) == 0 {
-			reported = s.reportDropped(reported)
+			reported = s.reportLosses(reported)
 		}
 		if line == nil {
 			return
@@ -86,14 +93,37 @@
 	}
 }
 
-// reportDropped writes how many lines were dropped beyond those already reported. It returns
-// the total number of dropped lines.
-func (s *Sink) reportDropped(reported int64) int64 {
-	dropped := s.dropped.Load()
-	if dropped > reported {
-		_, _ = fmt.Fprintf(s.out, `{"level":"warning","msg":"log lines dropped","dropped":%d}`+"\n", dropped-reported)
+// write writes a line, on a line of its own also after one that was written in part.
+func (s *Sink) write(line []byte) error {
+	if s.partial {
+		line = append([]byte("\n"), line...)
+	}
+	n, err := s.out.Write(line)
+	if n > 0 {
+		s.partial = n < len(line)
+	}
+	if err != nil {
+		return fmt.Errorf("write log line: %w", err)
+	}
+	return nil
+}
+
+// losses counts lines that are not in the log.
+type losses struct{ dropped, failed int64 }
+
+// reportLosses writes how many lines were lost beyond those already reported. It returns the
+// losses that have been reported.
+func (s *Sink) reportLosses(reported losses) losses {
+	lost := losses{s.dropped.Load(), s.failed.Load()}
+	if lost == reported {
+		return reported
+	}
+	line := fmt.Sprintf(`{"level":"warning","msg":"log lines dropped","dropped":%d,"not_written":%d}`+"\n",
+		lost.dropped-reported.dropped, lost.failed-reported.failed)
+	if s.write([]byte(line)) != nil {
+		return reported
 	}
-	return dropped
+	return lost
 }
 
 // Close writes the queued lines, for at most the given time, and stops the sink.
--- a/internal/logsink/sink_test.go
+++ b/internal/logsink/sink_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,3 +77,41 @@
 	s.Close(50 * time.Millisecond)
 	require.Less(t, time.Since(started), time.Second)
 }
+
+// fullWriter takes a part of each line, until it has room for all.
+type fullWriter struct {
+	mu   sync.Mutex
+	room bool
+	out  bytes.Buffer
+}
+
+func (w *fullWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.room {
+		n, _ := w.out.Write(p[:1])
+		return n, syscall.ENOSPC
+	}
+	return w.out.Write(p)
+}
+
+// TestFailedWritesAreCountedAndReported covers an output that fails for a while: later lines are
+// whole, and one says how many are missing.
+func TestFailedWritesAreCountedAndReported(t *testing.T) {
+	w := &fullWriter{}
+	s := New(w)
+	for range 3 {
+		_, err := s.Write([]byte("lost\n"))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return s.Failed() == 3 }, time.Second, time.Millisecond)
+	w.mu.Lock()
+	w.room = true
+	w.mu.Unlock()
+	_, err := s.Write([]byte("kept\n"))
+	require.NoError(t, err)
+	s.Close(time.Second)
+	lines := strings.Split(w.out.String(), "\n")
+	require.Contains(t, lines, "kept")
+	require.Contains(t, lines, `{"level":"warning","msg":"log lines dropped","dropped":0,"not_written":3}`)
+}
