entry: a process outlives the reader of its log, and a hangup

Callers saw closed connections, or no answer: primrosenotch-entry ended when the reader of its standard error ended and on SIGHUP (a closed terminal), and stood still while nobody read its log.

The log goes through the sink that never blocks now; lines that are lost are counted by reason in primrosenotch_lost_log_lines_total. A hangup is logged: settings need a restart.

--- a/cmd/primrosenotch-entry/main.go
+++ b/cmd/primrosenotch-entry/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/entry"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
 
 // Exit codes.
@@ -28,6 +29,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	received := signals.Receive()
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var usage *flags.Error
@@ -45,7 +47,7 @@
 		fmt.Println(o.Settings, "is valid")
 		return exitOK
 	}
-	if err := entry.Run(s); err != nil {
+	if err := entry.Run(s, received); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,8 +6,7 @@
 	"context"
 	"fmt"
 	"net"
-	"os/signal"
-	"syscall"
+	"os"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
@@ -19,21 +18,31 @@
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/listener"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/runtime"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
 
-// Run runs an entry instance until SIGTERM or SIGINT, then shuts it down gracefully.
-func Run(s settings.Settings) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+// Run runs an entry instance until it is asked to stop, then shuts it down gracefully.
+func Run(s settings.Settings, received signals.Set) error {
 	injector := do.New()
-	provide(injector, s)
+	sink := logsink.New(os.Stderr)
+	defer sink.Close(logsink.FlushTimeout)
+	provide(injector, s, sink)
 	instance, err := do.Invoke[*instance](injector)
 	if err != nil {
 		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
 	}
-	return instance.run(ctx)
+	go instance.logHangups(received.Hangups)
+	return instance.run(received.Stop)
+}
+
+// logHangups says that settings need a restart to whoever asks to have them read again.
+func (i *instance) logHangups(hangups <-chan os.Signal) {
+	for range hangups {
+		i.log.Warn("hangup ignored; changed settings need a restart")
+	}
 }
 
 // instance holds the servers and the runtime of one process.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
 	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
 	"github.com/primrosenotch/primrosenotch/internal/standin/backend"
@@ -112,7 +113,9 @@
 	s.Serving.LookupTTL = 200 * time.Millisecond
 	s.Log.Level = "error"
 	injector := do.New()
-	provide(injector, s)
+	sink := logsink.New(io.Discard)
+	f.t.Cleanup(func() { sink.Close(logsink.FlushTimeout) })
+	provide(injector, s, sink)
 	i, err := do.Invoke[*instance](injector)
 	require.NoError(f.t, err)
 	return i
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"os"
-
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
@@ -13,6 +11,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
 	"github.com/primrosenotch/primrosenotch/internal/link"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
@@ -24,8 +23,9 @@
 )
 
 // provide registers the constructors of an instance's components.
-func provide(i do.Injector, s settings.Settings) {
+func provide(i do.Injector, s settings.Settings, sink *logsink.Sink) {
 	do.ProvideValue(i, s)
+	do.ProvideValue(i, sink)
 	do.Provide(i, newLog)
 	do.Provide(i, newPlatform)
 	do.Provide(i, newRuntime)
@@ -40,7 +40,7 @@
 		return nil, err
 	}
 	log := logrus.New()
-	log.SetOutput(os.Stderr)
+	log.SetOutput(do.MustInvoke[*logsink.Sink](i))
 	log.SetLevel(level)
 	if s.Log.Format == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{})
@@ -71,6 +71,7 @@
 		PlatformStats: client.Stats,
 		PlatformState: func() control.Platform { return platformState(client) },
 		Log:           do.MustInvoke[*logrus.Entry](i),
+		LogLosses:     do.MustInvoke[*logsink.Sink](i),
 		Drain:         s.Serving.Drain,
 	}), nil
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
+	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
 
 // stopOutcome is how a request that was sent during a stop ended.
@@ -226,7 +227,7 @@
 	}
 	s, err := settings.Load(name)
 	if err == nil {
-		err = Run(s)
+		err = Run(s, signals.Receive())
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/runtime/collect.go
+++ b/internal/runtime/collect.go
@@ -22,6 +22,7 @@
 	stopInFlight, stopDrain                      *prometheus.Desc
 	platformCalls, platformRetries               *prometheus.Desc
 	platformRejected, platformBreaker            *prometheus.Desc
+	lostLogLines                                 *prometheus.Desc
 	configurationAdoption, configurationAccepted *prometheus.Desc
 }
 
@@ -50,6 +51,7 @@
 		platformRetries:       newDesc("platform_retries_total", "Attempts after the first of a call to the platform.", "service"),
 		platformRejected:      newDesc("platform_rejected_total", "Attempts that the open circuit breaker refused.", "service"),
 		platformBreaker:       newDesc("platform_breaker_state", "Circuit breaker: 0 closed, 1 half-open, 2 open.", "service"),
+		lostLogLines:          newDesc("lost_log_lines_total", "Lines that are not in the log: dropped because its reader is too slow, or not written because writing failed.", "reason"),
 		configurationAccepted: newDesc("configuration_accepted_timestamp_seconds", "When the revision in force was accepted."),
 		configurationAdoption: newDesc("configuration_adoption_seconds", "Time from the acceptance of the revision in force to its adoption here."),
 	}
@@ -60,7 +62,7 @@
 	for _, d := range []*prometheus.Desc{
 		c.slots, c.inUse, c.headroom, c.queued, c.spillSlots, c.spillInUse, c.owned, c.peers, c.inFlight,
 		c.linkBudget, c.linkUsed, c.linkTraffic, c.stopInFlight, c.stopDrain, c.platformCalls, c.platformRetries,
-		c.platformRejected, c.platformBreaker, c.configurationAccepted, c.configurationAdoption,
+		c.platformRejected, c.platformBreaker, c.lostLogLines, c.configurationAccepted, c.configurationAdoption,
 	} {
 		ch <- d
 	}
@@ -76,6 +78,7 @@
 	c.collectStops(m)
 	c.collectPlatform(m)
 	c.collectConfiguration(m)
+	c.collectLog(m)
 }
 
 // metricState is the part of the reducer's state that a scrape reports.
@@ -190,3 +193,10 @@
 	m.gauge(c.configurationAccepted, float64(status.AcceptedAt.UnixMilli())/1000)
 	m.gauge(c.configurationAdoption, status.AdoptedAt.Sub(status.AcceptedAt).Seconds())
 }
+
+func (c *stateCollector) collectLog(m metricWriter) {
+	if losses := c.runtime.options.LogLosses; losses != nil {
+		m.counter(c.lostLogLines, float64(losses.Dropped()), "dropped")
+		m.counter(c.lostLogLines, float64(losses.Failed()), "not written")
+	}
+}
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -16,6 +16,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
@@ -44,6 +45,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := New(Options{
+		LogLosses: logsink.New(io.Discard),
 		Reducer: reducer.Settings{
 			Self:      membership.Record{ID: "entry-1", Zone: "north-a", LinkAddr: "127.0.0.1:1"},
 			PollEvery: time.Hour, IdlePollFactor: 1, LookupTTL: time.Second,
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -47,10 +47,19 @@
 	// PlatformStats returns statistics of the platform calls. It may be nil.
 	PlatformStats func() []platform.ServiceStats
 	Log           *logrus.Entry
+	// LogLosses counts log lines that are not in the log. It may be nil.
+	LogLosses LogLosses
 	// Drain is the longest time that shutdown waits for requests in flight.
 	Drain time.Duration
 }
 
+// LogLosses counts lines that did not fit into the queue of the log, and lines that the output did
+// not take.
+type LogLosses interface {
+	Dropped() int64
+	Failed() int64
+}
+
 // journalSizes is the number of decisions of each kind that an instance keeps.
 var journalSizes = journal.Sizes{Fleet: 2048, Notable: 8192, Ordinary: 16384}
 
