--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -183,7 +183,7 @@
 	case !wasKnown:
 		g.note(m.record.ID, "joined as "+m.record.State.String(), "first record")
 	case old.Incarnation != m.record.Incarnation:
-		g.note(m.record.ID, "restarted", "newer incarnation")
+		g.note(m.record.ID, "restarted", restartReason(old))
 	case wasDead:
 		g.note(m.record.ID, "alive again", "refuted the suspicion")
 	case old.State != m.record.State:
@@ -191,6 +191,15 @@
 	}
 }
 
+// restartReason says whether an earlier process had announced that it stops: one that ends by
+// itself or is killed writes no such line in its own log.
+func restartReason(earlier *Record) string {
+	if earlier.State == Leaving || earlier.State == Left {
+		return "newer incarnation; the earlier process had announced its stop"
+	}
+	return "newer incarnation; the earlier process ended without a planned stop, last known as " + earlier.State.String()
+}
+
 // updateLoads stores the loads of a record if it was sent by the instance that it
 // describes. If that instance has sent loads before, a record without loads means
 // that it owns nothing or no longer sends loads to this instance.
