edge, entry: bodies held in memory are bounded

What callers saw: many callers that sent bodies, or read answers, slowly made the process use more memory than it has; it is killed then, and with it all that it serves.

Cause: each request held a body of up to 512 KB (64 KB in primrosenotch-entry) and as much of an answer until its caller had read it, for as many requests as there are connections: nothing bounded the sum. Bodies of unknown length took up to twice their size while they grew.

A request whose body does not fit is refused at once as not run (503, overload, Retry-After), an answer that does not fit is streamed. Bodies of up to 8 KB are not counted, so that small requests are still served. Memory for a body grows with what has been sent.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/edge"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
+	"github.com/primrosenotch/primrosenotch/internal/memory"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
 	"github.com/primrosenotch/primrosenotch/internal/signals"
@@ -133,6 +134,7 @@
 		Decode:          platform.Decode,
 		Log:             do.MustInvoke[*logrus.Entry](i),
 		RandomServers:   s.Direct.Naive,
+		HeldBytes:       memory.Apply(memory.Limit(s.Instance.MemoryBytes())),
 		DroppedLogLines: do.MustInvoke[*logsink.Sink](i).Dropped,
 		FailedLogLines:  do.MustInvoke[*logsink.Sink](i).Failed,
 	}), nil
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -118,6 +118,15 @@
 	})
 }
 
+// heldBytes returns the most bytes of a body of the given length, -1 if unknown, that receive
+// holds.
+func heldBytes(length int64) int64 {
+	if length < 0 {
+		return maxBufferedBodyBytes
+	}
+	return length
+}
+
 // receive reads the body of an answer of a hedged request, unless it is too long. Until then
 // the other attempts go on, as they are needed if the answer cannot be passed on.
 func (c *call) receive(a *answer) outcome {
@@ -125,7 +134,7 @@
 	switch {
 	case claimsNotRun(a.response.Status):
 		return outcome{next: c.reject(a)}
-	case a.response.BodyBytes > maxBufferedBodyBytes, c.x.Method == http.MethodHead:
+	case a.response.BodyBytes > maxBufferedBodyBytes, c.x.Method == http.MethodHead, !c.x.Hold(heldBytes(a.response.BodyBytes)):
 		return outcome{answer: a}
 	}
 	c.startWaiting(a.send.Attempt, a.cancel)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -183,6 +183,7 @@
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
 		BufferBytes:          maxBufferedBodyBytes,
+		HeldBytes:            o.HeldBytes,
 		Dialect:              o.Dialect,
 		NoLookups:            true,
 		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -64,6 +64,9 @@
 	Decode        func(table string, row follow.Row) (catalog.Change, error)
 	Log           *logrus.Entry
 	RandomServers bool
+	// HeldBytes bounds the bodies of requests and answers that are held in memory at the same
+	// time; 0 means ingress.DefaultHeldBytes.
+	HeldBytes int64
 	// DroppedLogLines returns the number of log lines dropped since the start; nil means
 	// that none are.
 	DroppedLogLines func() int64
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -27,13 +27,16 @@
 	return binary
 }
 
+// processMemory is the memory in bytes that an instance's process is told to use.
+const processMemory = 284 << 20
+
 // startProcess starts an instance of the fleet as a process of its own and returns the process
 // and the instance's index.
 func (f *fleet) startProcess(binary, id, zone string, setOutput func(*exec.Cmd)) (*exec.Cmd, int) {
 	f.t.Helper()
 	callers, links, controlAddr := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
-	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\n[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n"+
-		"[platform]\naddress = %s\npoll every = 100ms\n[serving]\nlookup ttl = 200ms\n", id, zone, callers, links, controlAddr, f.store)
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\nmemory mb = %d\n[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n"+
+		"[platform]\naddress = %s\npoll every = 100ms\n[serving]\nlookup ttl = 200ms\n", id, zone, processMemory>>20, callers, links, controlAddr, f.store)
 	file := filepath.Join(f.t.TempDir(), id+".ini")
 	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
 	process := exec.Command(binary, "--settings", file)
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -13,6 +13,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/memory"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 	"github.com/primrosenotch/primrosenotch/internal/reducer"
@@ -114,6 +115,7 @@
 	server := ingress.New(ingress.Settings{
 		MaxExchanges:   s.Serving.MaxRequests,
 		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
+		HeldBytes:      memory.Apply(memory.Limit(s.Instance.MemoryBytes())),
 	}, r)
 	server.SetDirectory(r)
 	return server, nil
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -24,6 +24,7 @@
 	// readTimeout returns how long a read may take when the HTTP library requests
 	// the given timeout.
 	readTimeout func(requested time.Duration) time.Duration
+	held        *atomic.Int64 // bytes of bodies held for all connections
 }
 
 // Accept implements net.Listener.
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes, readTimeout: l.readTimeout}, nil
+	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes, readTimeout: l.readTimeout, totalHeld: l.held}, nil
 }
 
 // progressConn limits how slowly a caller may send a body or read a response.
@@ -48,6 +49,27 @@
 	bodyAborted atomic.Bool   // reads of the body fail
 	waited      time.Duration // time spent waiting since the last sufficient progress
 	read        int           // bytes read since the last sufficient progress
+	held        atomic.Int64  // bytes of bodies held for the current exchange
+	totalHeld   *atomic.Int64
+}
+
+// hold counts bytes that are held in memory until the response has been written. It returns
+// false if all connections would hold more than limit.
+func (c *progressConn) hold(bytes, limit int64) bool {
+	if c.totalHeld.Add(bytes) > limit {
+		c.totalHeld.Add(-bytes)
+		return false
+	}
+	c.held.Add(bytes)
+	return true
+}
+
+func (c *progressConn) release() { c.totalHeld.Add(-c.held.Swap(0)) }
+
+// Close implements net.Conn.
+func (c *progressConn) Close() error {
+	c.release()
+	return c.Conn.Close()
 }
 
 // startBody replaces the header's read deadline with the progress timeout until the
@@ -64,10 +86,12 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// SetReadDeadline implements net.Conn. It ends the use of the progress timeout and
-// applies readTimeout to the deadline.
+// SetReadDeadline implements net.Conn. The HTTP library calls it before it reads the next
+// request. It ends the use of the progress timeout, applies readTimeout to the deadline and
+// releases what the last exchange held.
 func (c *progressConn) SetReadDeadline(t time.Time) error {
 	c.inBody = false
+	c.release()
 	if !t.IsZero() && time.Until(t) > 0 {
 		now := time.Now()
 		t = now.Add(c.readTimeout(t.Sub(now)))
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -117,9 +117,10 @@
 }
 
 // readBuffered reads a body with a declared length of up to Settings.BufferBytes. It
-// returns nil for a body to stream and for the response to a HEAD request.
+// returns nil for a body to stream, also for want of memory, and for the response to a HEAD
+// request.
 func (x *Exchange) readBuffered(a *Response) ([]byte, error) {
-	if a.BodyBytes < 0 || a.BodyBytes > x.bufferBytes() || x.Method == fasthttp.MethodHead {
+	if a.BodyBytes < 0 || a.BodyBytes > x.bufferBytes() || x.Method == fasthttp.MethodHead || !x.Hold(a.BodyBytes) {
 		return nil, nil
 	}
 	body, err := readWholeBody(a.Body, a.BodyBytes)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -152,18 +152,21 @@
 		source.left = -1
 		return x.readChunked(source)
 	}
-	x.Body = make([]byte, length)
-	if _, err := io.ReadFull(source, x.Body); err != nil {
+	body, err := x.readHeld(source, length)
+	if err == nil && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return fmt.Errorf("read request body: %w", err)
 	}
-	x.BodyBytes, x.Replayable = length, true
+	x.Body, x.BodyBytes, x.Replayable = body, length, true
 	return nil
 }
 
 // readChunked reads a body of unknown length. It sets BodyStream if the body turns out
 // to be larger than Settings.BufferBytes.
 func (x *Exchange) readChunked(source io.Reader) error {
-	prefix, err := io.ReadAll(io.LimitReader(source, x.bufferBytes()+1))
+	prefix, err := x.readHeld(source, x.bufferBytes()+1)
 	if err != nil {
 		return fmt.Errorf("read request body: %w", err)
 	}
@@ -176,6 +179,52 @@
 	return nil
 }
 
+// errTooMuchHeld reports that Settings.HeldBytes is used up.
+var errTooMuchHeld = errors.New("no memory left for the body")
+
+const (
+	// uncountedBytes is the size up to which a body is not counted as held: it costs no more
+	// than the buffers of its connection.
+	uncountedBytes = 8 << 10
+	// bodyGrowth is the factor by which the memory of a body grows.
+	bodyGrowth = 4
+)
+
+// readHeld reads up to limit bytes, or to the end if that is earlier. The memory that it takes
+// grows with what the caller has sent.
+func (x *Exchange) readHeld(r io.Reader, limit int64) ([]byte, error) {
+	body := make([]byte, 0, min(uncountedBytes, limit))
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF: //nolint:errorlint // a wrapped io.EOF is a broken body
+			return body, nil
+		case err != nil:
+			return nil, err
+		case int64(len(body)) == limit:
+			return body, nil
+		case len(body) == cap(body):
+			size := min(bodyGrowth*int64(cap(body)), limit)
+			if !x.hold(size - int64(cap(body))) {
+				return nil, errTooMuchHeld
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+	}
+}
+
+// Hold counts a body of a response that the handler holds in memory until the exchange ends.
+// It returns false if Settings.HeldBytes is used up.
+func (x *Exchange) Hold(bytes int64) bool {
+	return bytes <= uncountedBytes || x.hold(bytes)
+}
+
+func (x *Exchange) hold(bytes int64) bool {
+	c, ok := x.ctx.Conn().(*progressConn)
+	return !ok || c.hold(bytes, x.server.settings.HeldBytes)
+}
+
 func (x *Exchange) bufferBytes() int64 { return int64(x.server.settings.BufferBytes) }
 
 // startBody applies the progress timeout to the body that is read next.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -28,6 +28,7 @@
 	lookups        atomic.Int64
 	refusedLookups atomic.Int64
 	overloaded     atomic.Int64
+	held           atomic.Int64 // bytes of bodies
 	draining       atomic.Bool
 }
 
@@ -70,7 +71,7 @@
 
 // Stats holds counts since the server's start.
 type Stats struct {
-	Overloaded     int64 // exchanges refused because of MaxExchanges
+	Overloaded     int64 // exchanges refused because of MaxExchanges or HeldBytes
 	RefusedLookups int64 // lookups refused because of MaxLookups
 }
 
@@ -89,6 +90,7 @@
 		timeout:     s.settings.ProgressTimeout,
 		minBytes:    s.settings.ProgressBytes,
 		readTimeout: s.readTimeout,
+		held:        &s.held,
 	}
 	if err := s.http.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
@@ -156,6 +158,12 @@
 		return nil
 	}
 	x, err := newExchange(s, ctx)
+	if errors.Is(err, errTooMuchHeld) {
+		s.overloaded.Add(1)
+		s.notifyReject(ctx, x.TraceID, model.CauseOverload, err)
+		ctx.SetConnectionClose()
+		return x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
+	}
 	if err != nil {
 		s.reject(ctx, x.TraceID, model.CauseInvalidRequest, fmt.Errorf("read body: %w", err))
 		ctx.SetConnectionClose()
--- a/internal/ingress/settings.go
+++ b/internal/ingress/settings.go
@@ -38,6 +38,10 @@
 	// of the largest response body, by its declared length, that is read completely
 	// before any of it is sent.
 	BufferBytes int
+	// HeldBytes bounds the bytes of request and response bodies that are held in memory for
+	// all exchanges together. A request with a body beyond it is refused, a response beyond
+	// it is streamed.
+	HeldBytes int64
 	// Dialect names the header fields that callers and the server set; nil means
 	// httpheader.DefaultDialect.
 	Dialect *httpheader.Dialect
@@ -59,7 +63,7 @@
 	Host      string // empty if the header could not be read
 	Path      string
 	Cause     model.Cause
-	Err       error // what is wrong with the request, nil for CauseOverload
+	Err       error // what is wrong with the request, or what it lacks; nil if there are too many
 }
 
 // The defaults of Settings.
@@ -72,6 +76,7 @@
 	DefaultProgressTimeout    = 10 * time.Second
 	DefaultProgressBytes      = 1024
 	DefaultMaxHeaderBytes     = 16 << 10
+	DefaultHeldBytes          = 256 << 20
 	DefaultOverloadRetryAfter = time.Second
 )
 
@@ -85,6 +90,7 @@
 	setDefault(&s.ProgressBytes, DefaultProgressBytes)
 	setDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&s.BufferBytes, DefaultBufferBytes)
+	setDefault(&s.HeldBytes, DefaultHeldBytes)
 	if s.Dialect == nil {
 		s.Dialect = httpheader.DefaultDialect()
 	}
@@ -92,7 +98,7 @@
 	return s
 }
 
-func setDefault[T time.Duration | int](v *T, fallback T) {
+func setDefault[T time.Duration | int | int64](v *T, fallback T) {
 	if *v <= 0 {
 		*v = fallback
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,8 +26,14 @@
 	// unknown.
 	BandwidthMbit float64 `ini:"bandwidth mbit"`
 	CPUs          float64 `ini:"cpus"`
+	// MemoryMB is the memory that this process may use, in MB; 0 for what its container or
+	// machine has.
+	MemoryMB float64 `ini:"memory mb"`
 }
 
+// MemoryBytes returns MemoryMB in bytes.
+func (i *Instance) MemoryBytes() int64 { return int64(i.MemoryMB * (1 << 20)) }
+
 // Listen is the [listen] section; each value is host:port with an IP address.
 type Listen struct {
 	Callers string `ini:"callers"` // callers' HTTP and lookups
@@ -168,7 +174,7 @@
 
 // knownKeys lists the keys of each section. [peers] and [regions] accept any key.
 var knownKeys = map[string][]string{
-	"instance":  {"id", "zone", "bandwidth mbit", "cpus"},
+	"instance":  {"id", "zone", "bandwidth mbit", "cpus", "memory mb"},
 	"listen":    {"callers", "links", "control"},
 	"advertise": {"callers", "links", "control"},
 	"platform":  {"address", "timeout", "poll every", "poll factor"},
@@ -225,7 +231,7 @@
 	for _, c := range []struct {
 		key   string
 		value float64
-	}{{"bandwidth mbit", s.Instance.BandwidthMbit}, {"cpus", s.Instance.CPUs}} {
+	}{{"bandwidth mbit", s.Instance.BandwidthMbit}, {"cpus", s.Instance.CPUs}, {"memory mb", s.Instance.MemoryMB}} {
 		if !(c.value >= 0 && c.value <= math.MaxInt32) {
 			report("instance", c.key, fmt.Sprintf("%v is not a number from 0 to %d", c.value, math.MaxInt32))
 		}
