edge, entry: idle connections to other ports do not use up the file descriptors

What callers saw: 600 connections that send nothing, or half a head, to the port for lookups, readiness checks or operators took all file descriptors of a process with a limit of 600: accepts failed on all ports, no lookup or readiness check was answered, requests were refused with 503. Nothing closed such connections.

Each of these ports has a share of the descriptors now, a sixteenth of all for lookups and 32 of the reserve for readiness checks and operators each. A new connection beyond it replaces the one that has been silent for longest, so that silent peers keep nobody out.

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -7,18 +7,26 @@
 	"syscall"
 )
 
-// Reserve is the number of descriptors kept for everything but callers' connections and
-// connections to backend servers: links, the store, operators, logs.
+// Reserve is the number of descriptors kept for everything that has no share: links, the
+// store, readiness checks, operators, logs.
 const Reserve = 256
 
+// MaxControl bounds the connections for operators and for readiness checks, each. They are part
+// of the reserve.
+const MaxControl = 32
+
+// lookupDivisor is the ratio of all descriptors to those for lookups.
+const lookupDivisor = 16
+
 // minConnections is the least number of connections that a use gets, whatever the limit.
 const minConnections = 16
 
-// Share holds the numbers of connections that a process may have open. Both are equal
-// because a request in flight needs one of each.
+// Share holds the numbers of connections that a process may have open. Those of callers and
+// to backend servers are equal because a request in flight needs one of each.
 type Share struct {
 	Callers        int
 	BackendServers int
+	Lookups        int // on a listener of their own
 }
 
 // Available returns the division of the descriptors that this process may open.
@@ -32,8 +40,9 @@
 
 func divide(limit uint64) Share {
 	total := int(min(limit, math.MaxInt32))
-	each := max((total-Reserve)/2, minConnections)
-	return Share{Callers: each, BackendServers: each}
+	lookups := max(total/lookupDivisor, minConnections)
+	each := max((total-Reserve-lookups)/2, minConnections)
+	return Share{Callers: each, BackendServers: each, Lookups: lookups}
 }
 
 // IsShortage reports whether an error of a socket call shows that this process or machine
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -253,9 +253,18 @@
 	return err
 }
 
-// Accepting returns l with retries of temporary failures to accept a connection.
+// Accepting returns l with retries of temporary failures to accept a connection. Its open
+// connections are bounded, except those of callers, which the callers' server bounds, and links,
+// which end when a ping is not answered.
 func (e *Edge) Accepting(name string, l net.Listener) net.Listener {
-	return listener.Retry(l, name, e.log, e.metrics.accepts)
+	limits := map[string]int{
+		"lookups": descriptors.Available().Lookups, "ready": descriptors.MaxControl, "control": descriptors.MaxControl,
+	}
+	accepting := listener.Retry(l, name, e.log, e.metrics.accepts)
+	if limit, ok := limits[name]; ok {
+		return listener.Limit(accepting, limit, name, e.log)
+	}
+	return accepting
 }
 
 // runPeriodically calls do once per period until the instance has left.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/primrosenotch/primrosenotch/internal/control"
+	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/listener"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
@@ -107,9 +108,15 @@
 	return i.close(cancel, &group)
 }
 
-// accepting returns l with retries of temporary failures to accept a connection.
+// accepting returns l with retries of temporary failures to accept a connection. Open
+// connections of operators are bounded; the callers' server bounds those of callers, and links
+// end when a ping is not answered.
 func (i *instance) accepting(name string, l net.Listener) net.Listener {
-	return listener.Retry(l, name, i.log, i.runtime.AcceptFailures())
+	accepting := listener.Retry(l, name, i.log, i.runtime.AcceptFailures())
+	if name == "control" {
+		return listener.Limit(accepting, descriptors.MaxControl, name, i.log)
+	}
+	return accepting
 }
 
 // close shuts down the servers. The runtime must have ended.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -32,6 +32,7 @@
 type fleet struct {
 	t         testing.TB
 	callers   []string
+	links     []string
 	controls  []string
 	servers   map[string]*backend.Server
 	stop      []context.CancelFunc
@@ -126,6 +127,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- run(ctx) }()
 	f.callers = append(f.callers, i.settings.Listen.Callers)
+	f.links = append(f.links, i.settings.Listen.Links)
 	f.controls = append(f.controls, i.settings.Listen.Control)
 	f.stop = append(f.stop, cancel)
 	f.ended = append(f.ended, ended)
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -47,6 +47,7 @@
 		_ = process.Wait()
 	})
 	f.callers = append(f.callers, callers)
+	f.links = append(f.links, links)
 	f.controls = append(f.controls, controlAddr)
 	return process, len(f.callers) - 1
 }
