edge, entry: an answer read slowly survives what its caller still sends

What callers saw: a caller that reads its answer slowly got the beginning of it and then a reset or an early end, if it still sent when the instance closed the connection: the rest of a body that the server had not read, in normal serving, or its next request, in a planned stop. The server had run the request and the whole answer had been written.

Cause: closing a socket with unread bytes resets the connection, and so does what arrives afterwards; the kernel then throws away what it has accepted and not yet sent. A response is written as soon as the kernel takes it, which may be long before the caller has it.

A connection whose caller has not acknowledged all bytes is closed in order now: the sending side ends, what arrives is discarded, and the connection closes when the caller has all, has closed, or makes no progress within the progress time-out. A shutdown waits for that as for requests in flight.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -25,6 +25,7 @@
 	// the given timeout.
 	readTimeout func(requested time.Duration) time.Duration
 	held        *atomic.Int64 // bytes of bodies held for all connections
+	linger      *lingerer
 }
 
 // Accept implements net.Listener.
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes, readTimeout: l.readTimeout, totalHeld: l.held}, nil
+	return &progressConn{Conn: c, timeout: l.timeout, minBytes: l.minBytes, readTimeout: l.readTimeout, totalHeld: l.held, linger: l.linger}, nil
 }
 
 // progressConn limits how slowly a caller may send a body or read a response.
@@ -51,6 +52,9 @@
 	read        int           // bytes read since the last sufficient progress
 	held        atomic.Int64  // bytes of bodies held for the current exchange
 	totalHeld   *atomic.Int64
+	linger      *lingerer
+	sendsNoMore atomic.Bool // the caller has sent its last request completely
+	closed      atomic.Bool
 }
 
 // hold counts bytes that are held in memory until the response has been written. It returns
@@ -66,10 +70,16 @@
 
 func (c *progressConn) release() { c.totalHeld.Add(-c.held.Swap(0)) }
 
-// Close implements net.Conn.
+// Close implements net.Conn. What the caller has not received yet is still sent.
 func (c *progressConn) Close() error {
 	c.release()
-	return c.Conn.Close()
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	if c.sendsNoMore.Load() {
+		return c.Conn.Close()
+	}
+	return c.linger.close(c.Conn)
 }
 
 // startBody replaces the header's read deadline with the progress timeout until the
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -47,6 +47,9 @@
 	if err := x.readBody(); err != nil {
 		return x, err
 	}
+	if c, ok := ctx.Conn().(*progressConn); ok {
+		c.sendsNoMore.Store(x.Replayable && ctx.Request.Header.ConnectionClose())
+	}
 	return x, nil
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,7 @@
 	handler   Handler
 	http      *fasthttp.Server
 	watcher   *watcher
+	linger    *lingerer
 	directory atomic.Pointer[Directory]
 	limits    atomic.Pointer[Limits]
 
@@ -40,6 +41,7 @@
 		handler:  handler,
 		watcher:  newWatcher(),
 	}
+	s.linger = &lingerer{timeout: s.settings.ProgressTimeout, max: int64(max(s.settings.MaxConnections/lingerDivisor, 1))}
 	s.limits.Store(&Limits{})
 	app := fiber.New(fiber.Config{
 		StreamRequestBody:            true,
@@ -91,6 +93,7 @@
 		minBytes:    s.settings.ProgressBytes,
 		readTimeout: s.readTimeout,
 		held:        &s.held,
+		linger:      s.linger,
 	}
 	if err := s.http.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
@@ -103,9 +106,10 @@
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
 // Shutdown stops accepting connections and waits until the exchanges in flight have
-// ended or the context is done.
+// ended and their callers have received the responses, or the context is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDraining()
+	defer s.linger.wait(ctx)
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("shut down callers' HTTP server with %d requests in flight: %w", s.InFlight(), err)
 	}
