edge, entry: refused connections are counted

Connections that callers open beyond the process's share of file descriptors were refused with 503 without a trace in logs or metrics; the requests and lookups that the callers' server of primrosenotch-entry refuses by itself, neither. primrosenotch_edge_refused_connections_total and primrosenotch_refused_at_once_total, by reason, count them. Seen with TestCallersBeyondDescriptorsLoseNothing: 483 to 790 of 800 requests refused and no line.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -91,6 +91,9 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "primrosenotch_edge_failed_log_lines_total", Help: "Log lines that could not be written.",
 	}, func() float64 { return countOf(e.options.FailedLogLines) }))
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "primrosenotch_edge_refused_connections_total", Help: "Callers' connections refused because there are too many.",
+	}, func() float64 { return float64(e.callerServer.Stats().RefusedConnections) }))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -118,6 +118,7 @@
 		HeldBytes:      memory.Apply(memory.Limit(s.Instance.MemoryBytes())),
 	}, r)
 	server.SetDirectory(r)
+	r.ObserveCallers(server.Stats)
 	return server, nil
 }
 
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -15,7 +15,7 @@
 // of the others is told at once, and its request does not run.
 func TestConnectionsBeyondLimitAreRefused(t *testing.T) {
 	const limit = 2
-	_, address := startServer(t, Settings{MaxConnections: limit}, func(_ context.Context, x *Exchange) {
+	s, address := startServer(t, Settings{MaxConnections: limit}, func(_ context.Context, x *Exchange) {
 		_ = respondText(x, "ok")
 	})
 	for i := range limit {
@@ -34,6 +34,7 @@
 		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 		require.Less(t, time.Since(started), time.Second)
 	}
+	require.EqualValues(t, 20, s.Stats().RefusedConnections)
 }
 
 // TestSteadySlowReaderGetsTheWholeAnswer guards against an answer that is cut off because its
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -75,11 +75,17 @@
 type Stats struct {
 	Overloaded     int64 // exchanges refused because of MaxExchanges or HeldBytes
 	RefusedLookups int64 // lookups refused because of MaxLookups
+	// RefusedConnections is the number of connections refused because of MaxConnections.
+	RefusedConnections int64
 }
 
 // Stats returns the counts since the server's start.
 func (s *Server) Stats() Stats {
-	return Stats{Overloaded: s.overloaded.Load(), RefusedLookups: s.refusedLookups.Load()}
+	return Stats{
+		Overloaded:         s.overloaded.Load(),
+		RefusedLookups:     s.refusedLookups.Load(),
+		RefusedConnections: int64(s.http.GetRejectedConnectionsCount()),
+	}
 }
 
 // Serve accepts connections until Shutdown.
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/event"
+	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
@@ -55,6 +56,7 @@
 			return platform.NewClient(platform.DefaultSettings("127.0.0.1:1")).Stats()
 		},
 	})
+	r.ObserveCallers(func() ingress.Stats { return ingress.Stats{} })
 	text, err := config.Parse("test", []byte(testConfig))
 	require.NoError(t, err)
 	stop := config.Stop{ID: "s1", Scope: config.StopBackend, Target: "shop-1", At: time.Now()}
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -69,6 +69,21 @@
 	return m
 }
 
+// ObserveCallers adds what the callers' server refuses by itself to the metrics.
+func (r *Runtime) ObserveCallers(stats func() ingress.Stats) {
+	for reason, count := range map[string]func() int64{
+		"connections": func() int64 { return stats().RefusedConnections },
+		"lookups":     func() int64 { return stats().RefusedLookups },
+		"overload":    func() int64 { return stats().Overloaded },
+	} {
+		r.metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "refused_at_once_total",
+			Help:        "Callers' connections, lookups and requests refused by the callers' server itself, by reason.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, func() float64 { return float64(count()) }))
+	}
+}
+
 // observe updates the statistics and metrics for a finished request.
 func (r *Runtime) observe(c *call, outcome model.Outcome, cause model.Cause, took time.Duration) {
 	m := &c.meta
