edge, entry: callers' connections keep to a share of the memory

What callers saw: 9,000 kept connections and 300 uploads beside them, within a file descriptor limit of 20,000, took more than the memory of the process, which is killed then.

Cause: connections were bounded by file descriptors only; each costs some 24 KB.

Callers' connections get a quarter of the memory, at 32 KiB each; those beyond it are refused with 503 as those beyond the file descriptors. With the platform's 4,100 descriptors that changes nothing: 1,794 connections before, 2,272 fit into 284 MB.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -183,10 +184,10 @@
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
 		BufferBytes:          maxBufferedBodyBytes,
-		HeldBytes:            o.HeldBytes,
+		HeldBytes:            o.Memory.Bodies,
 		Dialect:              o.Dialect,
 		NoLookups:            true,
-		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
+		MaxConnections:       min(cmp.Or(o.Memory.Connections, ingress.DefaultMaxConnections), ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
 		OnReject:             e.rejected,
 	}, e)
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -13,6 +13,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/memory"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/pacing"
 )
@@ -64,9 +65,8 @@
 	Decode        func(table string, row follow.Row) (catalog.Change, error)
 	Log           *logrus.Entry
 	RandomServers bool
-	// HeldBytes bounds the bodies of requests and answers that are held in memory at the same
-	// time; 0 means ingress.DefaultHeldBytes.
-	HeldBytes int64
+	// Memory bounds what callers cost; zero values mean the defaults of package ingress.
+	Memory memory.Share
 	// DroppedLogLines returns the number of log lines dropped since the start; nil means
 	// that none are.
 	DroppedLogLines func() int64
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -112,10 +112,11 @@
 func newIngress(i do.Injector) (*ingress.Server, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	r := do.MustInvoke[*runtime.Runtime](i)
+	share := memory.Apply(memory.Limit(s.Instance.MemoryBytes()))
 	server := ingress.New(ingress.Settings{
 		MaxExchanges:   s.Serving.MaxRequests,
-		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
-		HeldBytes:      memory.Apply(memory.Limit(s.Instance.MemoryBytes())),
+		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers, share.Connections),
+		HeldBytes:      share.Bodies,
 	}, r)
 	server.SetDirectory(r)
 	r.ObserveCallers(server.Stats)
