--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -183,9 +184,10 @@
 	e.callerServer = ingress.New(ingress.Settings{
 		IdleTimeout:          defaultCallerIdleTimeout,
 		BufferBytes:          maxBufferedBodyBytes,
+		HeldBytes:            o.Memory.Bodies,
 		Dialect:              o.Dialect,
 		NoLookups:            true,
-		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
+		MaxConnections:       min(cmp.Or(o.Memory.Connections, ingress.DefaultMaxConnections), ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
 		OnReject:             e.rejected,
 	}, e)
@@ -252,9 +254,18 @@
 	return err
 }
 
-// Accepting returns l with retries of temporary failures to accept a connection.
+// Accepting returns l with retries of temporary failures to accept a connection. Its open
+// connections are bounded, except those of callers, which the callers' server bounds, and links,
+// which end when a ping is not answered.
 func (e *Edge) Accepting(name string, l net.Listener) net.Listener {
-	return listener.Retry(l, name, e.log, e.metrics.accepts)
+	limits := map[string]int{
+		"lookups": descriptors.Available().Lookups, "ready": descriptors.MaxControl, "control": descriptors.MaxControl,
+	}
+	accepting := listener.Retry(l, name, e.log, e.metrics.accepts)
+	if limit, ok := limits[name]; ok {
+		return listener.Limit(accepting, limit, name, e.log)
+	}
+	return accepting
 }
 
 // runPeriodically calls do once per period until the instance has left.
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -13,6 +13,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
+	"github.com/primrosenotch/primrosenotch/internal/memory"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 	"github.com/primrosenotch/primrosenotch/internal/reducer"
@@ -111,11 +112,14 @@
 func newIngress(i do.Injector) (*ingress.Server, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	r := do.MustInvoke[*runtime.Runtime](i)
+	share := memory.Apply(memory.Limit(s.Instance.MemoryBytes()))
 	server := ingress.New(ingress.Settings{
 		MaxExchanges:   s.Serving.MaxRequests,
-		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
+		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers, share.Connections),
+		HeldBytes:      share.Bodies,
 	}, r)
 	server.SetDirectory(r)
+	r.ObserveCallers(server.Stats)
 	return server, nil
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -21,6 +21,7 @@
 	handler   Handler
 	http      *fasthttp.Server
 	watcher   *watcher
+	linger    *lingerer
 	directory atomic.Pointer[Directory]
 	limits    atomic.Pointer[Limits]
 
@@ -28,6 +29,7 @@
 	lookups        atomic.Int64
 	refusedLookups atomic.Int64
 	overloaded     atomic.Int64
+	held           atomic.Int64 // bytes of bodies
 	draining       atomic.Bool
 }
 
@@ -39,6 +41,7 @@
 		handler:  handler,
 		watcher:  newWatcher(),
 	}
+	s.linger = &lingerer{timeout: s.settings.ProgressTimeout, max: int64(max(s.settings.MaxConnections/lingerDivisor, 1))}
 	s.limits.Store(&Limits{})
 	app := fiber.New(fiber.Config{
 		StreamRequestBody:            true,
@@ -70,13 +73,19 @@
 
 // Stats holds counts since the server's start.
 type Stats struct {
-	Overloaded     int64 // exchanges refused because of MaxExchanges
+	Overloaded     int64 // exchanges refused because of MaxExchanges or HeldBytes
 	RefusedLookups int64 // lookups refused because of MaxLookups
+	// RefusedConnections is the number of connections refused because of MaxConnections.
+	RefusedConnections int64
 }
 
 // Stats returns the counts since the server's start.
 func (s *Server) Stats() Stats {
-	return Stats{Overloaded: s.overloaded.Load(), RefusedLookups: s.refusedLookups.Load()}
+	return Stats{
+		Overloaded:         s.overloaded.Load(),
+		RefusedLookups:     s.refusedLookups.Load(),
+		RefusedConnections: int64(s.http.GetRejectedConnectionsCount()),
+	}
 }
 
 // Serve accepts connections until Shutdown.
@@ -89,6 +98,8 @@
 		timeout:     s.settings.ProgressTimeout,
 		minBytes:    s.settings.ProgressBytes,
 		readTimeout: s.readTimeout,
+		held:        &s.held,
+		linger:      s.linger,
 	}
 	if err := s.http.Serve(wrapped); err != nil {
 		return fmt.Errorf("serve callers on %s: %w", ln.Addr(), err)
@@ -101,9 +112,10 @@
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
 // Shutdown stops accepting connections and waits until the exchanges in flight have
-// ended or the context is done.
+// ended and their callers have received the responses, or the context is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDraining()
+	defer s.linger.wait(ctx)
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("shut down callers' HTTP server with %d requests in flight: %w", s.InFlight(), err)
 	}
@@ -156,6 +168,12 @@
 		return nil
 	}
 	x, err := newExchange(s, ctx)
+	if errors.Is(err, errTooMuchHeld) {
+		s.overloaded.Add(1)
+		s.notifyReject(ctx, x.TraceID, model.CauseOverload, err)
+		ctx.SetConnectionClose()
+		return x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
+	}
 	if err != nil {
 		s.reject(ctx, x.TraceID, model.CauseInvalidRequest, fmt.Errorf("read body: %w", err))
 		ctx.SetConnectionClose()
