edge: a stop that stood still aborts only after it has run again

Callers saw closed connections: a process that got no processor time around the time at which its stop aborts requests (frozen, or starved beside busy neighbours) found its timer late and aborted at once, and threw away answers of its backend servers that had arrived meanwhile, once-only requests among them.

Cause: the abort is a point in time, whether or not the process ran until then. gracetime.Context follows the clock in steps of 50 ms; after a step of 250 ms or more at the abort or less than 0.5 s before it, requests have 0.5 s of running time. Several standstills add no more than one such time beyond the abort, and a process that runs aborts when it did.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
+	"github.com/primrosenotch/primrosenotch/internal/gracetime"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/link"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -281,7 +282,7 @@
 	// end in time are accepted while callers find another instance.
 	drainShare = 0.45
 	// abortShare is the fraction of Bounds.StopTimeout after which requests in flight are
-	// aborted.
+	// aborted, unless the process did not run around then.
 	abortShare = 0.96
 )
 
@@ -298,6 +299,8 @@
 		acceptUsual: earlier(started.Add(maxAcceptUsual), deadline(drainShare)),
 		abort:       deadline(abortShare),
 	})
+	finish, cancelFinish := gracetime.Context(deadline(abortShare))
+	defer cancelFinish()
 	e.callerServer.StartDraining()
 	e.setState(membership.Leaving)
 	unregisterCtx, cancel := context.WithDeadline(context.Background(), deadline(drainShare))
@@ -307,8 +310,6 @@
 	cancel()
 	time.Sleep(time.Until(deadline(drainShare)))
 	e.refusing.Store(true)
-	finish, cancel := context.WithDeadline(context.Background(), deadline(abortShare))
-	defer cancel()
 	if err := e.callerServer.Shutdown(finish); err != nil {
 		e.log.WithError(err).Warn("requests still in flight aborted")
 	}
