--- a/cmd/primrosenotch-edge/main.go
+++ b/cmd/primrosenotch-edge/main.go
@@ -1,5 +1,6 @@
 // Command primrosenotch-edge runs an entry instance on a platform that lists routes and
-// backend servers in its own store. It shuts down gracefully on SIGTERM and SIGINT.
+// backend servers in its own store. It shuts down gracefully on SIGTERM, SIGINT
+// and SIGQUIT.
 package main
 
 import (
--- a/cmd/primrosenotch-entry/main.go
+++ b/cmd/primrosenotch-entry/main.go
@@ -1,5 +1,5 @@
 // Command primrosenotch-entry runs one entry instance. It shuts down gracefully on
-// SIGTERM and SIGINT.
+// SIGTERM, SIGINT and SIGQUIT.
 package main
 
 import (
