follow: tests share their copy of a table under a lock

go test -race ./internal/follow reported races of the tests only: the goroutine that follows a table changes the test's copy while the test asks for its version (TestTableOfManyPagesIsRead, TestWholeReadStartsOver, TestPeersCopyEndsWholeRead). The instances guard theirs with a lock. Their checks are unchanged; three runs with -race report nothing now.

--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -46,12 +46,23 @@
 
 // cacheSink is a Sink that applies batches to a cache.
 type cacheSink struct {
+	mu        sync.Mutex // guards cache; its other users wait until it changes no more
 	cache     *Cache
 	succeeded []bool
 }
 
-func (s *cacheSink) Version(table string) int64 { return s.cache.Version(table) }
-func (s *cacheSink) Apply(_ time.Time, b Batch) { s.cache.Apply(b) }
+func (s *cacheSink) Version(table string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cache.Version(table)
+}
+
+func (s *cacheSink) Apply(_ time.Time, b Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache.Apply(b)
+}
+
 func (s *cacheSink) ReadEnded(_ string, _ time.Time, err error) {
 	s.succeeded = append(s.succeeded, err == nil)
 }
--- a/internal/follow/whole_test.go
+++ b/internal/follow/whole_test.go
@@ -154,8 +154,8 @@
 }
 
 func (s *waitingSink) ShouldRead(table string, begun bool) bool {
-	if begun && s.cache.Version(table) == 0 && !time.Now().Before(s.peerSends) {
-		s.cache.Apply(Batch{Table: table, Version: 7, Full: true, Rows: []Row{row("a", 7)}})
+	if begun && s.Version(table) == 0 && !time.Now().Before(s.peerSends) {
+		s.Apply(time.Now(), Batch{Table: table, Version: 7, Full: true, Rows: []Row{row("a", 7)}})
 	}
 	return !begun
 }
