--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/edge"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
@@ -70,10 +71,10 @@
 		return err
 	}
 	reload := &reloader{file: s.file, text: s.text, current: s, log: log, setBounds: e.SetBounds}
-	go reload.run(received.Stop, received.Hangups)
-	serveEndpoint(log, e.Accepting("ready", l.ready), platform.ReadyHandler(e))
-	serveEndpoint(log, e.Accepting("lookups", l.lookups), platform.LookupHandler(e))
-	serveEndpoint(log, e.Accepting("control", l.control), controlHandler(e))
+	go e.Panics().Keep(received.Stop, contain.Settings, func() { reload.run(received.Stop, received.Hangups) })
+	serveEndpoint(log, e.Accepting("ready", l.ready), contained(e.Panics(), contain.Ready, platform.ReadyHandler(e)))
+	serveEndpoint(log, e.Accepting("lookups", l.lookups), contained(e.Panics(), contain.Lookup, platform.LookupHandler(e)))
+	serveEndpoint(log, e.Accepting("control", l.control), contained(e.Panics(), contain.Operator, controlHandler(e)))
 	log.WithField("callers", s.Listen.Callers).Info("started")
 	return e.Run(received.Stop, edge.Listeners{Callers: l.callers, Links: l.links})
 }
@@ -178,6 +179,17 @@
 	return app.Handler()
 }
 
+// contained returns handler with panics contained: they are answered with 500.
+func contained(panics *contain.Panics, place contain.Place, handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if !panics.Do(place, func() { handler(ctx) }) {
+			ctx.Response.Reset()
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 // serveEndpoint serves handler on l in the background until the process ends.
 func serveEndpoint(log *logrus.Entry, l net.Listener, handler fasthttp.RequestHandler) {
 	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: 2048, WriteBufferSize: 2048, Logger: log}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -35,6 +36,8 @@
 	// responded is set when an answer has been passed on, or begins to be. It belongs to the
 	// serving goroutine.
 	responded bool
+	settling  *answer     // the answer that the serving goroutine deals with
+	sent      atomic.Bool // an attempt has been started
 
 	mu      sync.Mutex
 	waiting map[int]context.CancelCauseFunc // attempts that wait for an answer, by number
@@ -97,27 +100,83 @@
 	c.edge.metrics.hedges.Inc()
 	c.hedged.Store(true)
 	c.hedges.Go(func() {
-		c.edge.requests.hedged(c.x, f) // here, because it takes fleetMu
-		o := c.send(f)
-		if o.answer != nil {
-			o = c.receive(o.answer)
+		var o outcome
+		var received *answer
+		if !c.edge.panics.Do(contain.Attempt, func() { o = c.makeHedge(f, &received) }) {
+			c.edge.panics.Do(contain.Attempt, func() { o = c.hedgePanicked(f, received) })
 		}
-		if o.answer != nil && o.answer.isFailure() {
-			o = outcome{next: c.hold(o.answer)}
-		}
-		if o.answer != nil {
-			c.cancelWaiting()
-		} else if o.next == nil {
+		if o.answer == nil && o.next == nil {
 			return
 		}
 		select {
 		case c.outcomes <- o:
 		case <-c.ended:
-			c.discard(o.answer)
+			if o.answer != nil {
+				c.edge.panics.Do(contain.Attempt, func() { c.discard(o.answer) })
+			}
 		}
 	})
 }
 
+// makeHedge makes an attempt beside the running one and sets received to its answer.
+func (c *call) makeHedge(f *dispatch.Send, received **answer) outcome {
+	c.edge.requests.hedged(c.x, f) // here, because it takes fleetMu
+	o := c.send(f)
+	if *received = o.answer; o.answer != nil {
+		o = c.receive(o.answer)
+	}
+	if o.answer != nil && o.answer.isFailure() {
+		o = outcome{next: c.hold(o.answer)}
+	}
+	if o.answer != nil {
+		c.cancelWaiting()
+	}
+	return o
+}
+
+// hedgePanicked ends an attempt that panicked and whose answer, if any, is dropped. The request may
+// have run.
+func (c *call) hedgePanicked(f *dispatch.Send, received *answer) outcome {
+	c.stopWaiting(f.Attempt)
+	if received != nil {
+		received.drop()
+	}
+	next := c.edge.post(&dispatch.AttemptEnded{
+		At:                c.edge.clock.now(),
+		Request:           c.id,
+		Attempt:           f.Attempt,
+		Result:            event.AttemptCancelled, // says nothing about the server
+		BodyNotReplayable: !c.x.Replayable,
+	})
+	if refuse, ok := next.(*dispatch.Refuse); ok {
+		refuse.Cause = model.CauseInternal
+	}
+	return outcome{next: next}
+}
+
+// drop closes an answer that is not passed on.
+func (a *answer) drop() {
+	_ = a.response.Body.Close()
+	a.release()
+}
+
+// panicked ends a request whose serving goroutine panicked. Attempts that still run are cancelled
+// when the call ends.
+func (c *call) panicked() {
+	e := c.edge
+	if c.settling != nil && !c.responded {
+		e.panics.Do(contain.Request, c.settling.drop)
+	}
+	outcome := model.NotRun
+	if c.sent.Load() {
+		outcome = model.Unknown
+	}
+	if c.x.Abort(outcome) {
+		e.metrics.requestEnded(outcome, model.CauseInternal)
+	}
+	e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: c.id})
+}
+
 // receive reads the body of an answer of a hedged request, unless it is too long. Until then
 // the other attempts go on, as they are needed if the answer cannot be passed on.
 func (c *call) receive(a *answer) outcome {
--- a/internal/edge/configuration.go
+++ b/internal/edge/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -51,13 +52,13 @@
 // applyPeerConfiguration applies the newest configuration that a peer knows.
 func (e *Edge) applyPeerConfiguration(now model.Instant, state *linkpb.TableState) {
 	for _, row := range batchFromProto(state).Rows {
-		change, err := e.options.Decode(e.options.Tables.Operator, row)
+		change, err := e.decode(e.options.Tables.Operator, row)
 		if err != nil {
 			e.invalid.row(configurationTable, row.Key, err)
 			continue
 		}
 		if c, ok := change.(*catalog.ConfigurationChange); ok {
-			e.applyConfiguration(now, row, c)
+			e.panics.Do(contain.Row, func() { e.applyConfiguration(now, row, c) })
 		}
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
@@ -34,6 +35,7 @@
 	requests     *requestLog
 	invalid      *invalidInputs
 	metrics      *metrics
+	panics       *contain.Panics
 	clock        clock
 	upstream     *upstream.Client
 	links        *link.Links
@@ -96,9 +98,19 @@
 	return model.InstantOf(c.start).Add(t.Sub(c.start))
 }
 
+// metricPanics is the name of the counter of contained panics.
+const metricPanics = "primrosenotch_edge_panics_total"
+
+func linkSettings(panics *contain.Panics) link.Settings {
+	s := link.DefaultSettings()
+	s.Panics = panics
+	return s
+}
+
 // upstreamSettings returns the settings for connections to backend servers.
-func upstreamSettings(o *Options) upstream.Settings {
+func upstreamSettings(o *Options, panics *contain.Panics) upstream.Settings {
 	return upstream.Settings{
+		Panics:               panics,
 		DialTimeout:          dialTimeout,
 		ProgressTimeout:      progressTimeout,
 		IdleTimeout:          poolIdleTimeout,
@@ -138,11 +150,13 @@
 func New(o Options) *Edge {
 	ctx, cancel := context.WithCancel(context.Background())
 	clock := clock{start: time.Now()}
+	panics := contain.New(o.Log, metricPanics)
 	e := &Edge{
 		options:  o,
 		log:      o.Log,
+		panics:   panics,
 		clock:    clock,
-		upstream: upstream.New(upstreamSettings(&o)),
+		upstream: upstream.New(upstreamSettings(&o, panics)),
 		dispatcher: dispatch.New(dispatch.Settings{
 			Self:          o.Self.ID,
 			Region:        o.Region,
@@ -170,13 +184,17 @@
 	e.bounds.Store(&o.Bounds)
 	e.options.Self.StartedNanos = int64(e.clock.now())
 	e.startup = newStartup(e.clock.now())
-	e.replica = follow.NewReplica(o.tableNames(), e.forwardedToPeers)
+	e.replica = follow.NewReplica(o.tableNames(), func(table string, row follow.Row) bool {
+		forwarded := true
+		panics.Do(contain.Row, func() { forwarded = e.forwardedToPeers(table, row) })
+		return forwarded
+	})
 	e.group = e.newGroup()
 	e.links = link.New(&linkpb.Hello{
 		Instance:    string(o.Self.ID),
 		Incarnation: uint64(e.options.Self.StartedNanos),
 		Zone:        string(o.Self.Zone),
-	}, link.DefaultSettings(), e, e)
+	}, linkSettings(panics), e, e)
 	e.metrics = newMetrics(e)
 	e.requests = newRequestLog(o.Log, e.metrics, e.configurationAge, e.stopping.Load)
 	e.invalid = newInvalidInputs(o.Log, e.metrics.invalid)
@@ -188,6 +206,7 @@
 		MaxConnections:       min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
 		FractionalRetryAfter: true,
 		OnReject:             e.rejected,
+		Panics:               panics,
 	}, e)
 	return e
 }
@@ -227,19 +246,19 @@
 func (e *Edge) Run(ctx context.Context, l Listeners) error {
 	serveErr := make(chan error, 1)
 	callers, links := e.Accepting("callers", l.Callers), e.Accepting("links", l.Links)
-	go func() { serveErr <- e.callerServer.Serve(callers) }()
-	e.tasks.Go(func() {
+	go e.panics.Keep(e.ctx, contain.Connection, func() { serveErr <- e.callerServer.Serve(callers) })
+	e.keep(contain.Link, func() {
 		if err := e.links.Serve(e.ctx, links); err != nil {
 			e.log.WithError(err).Error("link server failed")
 		}
 	})
 	for _, table := range e.options.followedTables() {
-		e.tasks.Go(func() { follow.Follow(e.ctx, e.options.Store, table, e) })
+		e.keep(contain.Store, func() { follow.Follow(e.ctx, e.options.Store, table, e) })
 	}
 	e.tasks.Go(func() { e.runPeriodically(tickInterval, e.tick) })
-	e.tasks.Go(e.keepRegistered)
+	e.keep(contain.Registration, e.keepRegistered)
 	if e.options.Suspects != nil {
-		e.tasks.Go(e.loadSuspects)
+		e.keep(contain.Store, e.loadSuspects)
 	}
 	e.tasks.Go(func() { e.runPeriodically(sweepInterval, e.sweep) })
 	var err error
@@ -252,6 +271,19 @@
 	return err
 }
 
+// keep runs f in the background, and again after each panic.
+func (e *Edge) keep(place contain.Place, f func()) {
+	e.tasks.Go(func() { e.panics.Keep(e.ctx, place, f) })
+}
+
+// background runs f in the background.
+func (e *Edge) background(place contain.Place, f func()) {
+	e.tasks.Go(func() { e.panics.Do(place, f) })
+}
+
+// Panics returns what contains this instance's panics, for handlers that use the instance.
+func (e *Edge) Panics() *contain.Panics { return e.panics }
+
 // Accepting returns l with retries of temporary failures to accept a connection.
 func (e *Edge) Accepting(name string, l net.Listener) net.Listener {
 	return listener.Retry(l, name, e.log, e.metrics.accepts)
@@ -266,13 +298,13 @@
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
-			do(e.clock.now())
+			e.panics.Do(contain.Tick, func() { do(e.clock.now()) })
 		}
 	}
 }
 
 func (e *Edge) tick(now model.Instant) {
-	e.tickFleet(now)
+	e.panics.Do(contain.Tick, func() { e.tickFleet(now) })
 	e.post(&dispatch.Tick{At: now, InstancesKnownAt: e.instancesKnownAt()})
 }
 
@@ -299,12 +331,8 @@
 		abort:       deadline(abortShare),
 	})
 	e.callerServer.StartDraining()
-	e.setState(membership.Leaving)
-	unregisterCtx, cancel := context.WithDeadline(context.Background(), deadline(drainShare))
-	if err := e.options.Registry.Unregister(unregisterCtx, e.options.Self.ID, 0); err != nil {
-		e.log.WithError(err).Warn("failed to remove registry entry")
-	}
-	cancel()
+	e.panics.Do(contain.Stop, func() { e.setState(membership.Leaving) })
+	e.panics.Do(contain.Stop, func() { e.unregister(deadline(drainShare)) })
 	time.Sleep(time.Until(deadline(drainShare)))
 	e.refusing.Store(true)
 	finish, cancel := context.WithDeadline(context.Background(), deadline(abortShare))
@@ -312,7 +340,7 @@
 	if err := e.callerServer.Shutdown(finish); err != nil {
 		e.log.WithError(err).Warn("requests still in flight aborted")
 	}
-	e.setState(membership.Left)
+	e.panics.Do(contain.Stop, func() { e.setState(membership.Left) })
 	e.cancelCtx()
 	if err := e.upstream.Shutdown(); err != nil {
 		e.log.WithError(err).Warn("failed to close connections to backend servers")
@@ -321,6 +349,15 @@
 	e.log.Info("stopped")
 }
 
+// unregister removes this instance's entry from the store.
+func (e *Edge) unregister(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := e.options.Registry.Unregister(ctx, e.options.Self.ID, 0); err != nil {
+		e.log.WithError(err).Warn("failed to remove registry entry")
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -334,17 +371,32 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var requestEffect dispatch.Effect
-	for _, f := range e.dispatcher.Step(ev) {
+	for _, f := range e.step(ev) {
 		switch f := f.(type) {
 		case *dispatch.Send, *dispatch.Refuse, *dispatch.PassOn:
 			requestEffect = f
 		default:
-			e.execute(f)
+			e.panics.Do(contain.Effect, func() { e.execute(f) })
 		}
 	}
 	return requestEffect
 }
 
+// step applies an event to the dispatcher. The caller must hold mu.
+func (e *Edge) step(ev dispatch.Event) (effects []dispatch.Effect) {
+	if !e.panics.Do(contain.Decision, func() { effects = e.dispatcher.Step(ev) }) {
+		e.panics.Do(contain.Decision, func() { effects = e.dispatcher.Recover(ev) })
+	}
+	return effects
+}
+
+// lockFleet calls f with fleetMu held.
+func (e *Edge) lockFleet(f func()) {
+	e.fleetMu.Lock()
+	defer e.fleetMu.Unlock()
+	f()
+}
+
 // execute carries out an effect other than Send, Refuse and PassOn. It must not block.
 func (e *Edge) execute(f dispatch.Effect) {
 	switch f := f.(type) {
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link"
@@ -208,7 +209,7 @@
 	now := e.clock.now()
 	e.applyOutput(e.group.LinkUp(now, peer))
 	if e.waitsForCopy(now) && e.startup.requestCopy(peer) {
-		e.tasks.Go(func() { e.requestCopy(peer) })
+		e.background(contain.Link, func() { e.requestCopy(peer) })
 	}
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
@@ -84,7 +86,7 @@
 		}, []string{"listener"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.olderRows, m.storeCalls, m.storeRows, m.storeBytes, m.lookups,
-		m.unlogged, m.invalid, m.probes, m.accepts)
+		m.unlogged, m.invalid, m.probes, m.accepts, e.panics.Counter())
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
 	}, func() float64 { return countOf(e.options.DroppedLogLines) }))
@@ -92,7 +94,11 @@
 		Name: "primrosenotch_edge_failed_log_lines_total", Help: "Log lines that could not be written.",
 	}, func() float64 { return countOf(e.options.FailedLogLines) }))
 	gauge := func(name, help string, value func() float64) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			v := math.NaN() // where the value cannot be told
+			e.panics.Do(contain.Operator, func() { v = value() })
+			return v
+		}))
 	}
 	gauge("primrosenotch_edge_in_flight", "Callers' requests in flight.", func() float64 { return float64(e.callerServer.InFlight()) })
 	gauge("primrosenotch_edge_state_age_seconds", "Age of what is known of the platform's store.", func() float64 {
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 )
@@ -28,6 +29,7 @@
 	e.metrics.invalid.WithLabelValues("table").Inc()
 	e.metrics.probes.WithLabelValues("suspected", "passed").Inc()
 	e.metrics.accepts.WithLabelValues("callers").Inc()
+	e.panics.Counter().WithLabelValues(string(contain.Request)).Inc()
 	families, err := e.Metrics().Gather()
 	require.NoError(t, err)
 	exported := map[string]bool{}
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
@@ -33,15 +34,15 @@
 func (e *Edge) requestState(peer model.InstanceID, timeout time.Duration) (model.Instant, *linkpb.State, error) {
 	asked := e.clock.now()
 	request := &linkpb.StateRequest{}
-	e.fleetMu.Lock()
-	for table, version := range e.replica.Versions() {
-		request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
-	}
-	request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
-	if !e.departuresKnown {
-		request.Known = append(request.Known, &linkpb.TableVersion{Table: departuresTable})
-	}
-	e.fleetMu.Unlock()
+	e.lockFleet(func() {
+		for table, version := range e.replica.Versions() {
+			request.Known = append(request.Known, &linkpb.TableVersion{Table: table, Version: version})
+		}
+		request.Known = append(request.Known, &linkpb.TableVersion{Table: configurationTable, Version: e.configuration.version})
+		if !e.departuresKnown {
+			request.Known = append(request.Known, &linkpb.TableVersion{Table: departuresTable})
+		}
+	})
 	state, err := e.links.State(peer, request, timeout)
 	if err != nil {
 		e.log.WithField("peer", peer).WithError(err).Debug("failed to fetch state from peer")
@@ -202,6 +203,6 @@
 		}
 	}
 	if incomplete && !(e.inOtherRegion(from) && e.waitsForCopy(now)) {
-		e.tasks.Go(func() { e.fetchState(from) })
+		e.background(contain.Link, func() { e.fetchState(from) })
 	}
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
@@ -22,12 +23,22 @@
 
 // Serve implements ingress.Handler.
 func (e *Edge) Serve(ctx context.Context, x *ingress.Exchange) {
-	if !e.accepts(x) {
+	accepted := false
+	e.panics.Do(contain.Request, func() { accepted = e.accepts(x) })
+	if !accepted {
 		e.refuse(x, &dispatch.Refuse{Outcome: model.NotRun, Cause: model.CauseStopping, RetryAfter: stoppingRetryAfter})
 		return
 	}
 	c := e.beginCall(ctx, x)
 	defer c.end()
+	if !e.panics.Do(contain.Request, c.serve) {
+		c.panicked()
+	}
+}
+
+// serve makes one attempt after the other until the request is answered or refused.
+func (c *call) serve() {
+	e, x := c.edge, c.x
 	next := e.post(&dispatch.RequestArrived{
 		At:            e.clock.now(),
 		Request:       c.id,
@@ -53,7 +64,9 @@
 		}
 		next = o.next
 		if o.answer != nil {
+			c.settling = o.answer
 			next = c.settle(o.answer)
+			c.settling = nil
 		}
 	}
 }
@@ -84,6 +97,7 @@
 	ctx, cancelTimeout := context.WithTimeout(ctx, f.TimeLeft)
 	release := func() { cancelTimeout(); cancel(nil) }
 	c.startWaiting(f.Attempt, cancel)
+	c.sent.Store(true)
 	response, failed := e.upstream.Send(ctx, &upstream.Attempt{
 		Backend:         f.Server.ID,
 		Address:         f.Server.Address,
@@ -202,10 +216,11 @@
 		BodyBytes: a.response.BodyBytes,
 		Body:      a.response.Body,
 		Done: func(_ int64, err error) {
+			defer func() { forwarded <- result }()
 			if err != nil {
-				result, broken = c.brokenResult(a, err), err
+				result, broken = event.AttemptTruncated, err
+				result = c.brokenResult(a, err)
 			}
-			forwarded <- result
 		},
 	})
 	if err != nil {
@@ -214,6 +229,7 @@
 	}
 	c.responded = true
 	done := func(result event.AttemptResult) {
+		defer func() { e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: c.id}) }()
 		if !a.ended {
 			c.endAttempt(a, result)
 		}
@@ -221,14 +237,16 @@
 		e.requests.answered(x, f, a.response.Status, broken, elapsed)
 		e.metrics.requestEnded(outcomeOf(result), causeOfResult(result))
 		e.metrics.observeLatency(f.Kind, elapsed)
-		e.post(&dispatch.RequestEnded{At: e.clock.now(), Request: c.id})
 	}
 	select {
 	case result := <-forwarded:
-		done(result)
+		e.panics.Do(contain.Answer, func() { done(result) })
 	default:
 		e.post(&dispatch.AnswerStarted{Request: c.id})
-		go func() { done(<-forwarded) }()
+		go func() {
+			result := <-forwarded
+			e.panics.Do(contain.Answer, func() { done(result) })
+		}()
 	}
 	return nil
 }
@@ -301,33 +319,41 @@
 
 // probe checks a server's health in the background.
 func (e *Edge) probe(f *dispatch.Probe) {
-	server, reason := *f.Server, f.Reason
+	server, path, reason := *f.Server, f.Path, f.Reason
 	e.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
-		defer cancel()
-		answer, err := e.upstream.Check(ctx, &upstream.Attempt{
-			Backend:         server.ID,
-			Address:         server.Address,
-			Method:          "GET",
-			URI:             []byte(f.Path),
-			FreshConnection: true,
-		})
-		probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err), Refused: errors.Is(err, syscall.ECONNREFUSED)}
-		if err == nil {
-			probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
-			probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
-			probed.Report = e.serverReport(server.ID, &answer.Report)
-			probed.Draining = answer.Draining
-		} else if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
-			probed.Report = e.serverReport(server.ID, &failed.Report)
-			probed.Draining = failed.Draining
-		}
+		// A check that panicked says nothing about the server.
+		probed := &dispatch.ServerProbed{Server: server.ID, OwnShortage: true}
+		e.panics.Do(contain.HealthCheck, func() { probed = e.check(&server, path) })
 		probed.At = e.clock.now()
 		e.metrics.probes.WithLabelValues(string(reason), probeResult(probed)).Inc()
 		e.post(probed)
 	})
 }
 
+// check checks a server's health.
+func (e *Edge) check(server *catalog.Server, path string) *dispatch.ServerProbed {
+	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
+	defer cancel()
+	answer, err := e.upstream.Check(ctx, &upstream.Attempt{
+		Backend:         server.ID,
+		Address:         server.Address,
+		Method:          "GET",
+		URI:             []byte(path),
+		FreshConnection: true,
+	})
+	probed := &dispatch.ServerProbed{Server: server.ID, Reached: reached(err), OwnShortage: ownShortage(err), Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	if err == nil {
+		probed.Healthy = answer.Status == 200 && answer.Report.Server == server.ID
+		probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
+		probed.Report = e.serverReport(server.ID, &answer.Report)
+		probed.Draining = answer.Draining
+	} else if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
+		probed.Report = e.serverReport(server.ID, &failed.Report)
+		probed.Draining = failed.Draining
+	}
+	return probed
+}
+
 func probeResult(p *dispatch.ServerProbed) string {
 	switch {
 	case p.OwnShortage:
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosenotch/primrosenotch/internal/catalog"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/follow"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -112,27 +113,28 @@
 func (e *Edge) applyBatch(now model.Instant, table string, update func() []follow.Row) {
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
-	e.fleetMu.Lock()
-	previous := e.replica.Version(table)
-	changed := update()
-	version := e.replica.Version(table)
-	firstBatch := !e.loaded[table]
-	e.loaded[table] = true
-	if len(changed) > 0 {
-		e.group.ScheduleMessages()
-	}
-	e.fleetMu.Unlock()
+	var previous, version int64
+	var changed []follow.Row
+	var firstBatch bool
+	e.lockFleet(func() {
+		previous = e.replica.Version(table)
+		changed = update()
+		version = e.replica.Version(table)
+		firstBatch = !e.loaded[table]
+		e.loaded[table] = true
+		if len(changed) > 0 {
+			e.group.ScheduleMessages()
+		}
+	})
 	if previous > 0 && follow.Epoch(version) > follow.Epoch(previous) {
 		e.storeRestored(now, table, previous, version)
 	}
 	for _, row := range changed {
-		e.applyRow(now, table, row)
+		e.panics.Do(contain.Row, func() { e.applyRow(now, table, row) })
 	}
 	if firstBatch && table != e.options.Tables.Instances {
 		e.loadedTables.Add(1)
-		e.fleetMu.Lock()
-		e.publishLookups(false)
-		e.fleetMu.Unlock()
+		e.lockFleet(func() { e.publishLookups(false) })
 	}
 	if table == e.options.Tables.Instances {
 		if len(changed) > 0 {
@@ -165,7 +167,7 @@
 		return true
 	}
 	id := model.BackendName(row.Key)
-	change, err := e.options.Decode(table, row)
+	change, err := e.decode(table, row)
 	listed, ok := change.(*catalog.ServerChange)
 	if err != nil || !ok {
 		delete(e.serverEntries, id)
@@ -194,8 +196,18 @@
 	return e.replica.Age(e.clock.now(), e.options.Tables.Operator)
 }
 
+var errDecodePanic = errors.New("decoding the row failed in this instance")
+
+// decode decodes a row. A panic in it counts as a row that cannot be decoded.
+func (e *Edge) decode(table string, row follow.Row) (change catalog.Change, err error) {
+	if !e.panics.Do(contain.Row, func() { change, err = e.options.Decode(table, row) }) {
+		return nil, errDecodePanic
+	}
+	return change, err
+}
+
 func (e *Edge) applyRow(now model.Instant, table string, row follow.Row) {
-	change, err := e.options.Decode(table, row)
+	change, err := e.decode(table, row)
 	if err != nil {
 		e.invalid.row(table, row.Key, err)
 		return
@@ -207,9 +219,7 @@
 		e.listed[c.Instance.ID] = listedInstance{entry: c.Instance, version: row.Version}
 		e.fleetMu.Unlock()
 	case *catalog.InstanceRemoved:
-		e.fleetMu.Lock()
-		e.instanceUnlisted(now, c.ID, row.Version)
-		e.fleetMu.Unlock()
+		e.lockFleet(func() { e.instanceUnlisted(now, c.ID, row.Version) })
 	case *catalog.ConfigurationChange:
 		e.fleetMu.Lock()
 		e.configuration.listed = c.Configuration.Version
@@ -217,20 +227,18 @@
 		e.applyConfiguration(now, row, c)
 	default:
 		if listed, ok := change.(*catalog.ServerChange); ok {
-			e.fleetMu.Lock()
-			if !e.outdated(&listed.Server) {
-				e.serverEntries[listed.Server.ID] = serverEntry{Server: listed.Server, changedAt: now}
-			}
-			e.fleetMu.Unlock()
+			e.lockFleet(func() {
+				if !e.outdated(&listed.Server) {
+					e.serverEntries[listed.Server.ID] = serverEntry{Server: listed.Server, changedAt: now}
+				}
+			})
 		}
 		e.post(&dispatch.CatalogChanged{At: now, Change: change})
 	}
 }
 
 func (e *Edge) applyConfiguration(now model.Instant, row follow.Row, c *catalog.ConfigurationChange) {
-	e.fleetMu.Lock()
-	e.configuration.observe(row, c.Configuration)
-	e.fleetMu.Unlock()
+	e.lockFleet(func() { e.configuration.observe(row, c.Configuration) })
 	for _, unknown := range c.Configuration.Unknown {
 		e.invalid.row(e.options.Tables.Operator, row.Key, unknown)
 	}
--- a/internal/edge/stopping.go
+++ b/internal/edge/stopping.go
@@ -37,8 +37,13 @@
 	if w == nil {
 		return true
 	}
-	e.mu.Lock()
-	most, usual := e.dispatcher.TimeNeeded(x.Host, x.Path, x.DeadlineHint)
-	e.mu.Unlock()
+	most, usual := e.timeNeeded(x)
 	return w.accepts(time.Now(), most, usual)
 }
+
+// timeNeeded returns how long a request may take at most, and usually.
+func (e *Edge) timeNeeded(x *ingress.Exchange) (most, usual time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.TimeNeeded(x.Host, x.Path, x.DeadlineHint)
+}
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 )
@@ -54,6 +56,8 @@
 	}
 }
 
+var errSavePanic = errors.New("saving suspects failed in this instance")
+
 // saveSuspects carries out a SaveSuspects effect.
 func (e *Edge) saveSuspects(f *dispatch.SaveSuspects) {
 	if e.options.Suspects == nil {
@@ -62,7 +66,8 @@
 	e.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(e.ctx, suspectCallTimeout)
 		defer cancel()
-		err := e.options.Suspects.SaveSuspects(ctx, f.Suspects)
+		err := errSavePanic
+		e.panics.Do(contain.Store, func() { err = e.options.Suspects.SaveSuspects(ctx, f.Suspects) })
 		e.metrics.storeCalls.WithLabelValues(e.options.Tables.Suspects, reasonSuspects).Inc()
 		if err != nil {
 			e.log.WithError(err).Warn("failed to save requests suspected of crashing servers")
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/valyala/fasthttp"
@@ -106,16 +107,33 @@
 	if err != nil {
 		return err
 	}
-	x.responded = true
 	x.writeHeader(a)
 	if buffered != nil || x.Method == fasthttp.MethodHead {
-		x.respondBuffered(a, buffered)
+		x.setBuffered(a, buffered)
+		x.responded = true
+		if a.Done != nil {
+			a.Done(int64(len(buffered)), nil)
+		}
 		return nil
 	}
 	x.ctx.Response.SetBodyStream(newResponseStream(x, a), int(a.BodyBytes))
+	x.responded = true
 	return nil
 }
 
+// Abort ends an exchange whose handling panicked. An exchange that has a whole response keeps it;
+// any other is refused with the given outcome. The connection is closed afterwards. Abort reports
+// whether it has refused the request.
+func (x *Exchange) Abort(outcome model.Outcome) (refused bool) {
+	refused = !x.responded
+	if refused {
+		x.ctx.Response.Reset() // it may have been set in part
+		_ = x.Refuse(outcome, model.CauseInternal, 0)
+	}
+	x.ctx.SetConnectionClose()
+	return refused
+}
+
 // readBuffered reads a body with a declared length of up to Settings.BufferBytes. It
 // returns nil for a body to stream and for the response to a HEAD request.
 func (x *Exchange) readBuffered(a *Response) ([]byte, error) {
@@ -129,17 +147,14 @@
 	return body, err
 }
 
-// respondBuffered sets a response that is not streamed.
-func (x *Exchange) respondBuffered(a *Response, body []byte) {
+// setBuffered sets a body that is not streamed.
+func (x *Exchange) setBuffered(a *Response, body []byte) {
 	if x.Method == fasthttp.MethodHead {
 		_ = closeBody(a.Body)
 		x.ctx.Response.Header.SetContentLength(int(a.BodyBytes))
 	} else {
 		x.ctx.Response.SetBodyRaw(body)
 	}
-	if a.Done != nil {
-		a.Done(int64(len(body)), nil)
-	}
 }
 
 // writeHeader sets the status code and the header of the response.
@@ -171,6 +186,8 @@
 	return httpheader.IsHopByHop(name)
 }
 
+func (x *Exchange) panics() *contain.Panics { return x.server.settings.Panics }
+
 // finish ends the exchange and then calls done unless it is nil. Only the first call
 // has an effect.
 func (x *Exchange) finish(done func()) {
--- a/internal/ingress/responsestream.go
+++ b/internal/ingress/responsestream.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 )
 
 // ErrBrokenResponse reports a response body that was cut off or that did not end at
@@ -30,7 +32,8 @@
 	if s.a.Body == nil {
 		return 0, s.end()
 	}
-	n, err := s.a.Body.Read(p)
+	n, err := 0, errReadPanic
+	s.x.panics().Do(contain.Answer, func() { n, err = s.a.Body.Read(p) })
 	s.sent += int64(n)
 	switch {
 	case err == nil:
@@ -57,14 +60,16 @@
 // the exchange and reports the result to Done.
 func (s *responseStream) CloseWithError(writeErr error) error {
 	s.x.finish(func() {
-		_ = closeBody(s.a.Body)
+		s.x.panics().Do(contain.Answer, func() { _ = closeBody(s.a.Body) })
 		if s.a.Done != nil {
-			s.a.Done(s.sent, s.result(writeErr))
+			s.x.panics().Do(contain.Answer, func() { s.a.Done(s.sent, s.result(writeErr)) })
 		}
 	})
 	return nil
 }
 
+var errReadPanic = errors.New("reading the body failed in this instance")
+
 // result returns the error of the exchange, nil for a complete response. An error
 // from reading the body takes precedence over one from writing it.
 func (s *responseStream) result(writeErr error) error {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/valyala/fasthttp"
 )
@@ -56,7 +57,9 @@
 	app.Use(s.serve)
 	s.http = app.Server()
 	s.http.CloseOnShutdown = true
-	s.http.ErrorHandler = s.refuseMalformed
+	s.http.ErrorHandler = func(ctx *fasthttp.RequestCtx, err error) {
+		s.settings.Panics.Do(contain.Request, func() { s.refuseMalformed(ctx, err) })
+	}
 	s.http.Handler = s.finishHeader(app.Handler())
 	return s
 }
@@ -83,7 +86,7 @@
 func (s *Server) Serve(ln net.Listener) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go s.watcher.run(ctx)
+	go s.settings.Panics.Keep(ctx, contain.Connection, func() { s.watcher.run(ctx) })
 	wrapped := &listener{
 		Listener:    ln,
 		timeout:     s.settings.ProgressTimeout,
@@ -116,7 +119,9 @@
 // server drains.
 func (s *Server) finishHeader(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		next(ctx)
+		if !s.settings.Panics.Do(contain.Request, func() { next(ctx) }) {
+			s.refusePanicked(ctx, model.Unknown)
+		}
 		if len(ctx.Response.Header.Peek(s.settings.Dialect.RequestID)) == 0 {
 			s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, errUnroutable)
 		}
@@ -149,6 +154,18 @@
 		s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseNoRoute, errReservedPath)
 		return nil
 	}
+	var x *Exchange
+	if !s.settings.Panics.Do(contain.Request, func() { x = s.accept(ctx) }) {
+		s.refusePanicked(ctx, model.NotRun)
+	}
+	if x != nil {
+		s.run(x)
+	}
+	return nil
+}
+
+// accept returns the exchange of a request, or nil if it refuses the request.
+func (s *Server) accept(ctx *fasthttp.RequestCtx) *Exchange {
 	if length := ctx.Request.Header.ContentLength(); s.bodyTooLong(length) {
 		s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, fmt.Errorf("body of %d bytes is too long", length))
 		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
@@ -165,10 +182,18 @@
 		s.inFlight.Add(-1)
 		s.overloaded.Add(1)
 		s.notifyReject(ctx, x.TraceID, model.CauseOverload, nil)
-		return x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter)
+		_ = x.Refuse(model.NotRun, model.CauseOverload, s.settings.OverloadRetryAfter) // it has no response yet
+		return nil
 	}
-	s.run(x)
-	return nil
+	return x
+}
+
+// refusePanicked replaces whatever has been set of the response to a request whose handling
+// panicked, and closes the connection after it.
+func (s *Server) refusePanicked(ctx *fasthttp.RequestCtx, outcome model.Outcome) {
+	ctx.Response.Reset()
+	s.writeRefusal(&ctx.Response, s.requestIDOf(&ctx.Request.Header), outcome, model.CauseInternal, 0)
+	ctx.SetConnectionClose()
 }
 
 var (
@@ -201,7 +226,9 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	x.cancel = cancel
 	s.watcher.add(x)
-	s.handler.Serve(ctx, x)
+	if !s.settings.Panics.Do(contain.Request, func() { s.handler.Serve(ctx, x) }) {
+		x.Abort(model.Unknown)
+	}
 	if errors.Is(context.Cause(ctx), ErrCallerGone) {
 		x.ctx.SetConnectionClose() // its further requests may have been received already
 	}
--- a/internal/ingress/settings.go
+++ b/internal/ingress/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -51,6 +52,8 @@
 	// OnReject, if set, is called for each request that the server refuses without calling
 	// the handler, except for lookups. It must not block.
 	OnReject func(*Rejection)
+	// Panics contains the panics of requests and lookups; nil for none.
+	Panics *contain.Panics
 }
 
 // Rejection is a request that was refused without calling the handler.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -46,11 +48,17 @@
 // connectPair starts two instances, "a" and "b", and returns the links of "a",
 // which has a link to "b", with its recorder and the listener of "b".
 func connectPair(t *testing.T, server *recorder) (*Links, *recorder, net.Listener) {
+	t.Helper()
+	return connectPairWith(t, server, DefaultSettings())
+}
+
+// connectPairWith is like connectPair with settings for "b".
+func connectPairWith(t *testing.T, server *recorder, settings Settings) (*Links, *recorder, net.Listener) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	accepting := New(&linkpb.Hello{Instance: "b"}, DefaultSettings(), server, server)
+	accepting := New(&linkpb.Hello{Instance: "b"}, settings, server, server)
 	go func() { _ = accepting.Serve(ctx, listener) }()
 	client := newRecorder()
 	links := New(&linkpb.Hello{Instance: "a"}, DefaultSettings(), client, client)
@@ -88,6 +96,34 @@
 	require.ErrorAs(t, err, &down)
 }
 
+// TestPanicAtAFrameKeepsTheLink guards against a process that ends with one message of a peer.
+func TestPanicAtAFrameKeepsTheLink(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	settings := DefaultSettings()
+	settings.Panics = contain.New(logrus.NewEntry(log), "panics_total")
+	server := newRecorder()
+	server.serve = func(model.InstanceID, *linkpb.Offer, Conn) { panic("offer") }
+	links, client, _ := connectPairWith(t, server, settings)
+	close(server.gossip) // a send on it panics
+	links.Gossip("b", &linkpb.Gossip{From: "a"})
+	conn, err := links.Offer("b", &linkpb.Offer{Trace: "t"})
+	require.NoError(t, err)
+	_, err = conn.Receive()
+	require.ErrorIs(t, err, io.EOF)
+	server.gossip = make(chan *linkpb.Gossip, 1)
+	require.Eventually(t, func() bool {
+		links.Gossip("b", &linkpb.Gossip{From: "a", Revision: 2})
+		select {
+		case g := <-server.gossip:
+			return g.GetRevision() == 2
+		default:
+			return false
+		}
+	}, 5*time.Second, 10*time.Millisecond)
+	require.Empty(t, client.down, "the link stayed up")
+}
+
 func TestBodyRoundTrip(t *testing.T) {
 	body := bytes.Repeat([]byte("0123456789"), 100_000)
 	server := newRecorder()
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -31,6 +32,8 @@
 	// WindowBytes is the maximum receive window of a stream: the data buffered for
 	// a slow reader.
 	WindowBytes uint32
+	// Panics contains the panics of links and streams; nil for none.
+	Panics *contain.Panics
 }
 
 // DefaultSettings returns settings that detect an unresponsive link within three
@@ -122,7 +125,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &peer{id: id, addr: addr, links: l, cancel: cancel, gossipQueue: make(chan *linkpb.Gossip, gossipQueueSize)}
 	l.peers[id] = p
-	l.tasks.Go(func() { p.run(ctx) })
+	l.tasks.Go(func() { l.settings.Panics.Keep(ctx, contain.Link, func() { p.run(ctx) }) })
 }
 
 // Close ends the link to a peer. Offers that are in flight on it are completed.
--- a/internal/link/ondemand.go
+++ b/internal/link/ondemand.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -89,7 +90,7 @@
 		_ = session.Close()
 		return nil, err
 	}
-	l.tasks.Go(func() { closeIdle(ctx, session) })
+	l.tasks.Go(func() { l.settings.Panics.Do(contain.Link, func() { closeIdle(ctx, session) }) })
 	return session, nil
 }
 
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/yamux"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -38,10 +39,10 @@
 		session, err := p.dial(ctx)
 		if err == nil {
 			wait.Reset()
-			p.serve(ctx, session)
+			p.links.settings.Panics.Do(contain.Link, func() { p.serve(ctx, session) })
 		}
 		if ctx.Err() == nil {
-			p.links.events.LinkDown(p.id)
+			p.links.settings.Panics.Do(contain.Link, func() { p.links.events.LinkDown(p.id) })
 		}
 		select {
 		case <-ctx.Done():
@@ -78,7 +79,9 @@
 	conn := newStreamConn(control, &p.links.traffic)
 	defer func() {
 		_ = conn.Close()
-		p.links.tasks.Go(func() { p.links.drain(session) })
+		p.links.tasks.Go(func() {
+			p.links.settings.Panics.Do(contain.Link, func() { p.links.drain(session) })
+		})
 	}()
 	if p.exchangeHello(conn) != nil || !stop() {
 		return
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/link/linkpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
@@ -29,7 +30,7 @@
 		if err != nil {
 			return fmt.Errorf("accept link on %s: %w", listener.Addr(), err)
 		}
-		l.tasks.Go(func() { l.serveSession(ctx, conn) })
+		l.tasks.Go(func() { l.settings.Panics.Do(contain.Link, func() { l.serveSession(ctx, conn) }) })
 	}
 }
 
@@ -67,7 +68,9 @@
 		if err != nil {
 			return
 		}
-		l.tasks.Go(func() { in.serveStream(newStreamConn(stream, &l.traffic)) })
+		l.tasks.Go(func() {
+			l.settings.Panics.Do(contain.Link, func() { in.serveStream(newStreamConn(stream, &l.traffic)) })
+		})
 	}
 }
 
@@ -113,7 +116,7 @@
 			return
 		}
 		if g := f.GetGossip(); g != nil {
-			in.links.events.GossipReceived(from, g)
+			in.links.settings.Panics.Do(contain.Frame, func() { in.links.events.GossipReceived(from, g) })
 		}
 	}
 }
--- a/internal/model/describe.go
+++ b/internal/model/describe.go
@@ -29,6 +29,7 @@
 	CauseRetryBudget:       "the service's retry budget is exhausted",
 	CauseInvalidRequest:    "the request is malformed",
 	CauseAnswerIncomplete:  "the response was truncated",
+	CauseInternal:          "the entry instance itself failed at the request",
 }
 
 // Describe returns the label of a cause followed by an explanation for operators.
--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -82,4 +82,5 @@
 	CauseInvalidRequest    Cause = "invalid-request"    // the request is malformed
 	CauseServerFailed      Cause = "server-failed"      // the backend server reported a failure
 	CauseAnswerIncomplete  Cause = "answer-incomplete"  // the response was truncated
+	CauseInternal          Cause = "internal"           // the entry instance itself failed at the request
 )
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/descriptors"
 	"github.com/primrosenotch/primrosenotch/internal/dialing"
 )
@@ -113,9 +114,11 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, p := range c.allPools() {
-				p.expire(now, c.settings.IdleTimeout)
-			}
+			c.settings.Panics.Do(contain.Connection, func() {
+				for _, p := range c.allPools() {
+					p.expire(now, c.settings.IdleTimeout)
+				}
+			})
 		}
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/valyala/fasthttp"
@@ -34,11 +35,23 @@
 		return nil, newSendError(ctx, a, nil, step, err)
 	}
 	reused := cn.requests > 0
+	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
+	var body *responseBody
+	returned := false
+	defer func() {
+		switch {
+		case returned:
+		case body != nil:
+			_ = body.Close()
+		default:
+			stop()
+			cn.pool.discard(cn)
+		}
+	}()
 	cn.begin(a)
 	if a.Connected != nil {
 		a.Connected(reused)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Conn.Close() })
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	resp.SkipBody = a.Method == fasthttp.MethodHead
@@ -47,17 +60,22 @@
 		step, err = c.skipMismatched(a, cn, resp)
 	}
 	if err != nil {
+		returned = true
 		stop()
 		cn.pool.discard(cn)
 		fasthttp.ReleaseResponse(resp)
 		return nil, newSendError(ctx, a, cn, step, err)
 	}
-	body := newResponseBody(c, cn, resp, stop)
+	body = newResponseBody(c, cn, resp, stop)
 	body.reusable = sent && !cn.desynchronized && !resp.ConnectionClose() && !fieldIsTrue(resp, c.settings.Dialect.Draining)
 	if c.isNotRun(resp) {
-		return nil, c.shed(a, resp, body)
+		failed := c.shed(a, resp, body)
+		returned = true
+		return nil, failed
 	}
-	return c.newResponse(resp, body, reused), nil
+	response := c.newResponse(resp, body, reused)
+	returned = true
+	return response, nil
 }
 
 // roundTrip sends the request and reads the response's header. It returns whether the
@@ -67,7 +85,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	c.writeHeader(req, a)
 	if a.BodyStream != nil {
-		return streamedRoundTrip(a, cn, req, resp)
+		return c.streamedRoundTrip(a, cn, req, resp)
 	}
 	req.SetBodyRaw(a.Body)
 	if err := writeRequest(req, cn); err != nil {
@@ -102,13 +120,14 @@
 
 // streamedRoundTrip sends a streamed body while another goroutine waits for the
 // response, so that an early response ends the upload.
-func streamedRoundTrip(a *Attempt, cn *conn, req *fasthttp.Request, resp *fasthttp.Response) (bool, Step, error) {
+func (c *Client) streamedRoundTrip(a *Attempt, cn *conn, req *fasthttp.Request, resp *fasthttp.Response) (bool, Step, error) {
 	source := &requestBody{r: a.BodyStream, left: a.BodyBytes}
 	req.SetBodyStream(source, int(a.BodyBytes))
 	cn.uploading.Store(true)
 	received, written := make(chan error, 1), make(chan struct{})
 	go func() {
-		err := resp.ReadLimitBody(cn.br, 0)
+		err := errReceivePanic
+		c.settings.Panics.Do(contain.Attempt, func() { err = resp.ReadLimitBody(cn.br, 0) })
 		cn.abortUpload()
 		if err == nil {
 			a.abortStalledBody(written)
@@ -136,6 +155,8 @@
 	}
 }
 
+var errReceivePanic = errors.New("receiving the response failed in this instance")
+
 // abortStalledBody ends the reading of a body that the server no longer needs, unless it ends
 // by itself soon.
 func (a *Attempt) abortStalledBody(written <-chan struct{}) {
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 )
 
@@ -36,6 +37,8 @@
 	AcceptCloseDelimited bool
 	// MaxUndeclaredBodyBytes bounds a response body without a declared length.
 	MaxUndeclaredBodyBytes int64
+	// Panics contains the panics of the client's own goroutines; nil for none.
+	Panics *contain.Panics
 }
 
 // The defaults of Settings.
