entry: a panic ends only the work in which it arises

Callers saw closed connections: a panic in the handling of one request, offer or frame, in a call to the platform or in a write of the ledger ended primrosenotch-entry and cut every request that it served.

The units of work of internal/runtime, the ledger's transactions and the operators' API are contained now and counted in primrosenotch_panics_total. A caller's request is refused: 503 if no owner had been asked, else 502. An offer that panicked is refused as not run only if nothing was sent and no claim was in doubt, its slot is given back and the connection of its attempt closed. Where the reducer's Step panics, its effects up to then are carried out, the request concerned is refused, and its slot or place in the queue given back. A write of the ledger that panics is not repeated, so that it cannot hold up a stop. Offers that lost their turn in a Step that panicked for another request wait until their deadline.

Evidence: TestPanicEndsOnlyItsOwnWork of internal/entry, real sockets: with containment switched off the test binary dies with "panic: registering"; TestPanicOfADecisionLeavesTheRuntimeUnlocked with a nil pointer dereference. Now the 3 running requests and later ones are answered, the counters show each panic, the instance stops.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/listener"
@@ -93,14 +94,20 @@
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group errgroup.Group
-	group.Go(func() error { return i.callers.Serve(callers) })
-	group.Go(func() error { return i.runtime.ServeLinks(serving, links) })
+	group.Go(func() (err error) {
+		i.runtime.Panics().Keep(serving, contain.Connection, func() { err = i.callers.Serve(callers) })
+		return err
+	})
+	group.Go(func() (err error) {
+		i.runtime.Panics().Keep(serving, contain.Link, func() { err = i.runtime.ServeLinks(serving, links) })
+		return err
+	})
 	group.Go(func() error {
 		return i.control.Listener(control, fiber.ListenConfig{DisableStartupMessage: true})
 	})
 	stop := context.AfterFunc(ctx, func() {
 		i.callers.StartDraining()
-		i.runtime.Shutdown()
+		i.runtime.Panics().Do(contain.Stop, i.runtime.Shutdown)
 	})
 	defer stop()
 	i.runtime.Run()
@@ -131,6 +138,12 @@
 // newControl returns the app that serves the operators' API and the metrics endpoint.
 func newControl(r *runtime.Runtime) *fiber.App {
 	app := fiber.New()
+	app.Use(func(c fiber.Ctx) (err error) {
+		if !r.Panics().Do(contain.Operator, func() { err = c.Next() }) {
+			return fiber.ErrInternalServerError
+		}
+		return err
+	})
 	control.Register(app, r)
 	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(r.Metrics(), promhttp.HandlerOpts{})))
 	return app
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -40,6 +40,7 @@
 	platform  *tablestore.Server
 	text      string // of the first configuration
 	transport *http.Transport
+	override  func(do.Injector) // replaces constructors of instances, nil for none
 }
 
 func startFleet(t testing.TB) *fleet {
@@ -47,14 +48,25 @@
 	return startFleetVia(t, func(address string) string { return address })
 }
 
+// startFleetWith starts a fleet whose instances have some constructors replaced.
+func startFleetWith(t testing.TB, override func(do.Injector)) *fleet {
+	t.Helper()
+	return startFleetOf(t, func(address string) string { return address }, override)
+}
+
 // startFleetVia starts a fleet whose instances reach each backend server at the address that
 // via returns for the server's.
 func startFleetVia(t testing.TB, via func(address string) string) *fleet {
+	t.Helper()
+	return startFleetOf(t, via, nil)
+}
+
+func startFleetOf(t testing.TB, via func(address string) string, override func(do.Injector)) *fleet {
 	t.Helper()
 	store := tablestore.New(tablestore.Faults{})
 	require.NoError(t, store.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = store.Close() })
-	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), platform: store, transport: &http.Transport{}}
+	f := &fleet{t: t, servers: make(map[string]*backend.Server), store: store.Addr(), platform: store, transport: &http.Transport{}, override: override}
 	text := "[service shop]\n" +
 		"[route order]\nservice = shop\nmatch = POST /orders*\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
@@ -116,6 +128,9 @@
 	sink := logsink.New(io.Discard)
 	f.t.Cleanup(func() { sink.Close(logsink.FlushTimeout) })
 	provide(injector, s, sink)
+	if f.override != nil {
+		f.override(injector)
+	}
 	i, err := do.Invoke[*instance](injector)
 	require.NoError(f.t, err)
 	return i
--- a/internal/entry/provide.go
+++ b/internal/entry/provide.go
@@ -56,11 +56,15 @@
 }
 
 func newRuntime(i do.Injector) (*runtime.Runtime, error) {
+	return runtime.New(runtimeOptions(i)), nil
+}
+
+func runtimeOptions(i do.Injector) runtime.Options {
 	s := do.MustInvoke[settings.Settings](i)
 	client := do.MustInvoke[*platform.Client](i)
 	ledgerSettings := ledger.DefaultSettings()
 	ledgerSettings.TransactionsPerSecond = s.Ledger.WritesPerSecond
-	return runtime.New(runtime.Options{
+	return runtime.Options{
 		Reducer:       reducerSettings(s),
 		Links:         link.DefaultSettings(),
 		Ledger:        ledgerSettings,
@@ -73,7 +77,7 @@
 		Log:           do.MustInvoke[*logrus.Entry](i),
 		LogLosses:     do.MustInvoke[*logsink.Sink](i),
 		Drain:         s.Serving.Drain,
-	}), nil
+	}
 }
 
 func reducerSettings(s settings.Settings) reducer.Settings {
@@ -111,12 +115,17 @@
 func newIngress(i do.Injector) (*ingress.Server, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	r := do.MustInvoke[*runtime.Runtime](i)
+	return newServer(s, r, r), nil
+}
+
+func newServer(s settings.Settings, r *runtime.Runtime, handler ingress.Handler) *ingress.Server {
 	server := ingress.New(ingress.Settings{
 		MaxExchanges:   s.Serving.MaxRequests,
 		MaxConnections: min(ingress.DefaultMaxConnections, descriptors.Available().Callers),
-	}, r)
+		Panics:         r.Panics(),
+	}, handler)
 	server.SetDirectory(r)
-	return server, nil
+	return server
 }
 
 func newInstance(i do.Injector) (*instance, error) {
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
 )
@@ -35,6 +36,7 @@
 	maxRows   int
 	maxQueued int // maximum number of queued changes per rank
 	timeout   time.Duration
+	panics    *contain.Panics
 
 	mu     sync.Mutex
 	queued [model.RankCount][]*change
@@ -48,6 +50,7 @@
 		maxRows:   s.RowsPerTransaction,
 		maxQueued: s.MaxQueuedPerRank,
 		timeout:   s.Timeout,
+		panics:    s.Panics,
 		wake:      make(chan struct{}, 1),
 	}
 }
@@ -71,7 +74,7 @@
 				break
 			}
 			batch := b.nextBatch()
-			go b.send(ctx, batch)
+			go b.sendContained(ctx, batch)
 		}
 	}
 }
@@ -157,6 +160,22 @@
 	return batch
 }
 
+// sendContained commits a batch. If that panics, the result of the changes without one is unknown.
+func (b *batcher) sendContained(ctx context.Context, batch []*change) {
+	all := slices.Clone(batch) // send removes changes from batch
+	if b.panics.Do(contain.Ledger, func() { b.send(ctx, batch) }) {
+		return
+	}
+	for _, c := range all {
+		select {
+		case c.done <- &platform.UncertainError{Step: "ledger write", Peer: "platform", Err: errPanic}:
+		default: // it has its result
+		}
+	}
+}
+
+var errPanic = errors.New("the transaction failed in this instance")
+
 // send commits a batch. A conflict names one key: only that change fails, and the
 // others are committed again immediately.
 func (b *batcher) send(ctx context.Context, batch []*change) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ledger/ledgerpb"
 	"github.com/primrosenotch/primrosenotch/internal/model"
@@ -22,6 +23,8 @@
 	MaxQueuedPerRank      int           // maximum number of changes of one rank that wait for the write budget
 	Timeout               time.Duration // bound of one platform call
 	RowBodyBytes          int           // answers with a larger body go to the object store
+	// Panics contains the panics of transactions; nil for none.
+	Panics *contain.Panics
 }
 
 // DefaultSettings returns settings with which seven entry instances that share a
--- a/internal/runtime/answer.go
+++ b/internal/runtime/answer.go
@@ -54,6 +54,12 @@
 	outcome := c.servedOutcome()
 	body := &answerBody{reader: link.NewBodyReader(conn.Receive, "answer"), conn: conn}
 	c.keepConnOpen()
+	passedOn := false
+	defer func() {
+		if !passedOn {
+			_ = conn.Close()
+		}
+	}()
 	err := c.exchange.Respond(&ingress.Response{
 		Status:    int(a.GetStatus()),
 		Header:    fromFrameHeaders(a.GetHeaders()),
@@ -64,6 +70,7 @@
 		Done:      c.answerDone(outcome),
 	})
 	if err == nil {
+		passedOn = true
 		return true
 	}
 	_ = conn.Close()
--- a/internal/runtime/attemptresult.go
+++ b/internal/runtime/attemptresult.go
@@ -39,6 +39,7 @@
 		ev.Rate, ev.RateNamed = err.Report.Limit, err.Report.HasLimit
 	}
 	o.setCancel(nil)
+	o.attempting = ""
 	o.waitingSince = ev.At
 	o.runtime.post(ev)
 }
--- a/internal/runtime/call.go
+++ b/internal/runtime/call.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
@@ -55,15 +56,33 @@
 	conn         link.Conn // connection to the current owner, nil if there is none
 	callerClosed bool      // the caller has closed its connection
 	finished     atomic.Bool
+	offered      atomic.Bool // an owner may have the request
 	uploads      sync.WaitGroup
 }
 
 // Serve implements ingress.Handler.
 func (r *Runtime) Serve(ctx context.Context, x *ingress.Exchange) {
+	var c *call
+	if !r.panics.Do(contain.Request, func() { c = r.begin(x) }) {
+		x.Abort(model.NotRun)
+	}
+	if c == nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { r.panics.Do(contain.Request, c.callerGone) })
+	defer stop()
+	if !r.panics.Do(contain.Request, c.run) {
+		c.panicked()
+	}
+	r.panics.Do(contain.Request, c.endUpload)
+}
+
+// begin registers a request, or refuses it and returns nil.
+func (r *Runtime) begin(x *ingress.Exchange) *call {
 	meta, cause := r.classify(x)
 	if cause != model.CauseNone {
 		r.refuseUnrouted(x, cause)
-		return
+		return nil
 	}
 	c := &call{
 		runtime:  r,
@@ -78,10 +97,19 @@
 		c.body = &countingReader{reader: x.BodyStream}
 	}
 	r.register(c)
-	stop := context.AfterFunc(ctx, c.callerGone)
-	defer stop()
-	c.run()
-	c.endUpload()
+	return c
+}
+
+// panicked ends a request whose goroutine panicked. Its owner, if any, is told by the end of the
+// connection to it.
+func (c *call) panicked() {
+	outcome := model.NotRun
+	if c.offered.Load() {
+		outcome = model.Unknown
+	}
+	if c.exchange.Abort(outcome) {
+		c.finish(outcome, model.CauseInternal, 0)
+	}
 }
 
 func (r *Runtime) register(c *call) {
@@ -124,14 +152,14 @@
 	}
 	r := c.runtime
 	now := r.clock.now()
-	r.mu.Lock()
-	delete(r.calls, c.id)
+	r.locked(func() { delete(r.calls, c.id) })
 	if outcome == model.NotRun || outcome == model.Unknown {
-		r.refusals.add(&c.meta, outcome, cause)
+		r.panics.Do(contain.Answer, func() {
+			r.locked(func() { r.refusals.add(&c.meta, outcome, cause) })
+		})
 	}
-	r.mu.Unlock()
 	r.post(&event.RequestFinished{At: now, Request: c.id, Outcome: outcome, Cause: cause, AnswerBytes: answerBytes})
-	r.observe(c, outcome, cause, now.Sub(c.started))
+	r.panics.Do(contain.Answer, func() { r.observe(c, outcome, cause, now.Sub(c.started)) })
 }
 
 func (c *call) refuse(outcome model.Outcome, cause model.Cause) {
@@ -155,6 +183,7 @@
 // reports whether the request has ended.
 func (c *call) forward(cmd callCommand) bool {
 	r := c.runtime
+	c.offered.Store(true)
 	conn, err := r.openOffer(cmd.owner, c.offerFrame(cmd.spill))
 	if err != nil {
 		var down *link.DownError
@@ -175,6 +204,7 @@
 // exchangeFrames handles the owner's frames until the request ends or has to go to
 // another owner. It reports whether the request has ended.
 func (c *call) exchangeFrames(owner model.InstanceID, conn link.Conn, timer *time.Timer) bool {
+	r := c.runtime
 	for {
 		f, err := conn.Receive()
 		if err != nil {
@@ -187,7 +217,11 @@
 		switch body := f.GetBody().(type) {
 		case *linkpb.Frame_Accept:
 			timer.Stop() // from here on, progress timeouts limit a streamed body
-			c.uploads.Go(func() { c.sendBody(conn) })
+			c.uploads.Go(func() {
+				if !r.panics.Do(contain.Request, func() { c.sendBody(conn) }) {
+					_ = conn.Close() // the owner waits for the body
+				}
+			})
 		case *linkpb.Frame_Refuse:
 			c.ownerRefused(owner, body.Refuse)
 			return false
@@ -246,7 +280,7 @@
 	ingressEnd, ownerEnd := link.Pipe()
 	go func() {
 		defer func() { _ = ownerEnd.Close() }()
-		r.ServeOffer(r.self, o, ownerEnd)
+		r.panics.Do(contain.Offer, func() { r.ServeOffer(r.self, o, ownerEnd) })
 	}()
 	return ingressEnd, nil
 }
--- a/internal/runtime/collect.go
+++ b/internal/runtime/collect.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/reducer"
@@ -70,8 +71,11 @@
 
 // Collect implements prometheus.Collector.
 func (c *stateCollector) Collect(ch chan<- prometheus.Metric) {
+	c.runtime.panics.Do(contain.Operator, func() { c.collect(metricWriter{ch}) })
+}
+
+func (c *stateCollector) collect(m metricWriter) {
 	s := c.runtime.metricState()
-	m := metricWriter{ch}
 	c.collectLoads(m, s)
 	c.collectOwnership(m, s)
 	c.collectLinks(m, s)
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/platform"
@@ -34,7 +35,7 @@
 // Run posts ticks to the reducer until the instance has left the fleet. Shutdown
 // makes it leave.
 func (r *Runtime) Run() {
-	go r.ledger.Run(context.Background())
+	go r.panics.Keep(context.Background(), contain.Ledger, func() { r.ledger.Run(context.Background()) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -43,7 +44,7 @@
 			r.finish()
 			return
 		case <-ticker.C:
-			r.tick()
+			r.panics.Do(contain.Tick, r.tick)
 		}
 	}
 }
@@ -74,7 +75,7 @@
 func (r *Runtime) finish() {
 	time.Sleep(finalGossipDelay)
 	r.tasks.Wait()
-	r.links.CloseAll()
+	r.panics.Do(contain.Stop, r.links.CloseAll)
 	if err := r.upstream.Shutdown(); err != nil {
 		r.log.WithError(err).Warn("failed to close connections to backend servers")
 	}
@@ -87,7 +88,9 @@
 		return
 	}
 	go func() {
-		status, err := r.upstream.Status(r.ctx, name, backend.Address)
+		var status upstream.Status
+		err := errPanic
+		r.panics.Do(contain.HealthCheck, func() { status, err = r.upstream.Status(r.ctx, name, backend.Address) })
 		ev := &event.ServerReported{At: r.clock.now(), Backend: name, Err: err, Unreachable: unreachable(err)}
 		if err == nil {
 			ev.Healthy = status.Healthy
@@ -100,6 +103,9 @@
 	}()
 }
 
+// errPanic is the error of a call that has panicked.
+var errPanic = errors.New("the call failed in this instance")
+
 // unreachable reports whether a query failed because the server did not react to the
 // connection.
 func unreachable(err error) bool {
@@ -109,7 +115,7 @@
 
 func (r *Runtime) closePooledConnections(name model.BackendName) {
 	if backend, ok := r.view.Load().backend(name); ok {
-		go r.upstream.ClosePooledConnections(backend.Address)
+		go r.panics.Do(contain.Connection, func() { r.upstream.ClosePooledConnections(backend.Address) })
 	}
 }
 
@@ -123,9 +129,9 @@
 		defer r.polling.Store(false)
 		ctx, cancel := context.WithTimeout(r.ctx, pollTimeout)
 		defer cancel()
-		r.pollInstances(ctx)
-		r.pollConfiguration(ctx)
-		r.verifyClaims(ctx)
+		for _, poll := range []func(context.Context){r.pollInstances, r.pollConfiguration, r.verifyClaims} {
+			r.panics.Do(contain.Store, func() { poll(ctx) })
+		}
 	}()
 }
 
@@ -200,7 +206,7 @@
 	if r.fetching.Swap(true) {
 		return
 	}
-	go func() {
+	go r.panics.Do(contain.Link, func() {
 		defer r.fetching.Store(false)
 		message, err := r.links.Revision(from, number, fetchTimeout)
 		if err != nil {
@@ -213,7 +219,7 @@
 			return
 		}
 		r.offered(revision, string(from))
-	}()
+	})
 }
 
 // offered adopts the revision of a peer if it is preferred to the active one. One that is
@@ -276,7 +282,5 @@
 	r.encodedRevision.Store(config.EncodeRevision(ev.Revision))
 	r.setIndex(ev.Index)
 	r.stats.SetText(ev.Text)
-	for _, f := range r.reducer.Step(ev) {
-		r.execute(f)
-	}
+	r.step(ev)
 }
--- a/internal/runtime/metrics_test.go
+++ b/internal/runtime/metrics_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
@@ -72,6 +73,7 @@
 	r.metrics.claims.WithLabelValues("granted").Inc()
 	r.metrics.platformErrors.WithLabelValues("list instances").Inc()
 	r.AcceptFailures().WithLabelValues("callers").Inc()
+	r.Panics().Counter().WithLabelValues(string(contain.Request)).Inc()
 	r.mu.Lock()
 	r.recordDrainedStops(r.clock.now())
 	r.mu.Unlock()
--- a/internal/runtime/observe.go
+++ b/internal/runtime/observe.go
@@ -49,7 +49,7 @@
 			Help: "Failed accepts of connections by listener, which were retried.",
 		}, []string{"listener"}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors, m.acceptFailures,
+	m.registry.MustRegister(m.requests, m.latency, m.claims, m.platformErrors, m.acceptFailures, r.panics.Counter(),
 		newStateCollector(r),
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/runtime/offer.go
+++ b/internal/runtime/offer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
 	"github.com/primrosenotch/primrosenotch/internal/ledger"
@@ -48,8 +49,10 @@
 	body         *offeredBody // streamed request body, nil if the body is in frame
 	stored       *ledger.Answer
 	attempts     int
-	claimed      bool          // the ledger granted the idempotency key
-	waitingSince model.Instant // start of the current wait for a slot
+	attempting   model.BackendName // server of the running attempt, empty if there is none
+	claiming     bool              // a claim of the idempotency key has been begun
+	claimed      bool              // the ledger granted the idempotency key
+	waitingSince model.Instant     // start of the current wait for a slot
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // cancels the running attempt, nil if there is none
@@ -73,15 +76,45 @@
 	r.mu.Unlock()
 	o.waitingSince = r.clock.now()
 	done := make(chan struct{})
-	go o.receiveFrames(done)
-	r.post(&event.OfferReceived{At: r.clock.now(), Request: o.id, From: from, Meta: &o.meta, Spill: frame.GetSpill()})
-	o.run()
+	go func() {
+		if !r.panics.Do(contain.Frame, func() { o.receiveFrames(done) }) {
+			r.post(&event.OfferWithdrawn{At: r.clock.now(), Request: o.id})
+		}
+	}()
+	served := r.panics.Do(contain.Offer, func() {
+		r.post(&event.OfferReceived{At: r.clock.now(), Request: o.id, From: from, Meta: &o.meta, Spill: frame.GetSpill()})
+		o.run()
+	})
+	if !served {
+		r.panics.Do(contain.Offer, o.panicked)
+	}
 	r.mu.Lock()
 	delete(r.offers, o.id)
 	r.mu.Unlock()
 	close(done)
 }
 
+// panicked refuses an offer whose goroutine panicked, and has the reducer forget it. A claim is
+// released only if nothing was sent to a backend server.
+func (o *offer) panicked() {
+	r := o.runtime
+	r.locked(func() { delete(r.offers, o.id) }) // it takes no more commands
+	outcome := model.NotRun
+	if o.attempts > 0 || o.claiming && !o.claimed { // an earlier request with the key may have run
+		outcome = model.Unknown
+	}
+	r.post(&event.ClaimResolved{At: r.clock.now(), Request: o.id, Result: event.ClaimUncertain})
+	if o.attempting != "" {
+		r.post(&event.AttemptFinished{At: r.clock.now(), Request: o.id, Backend: o.attempting, Result: event.AttemptCancelled, BodyUsed: o.bodyUsed()})
+	}
+	r.post(&event.OfferWithdrawn{At: r.clock.now(), Request: o.id})
+	if o.claimed && o.attempts == 0 {
+		r.panics.Do(contain.Offer, o.release)
+	}
+	refuse := &linkpb.Refuse{Outcome: uint32(outcome), Cause: string(model.CauseInternal)}
+	_ = o.conn.Send(&linkpb.Frame{Body: &linkpb.Frame_Refuse{Refuse: refuse}})
+}
+
 func (r *Runtime) commandOffer(id model.RequestID, cmd offerCommand) {
 	if o := r.offers[id]; o != nil {
 		o.commands <- cmd
@@ -168,6 +201,7 @@
 		return false
 	}
 	o.attempts++
+	o.attempting = cmd.backend
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	o.setCancel(cancel)
@@ -182,6 +216,7 @@
 		o.attemptFinished(cmd.backend, unansweredResult(err.Result), err)
 		return false
 	}
+	defer func() { _ = answer.Body.Close() }()
 	o.recordAnswer(cmd.backend, started, answer.Status)
 	o.relayAnswer(cmd.backend, answer)
 	return true
@@ -206,7 +241,9 @@
 	if cmd.slowAfter > 0 {
 		a.Connected = func(reused bool) {
 			if reused {
-				timer = time.AfterFunc(cmd.slowAfter, func() { o.attemptSlow(cmd.backend) })
+				timer = time.AfterFunc(cmd.slowAfter, func() {
+					o.runtime.panics.Do(contain.Attempt, func() { o.attemptSlow(cmd.backend) })
+				})
 			}
 		}
 	}
@@ -242,7 +279,6 @@
 
 // relayAnswer streams the backend server's answer to the ingress.
 func (o *offer) relayAnswer(backend model.BackendName, a *upstream.Response) {
-	defer func() { _ = a.Body.Close() }()
 	if o.body != nil {
 		o.body.abort() // the server has answered, so the rest of the body is dropped
 	}
@@ -282,6 +318,7 @@
 	case a.Status >= 500:
 		result = event.AttemptFailed
 	}
+	o.attempting = ""
 	o.runtime.post(&event.AttemptFinished{
 		At:       o.runtime.clock.now(),
 		Request:  o.id,
--- a/internal/runtime/once.go
+++ b/internal/runtime/once.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
@@ -49,6 +50,7 @@
 }
 
 func (o *offer) claim() {
+	o.claiming = true
 	r := o.runtime
 	left := o.meta.Deadline.Sub(r.clock.now())
 	ctx, cancel := context.WithTimeout(context.Background(), left)
@@ -122,7 +124,13 @@
 	r.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
-		try := func() (struct{}, error) { return struct{}{}, write(ctx) }
+		try := func() (struct{}, error) {
+			var err error
+			if !r.panics.Do(contain.Ledger, func() { err = write(ctx) }) {
+				err = backoff.Permanent(errPanic) // it would panic again
+			}
+			return struct{}{}, err
+		}
 		_, err := backoff.Retry(ctx, try, backoff.WithBackOff(backoff.NewExponentialBackOff()))
 		if err != nil {
 			r.log.WithError(err).WithField("request", trace).WithField("step", step).Error("ledger write failed after retries")
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -18,6 +18,7 @@
 
 	"github.com/primrosenotch/primrosenotch/internal/config"
 	"github.com/primrosenotch/primrosenotch/internal/confstore"
+	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/journal"
@@ -76,6 +77,7 @@
 	links    *link.Links
 	stats    *slo.Recorder
 	metrics  *metrics
+	panics   *contain.Panics
 
 	// mu serializes the reducer and guards the fields below it.
 	mu           sync.Mutex
@@ -107,7 +109,10 @@
 // New returns a runtime that has not started.
 func New(o Options) *Runtime {
 	ctx, cancel := context.WithCancel(context.Background())
+	panics := contain.New(o.Log, metricsNamespace+"_panics_total")
+	o.Links.Panics, o.Upstream.Panics, o.Ledger.Panics = panics, panics, panics
 	r := &Runtime{
+		panics:    panics,
 		options:   o,
 		self:      o.Reducer.Self.ID,
 		clock:     newClock(),
@@ -152,9 +157,30 @@
 func (r *Runtime) post(ev event.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, f := range r.reducer.Step(ev) {
-		r.execute(f)
+	r.step(ev)
+}
+
+// step applies an event to the reducer and executes the resulting effects. If that panics, the
+// request that the event concerns is refused. The caller holds r.mu.
+func (r *Runtime) step(ev event.Event) {
+	var effects []event.Effect
+	if !r.panics.Do(contain.Decision, func() { effects = r.reducer.Step(ev) }) {
+		r.panics.Do(contain.Decision, func() { r.reducer.Release(ev) })
+		r.panics.Do(contain.Decision, func() { effects = r.reducer.Recover(ev) })
 	}
+	for _, f := range effects {
+		r.panics.Do(contain.Effect, func() { r.execute(f) })
+	}
+}
+
+// Panics returns what contains this instance's panics, for servers that use the runtime.
+func (r *Runtime) Panics() *contain.Panics { return r.panics }
+
+// locked calls f with r.mu held.
+func (r *Runtime) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
 }
 
 func (r *Runtime) nextID() model.RequestID { return model.RequestID(r.lastID.Add(1)) }
--- a/internal/runtime/source.go
+++ b/internal/runtime/source.go
@@ -20,13 +20,18 @@
 func (r *Runtime) Status(context.Context) control.Status {
 	now := r.clock.now()
 	zones := r.view.Load().zones()
-	r.mu.Lock()
-	self := r.reducer.Self()
-	peers := r.reducer.Peers()
-	servers := r.reducer.Servers(now)
-	owned := r.reducer.Loads(now)
-	loads := lo.Map(zones, func(z config.Zone, _ int) []membership.ServiceLoad { return r.reducer.ZoneLoads(z.Name) })
-	r.mu.Unlock()
+	var self membership.Record
+	var peers []membership.Peer
+	var servers []reducer.ServerState
+	var owned []membership.ServiceLoad
+	var loads [][]membership.ServiceLoad
+	r.locked(func() {
+		self = r.reducer.Self()
+		peers = r.reducer.Peers()
+		servers = r.reducer.Servers(now)
+		owned = r.reducer.Loads(now)
+		loads = lo.Map(zones, func(z config.Zone, _ int) []membership.ServiceLoad { return r.reducer.ZoneLoads(z.Name) })
+	})
 	status := control.Status{
 		Instance:      self.ID,
 		Zone:          self.Zone,
