edge, entry: lingering connections fit into the reserve of file descriptors

Connections that wait for their caller to receive the rest of an answer are not counted as open connections of callers. Up to an eighth of those could linger, 224 with the platform's limit, and the reserve of 256 descriptors also serves readiness checks, operators, links and the store. A sixteenth, 128 at most, leaves room for them; beyond that a connection is closed at once, as before. By reading; no shortage was seen.

--- a/internal/ingress/linger.go
+++ b/internal/ingress/linger.go
@@ -15,8 +15,10 @@
 const (
 	// lingerCheckInterval is how often a lingering connection is checked for progress.
 	lingerCheckInterval = 50 * time.Millisecond
-	// lingerDivisor is the ratio of all connections to those that may linger beside them.
-	lingerDivisor = 8
+	// lingerDivisor is the ratio of all connections to those that may linger beside them, up
+	// to maxLingering: they use the process's reserve of file descriptors.
+	lingerDivisor = 16
+	maxLingering  = 128
 )
 
 // lingerer closes connections whose caller has not received the whole response yet. Closing
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -41,7 +41,7 @@
 		handler:  handler,
 		watcher:  newWatcher(),
 	}
-	s.linger = &lingerer{timeout: s.settings.ProgressTimeout, max: int64(max(s.settings.MaxConnections/lingerDivisor, 1))}
+	s.linger = &lingerer{timeout: s.settings.ProgressTimeout, max: int64(min(max(s.settings.MaxConnections/lingerDivisor, 1), maxLingering))}
 	s.limits.Store(&Limits{})
 	app := fiber.New(fiber.Config{
 		StreamRequestBody:            true,
