ingress: the switch for random numbers of request IDs is set once

go test -race ./platform reported a race between two instances that start in one process (TestSilentStoreIsReadSoonAfterItsReturn): each new server sets a global switch of the uuid package, which has no lock. Programs start one server, so that callers saw nothing of it; tests start many.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,9 +32,12 @@
 	draining       atomic.Bool
 }
 
+// enableRandPool sets a switch of the whole process, which several servers may share.
+var enableRandPool = sync.OnceFunc(uuid.EnableRandPool)
+
 // New returns a server that passes requests to handler.
 func New(settings Settings, handler Handler) *Server {
-	uuid.EnableRandPool()
+	enableRandPool()
 	s := &Server{
 		settings: settings.withDefaults(),
 		handler:  handler,
