link: the test of a panic at a frame sets no field while it is read

TestPanicAtAFrameKeepsTheLink replaced a channel of its recorder while the link's goroutine could read it. The recorder panics at the first message by itself now.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -52,8 +52,13 @@
 	return connectPairWith(t, server, DefaultSettings())
 }
 
+type peerHandler interface {
+	Events
+	OfferHandler
+}
+
 // connectPairWith is like connectPair with settings for "b".
-func connectPairWith(t *testing.T, server *recorder, settings Settings) (*Links, *recorder, net.Listener) {
+func connectPairWith(t *testing.T, server peerHandler, settings Settings) (*Links, *recorder, net.Listener) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -96,31 +101,35 @@
 	require.ErrorAs(t, err, &down)
 }
 
+// panickingRecorder panics at the first membership message.
+type panickingRecorder struct {
+	*recorder
+	messages atomic.Int32
+}
+
+func (r *panickingRecorder) GossipReceived(p model.InstanceID, g *linkpb.Gossip) {
+	if r.messages.Add(1) == 1 {
+		panic("membership message")
+	}
+	r.recorder.GossipReceived(p, g)
+}
+
 // TestPanicAtAFrameKeepsTheLink guards against a process that ends with one message of a peer.
 func TestPanicAtAFrameKeepsTheLink(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	settings := DefaultSettings()
 	settings.Panics = contain.New(logrus.NewEntry(log), "panics_total")
-	server := newRecorder()
+	server := &panickingRecorder{recorder: newRecorder()}
 	server.serve = func(model.InstanceID, *linkpb.Offer, Conn) { panic("offer") }
 	links, client, _ := connectPairWith(t, server, settings)
-	close(server.gossip) // a send on it panics
 	links.Gossip("b", &linkpb.Gossip{From: "a"})
 	conn, err := links.Offer("b", &linkpb.Offer{Trace: "t"})
 	require.NoError(t, err)
 	_, err = conn.Receive()
 	require.ErrorIs(t, err, io.EOF)
-	server.gossip = make(chan *linkpb.Gossip, 1)
-	require.Eventually(t, func() bool {
-		links.Gossip("b", &linkpb.Gossip{From: "a", Revision: 2})
-		select {
-		case g := <-server.gossip:
-			return g.GetRevision() == 2
-		default:
-			return false
-		}
-	}, 5*time.Second, 10*time.Millisecond)
+	links.Gossip("b", &linkpb.Gossip{From: "a", Revision: 2})
+	require.EqualValues(t, 2, receive(t, server.gossip).GetRevision())
 	require.Empty(t, client.down, "the link stayed up")
 }
 
