A process started before its predecessor has ended waits for the addresses

Callers found an instance missing after a restart: a process that was started while the one before it was still in its planned stop ended at once with "address already in use", and nobody was left when the old one had ended.

Cause: each address was listened on once. Addresses in use are tried again now, with 10 to 200 ms between two attempts, for the longest planned stop and 5 s (graceS, drain); then the start fails with an error that names all of them. SIGTERM ends the wait with exit code 0. None of the addresses is kept open meanwhile and callers' comes last, so that nobody connects to a process that cannot serve yet. The instance is created once it has its addresses, so that its start and its incarnation count from there. Other errors of a start are reported at once, as before.

--- a/cmd/primrosenotch-edge/wiring.go
+++ b/cmd/primrosenotch-edge/wiring.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -18,6 +18,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/control"
 	"github.com/primrosenotch/primrosenotch/internal/edge"
+	"github.com/primrosenotch/primrosenotch/internal/listener"
 	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
@@ -61,15 +62,23 @@
 	do.Provide(injector, newLog)
 	do.Provide(injector, newStore)
 	do.Provide(injector, newEdge)
-	e, err := do.Invoke[*edge.Edge](injector)
+	log, err := do.Invoke[*logrus.Entry](injector)
 	if err != nil {
 		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
 	}
-	log := do.MustInvoke[*logrus.Entry](injector)
-	l, err := listen(s)
+	// The instance's start counts from when it has its addresses.
+	l, err := listen(received.Stop, s, log)
+	if received.Stop.Err() != nil {
+		log.Info("stopped before it had its addresses")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
+	e, err := do.Invoke[*edge.Edge](injector)
+	if err != nil {
+		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
+	}
 	reload := &reloader{file: s.file, text: s.text, current: s, log: log, setBounds: e.SetBounds}
 	go e.Panics().Keep(received.Stop, contain.Settings, func() { reload.run(received.Stop, received.Hangups) })
 	serveEndpoint(log, e.Accepting("ready", l.ready), contained(e.Panics(), contain.Ready, platform.ReadyHandler(e)))
@@ -143,28 +152,16 @@
 // ports in use are reported in one error.
 type listeners struct{ callers, links, control, lookups, ready net.Listener }
 
-func listen(s loadedSettings) (listeners, error) {
-	var l listeners
-	var errs []error
-	for _, open := range []struct {
-		what string
-		addr string
-		to   *net.Listener
-	}{
-		{"callers", s.Listen.Callers, &l.callers},
-		{"links", s.Listen.Links, &l.links},
-		{"control", s.Listen.Control, &l.control},
-		{"lookups", s.Direct.Lookups, &l.lookups},
-		{"ready", s.Direct.Ready, &l.ready},
-	} {
-		listener, err := net.Listen("tcp", open.addr)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("listen for %s on %s: %w", open.what, open.addr, err))
-			continue
-		}
-		*open.to = listener
-	}
-	return l, errors.Join(errs...)
+// listen waits for addresses that the process before still uses, for as long as its stop may take.
+func listen(ctx context.Context, s loadedSettings, log *logrus.Entry) (l listeners, err error) {
+	err = listener.Open(ctx, []listener.Address{
+		{Name: "ready", Addr: s.Direct.Ready, To: &l.ready},
+		{Name: "lookups", Addr: s.Direct.Lookups, To: &l.lookups},
+		{Name: "control", Addr: s.Listen.Control, To: &l.control},
+		{Name: "links", Addr: s.Listen.Links, To: &l.links},
+		{Name: "callers", Addr: s.Listen.Callers, To: &l.callers},
+	}, s.bounds.StopTimeout+listener.StopMargin, log)
+	return l, err
 }
 
 // controlHandler serves the operators' API, and metrics on all other paths.
--- a/internal/entry/accept_test.go
+++ b/internal/entry/accept_test.go
@@ -41,7 +41,7 @@
 	f := startFleet(t)
 	i := f.newInstance("entry-3", "north-a", f.store)
 	f.run(i, func(ctx context.Context) error {
-		l, err := i.listen()
+		l, err := listen(ctx, i.settings, i.log)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,12 +31,25 @@
 	sink := logsink.New(os.Stderr)
 	defer sink.Close(logsink.FlushTimeout)
 	provide(injector, s, sink)
+	log, err := do.Invoke[*logrus.Entry](injector)
+	if err != nil {
+		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
+	}
+	// The instance's start counts from when it has its addresses.
+	l, err := listen(received.Stop, s, log)
+	if received.Stop.Err() != nil {
+		log.Info("stopped before it had its addresses")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	instance, err := do.Invoke[*instance](injector)
 	if err != nil {
 		return fmt.Errorf("start instance %s: %w", s.Instance.ID, err)
 	}
 	go instance.logHangups(received.Hangups)
-	return instance.run(received.Stop)
+	return instance.serve(received.Stop, l)
 }
 
 // logHangups says that settings need a restart to whoever asks to have them read again.
@@ -56,40 +69,22 @@
 }
 
 // listeners holds the listening sockets. They are opened before anything starts, so that
-// a port in use is reported as a single clear error.
+// all ports in use are reported in one error.
 type listeners struct{ callers, links, control net.Listener }
 
-func (i *instance) listen() (listeners, error) {
-	var l listeners
-	for _, open := range []struct {
-		name string
-		addr string
-		to   *net.Listener
-	}{
-		{"callers", i.settings.Listen.Callers, &l.callers},
-		{"links", i.settings.Listen.Links, &l.links},
-		{"control", i.settings.Listen.Control, &l.control},
-	} {
-		listener, err := net.Listen("tcp", open.addr)
-		if err != nil {
-			return l, fmt.Errorf("listen for %s on %s: %w", open.name, open.addr, err)
-		}
-		*open.to = listener
-	}
-	return l, nil
-}
-
-func (i *instance) run(ctx context.Context) error {
-	l, err := i.listen()
-	if err != nil {
-		return err
-	}
-	i.log.WithField("callers", i.settings.Listen.Callers).Info("started")
-	return i.serve(ctx, l)
+// listen waits for addresses that the process before still uses, for as long as its stop may take.
+func listen(ctx context.Context, s settings.Settings, log *logrus.Entry) (l listeners, err error) {
+	err = listener.Open(ctx, []listener.Address{
+		{Name: "control", Addr: s.Listen.Control, To: &l.control},
+		{Name: "links", Addr: s.Listen.Links, To: &l.links},
+		{Name: "callers", Addr: s.Listen.Callers, To: &l.callers},
+	}, s.Serving.Drain+listener.StopMargin, log)
+	return l, err
 }
 
 // serve serves on the given listeners until ctx is done, then shuts the instance down.
 func (i *instance) serve(ctx context.Context, l listeners) error {
+	i.log.WithField("callers", i.settings.Listen.Callers).Info("started")
 	callers, links, control := i.accepting("callers", l.callers), i.accepting("links", l.links), i.accepting("control", l.control)
 	serving, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -136,6 +136,14 @@
 	return i
 }
 
+func (i *instance) run(ctx context.Context) error {
+	l, err := listen(ctx, i.settings, i.log)
+	if err != nil {
+		return err
+	}
+	return i.serve(ctx, l)
+}
+
 func (f *fleet) run(i *instance, run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -32,6 +32,14 @@
 func (f *fleet) startProcess(binary, id, zone string, setOutput func(*exec.Cmd)) (*exec.Cmd, int) {
 	f.t.Helper()
 	callers, links, controlAddr := freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	process := f.startProcessAt(binary, id, zone, callers, links, controlAddr, setOutput)
+	f.callers = append(f.callers, callers)
+	f.controls = append(f.controls, controlAddr)
+	return process, len(f.callers) - 1
+}
+
+func (f *fleet) startProcessAt(binary, id, zone, callers, links, controlAddr string, setOutput func(*exec.Cmd)) *exec.Cmd {
+	f.t.Helper()
 	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\n[listen]\ncallers = %s\nlinks = %s\ncontrol = %s\n"+
 		"[platform]\naddress = %s\npoll every = 100ms\n[serving]\nlookup ttl = 200ms\n", id, zone, callers, links, controlAddr, f.store)
 	file := filepath.Join(f.t.TempDir(), id+".ini")
@@ -43,9 +51,7 @@
 		_ = process.Process.Kill() // the process may have ended already
 		_ = process.Wait()
 	})
-	f.callers = append(f.callers, callers)
-	f.controls = append(f.controls, controlAddr)
-	return process, len(f.callers) - 1
+	return process
 }
 
 func (f *fleet) isReady(i int) bool {
