dispatch: a server that is gone has ended for the requests lost at it

Callers saw nothing of it but their own requests cut at the servers that crashed.

Cause: an attempt that is lost became a strike with a refused connection, an answer of another server at the address, a second broken connection at one instance or a next start under the same identifier. Once the server's entry was removed, it was neither checked nor used, and its next start has another identifier: no evidence came, and no instance counted a strike.

Evidence: in the log of a play with silent servers, entries are removed 4.3 s after the crash, and there is no strike against the request before 8.6 s. With servers that accept and reset connections for 2 s, 23 late sends if their entries are removed at the crash and none if they are kept.

Now the removal of an entry, by a server that has not reported that it leaves, and a later start at its address are evidence against the attempts lost there since its last answer. Instances know both without a call to the server. Attempts that run on at a server that leaves without reporting it count only if they are lost and it has answered none since.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/health"
 	"github.com/primrosenotch/primrosenotch/internal/membership"
@@ -36,6 +37,9 @@
 			d.serverCrashed(ev.At, a.server)
 		}
 	}
+	if a.server.removedAt > a.server.answeredAt {
+		d.lostAtEnded(ev.At, a.server)
+	}
 }
 
 // admitSuspect decides whether a request that may have crashed servers is sent. If not, it
@@ -108,6 +112,45 @@
 // a health check reaches them.
 func (d *Dispatcher) serverEnded(now model.Instant, s *server) {
 	d.noteUnanswered(now, s)
+	d.lostAtEnded(now, s)
+}
+
+// serverRemoved records a strike against each request whose attempt at a server was lost before
+// the server's entry was removed, unless it has answered since. The load pattern is a request
+// that crashes servers whose entries are removed before a health check reaches their addresses.
+//
+// Some servers leave without reporting it and go on serving, so attempts that are still
+// running count only once they are lost.
+func (d *Dispatcher) serverRemoved(now model.Instant, s *server) {
+	if s.leaves() {
+		return
+	}
+	s.removedAt = now
+	d.lostAtEnded(now, s)
+}
+
+// addressTaken is serverEnded for the servers at whose address a later one has started.
+func (d *Dispatcher) addressTaken(now model.Instant, entry *catalog.Server) {
+	for _, s := range d.byAddress[entry.Address] {
+		if s.entry.StartedMillis < entry.StartedMillis {
+			d.serverEnded(now, s)
+		}
+	}
+}
+
+// dropAddress removes a server from those at its address.
+func (d *Dispatcher) dropAddress(s *server) {
+	list := slices.DeleteFunc(d.byAddress[s.entry.Address], func(other *server) bool { return other == s })
+	if len(list) == 0 {
+		delete(d.byAddress, s.entry.Address)
+		return
+	}
+	d.byAddress[s.entry.Address] = list
+}
+
+// lostAtEnded records a strike against each request whose attempt at a server that has ended
+// was lost after the server's last answer.
+func (d *Dispatcher) lostAtEnded(now model.Instant, s *server) {
 	d.logStrikes(now, s, d.suspects.ServerEnded(now, s.incarnation(), s.answeredAt))
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -226,3 +227,96 @@
 	}
 	require.LessOrEqual(t, f.crashes, 4)
 }
+
+// startServerAt lists a server of the service "shop" at an address of its own.
+func startServerAt(d *Dispatcher, now model.Instant, id string, address netip.AddrPort, startedMillis int64) {
+	entry := testServer(id, "north-a", "shop")
+	entry.Address, entry.StartedMillis = address, startedMillis
+	d.Step(&CatalogChanged{At: now, Change: &catalog.ServerChange{Server: entry}})
+}
+
+// arrivedAt sends a request and returns its attempt.
+func arrivedAt(t *testing.T, d *Dispatcher, now model.Instant, id model.RequestID) *Send {
+	send := requestEffect(d.Step(&RequestArrived{
+		At: now, Request: id, Host: "shop.example", Path: "/browse/x", Affinity: "1", Fingerprint: uint64(id),
+	}))
+	require.IsType(t, &Send{}, send)
+	return send.(*Send)
+}
+
+// TestServerThatIsGoneBeforeItIsCheckedIsAStrike guards against requests that crash servers which
+// no health check finds, since their entries are removed or their addresses taken before.
+func TestServerThatIsGoneBeforeItIsCheckedIsAStrike(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:7001")
+	for _, test := range []struct {
+		name string
+		end  event.AttemptResult
+		gone func(d *Dispatcher, now model.Instant)
+		// goneFirst servers are known to be gone before the attempt ends.
+		goneFirst bool
+	}{
+		{"removed, then broken", event.AttemptBroken, removeServer, true},
+		{"removed, then timed out", event.AttemptTimeout, removeServer, true},
+		{"broken, then removed", event.AttemptBroken, removeServer, false},
+		{"timed out, then removed", event.AttemptTimeout, removeServer, false},
+		{"timed out, then replaced", event.AttemptTimeout, func(d *Dispatcher, now model.Instant) { startServerAt(d, now, "next", address, 2) }, false},
+		{"replaced, then timed out", event.AttemptTimeout, func(d *Dispatcher, now model.Instant) { startServerAt(d, now, "next", address, 2) }, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, now := newGoneFleet(address), start
+			send := arrivedAt(t, d, now, 1)
+			now = now.Add(time.Second)
+			if test.goneFirst {
+				test.gone(d, now)
+			}
+			now = now.Add(time.Second)
+			d.Step(&AttemptEnded{At: now, Request: 1, Attempt: send.Attempt, Result: test.end, BodyNotReplayable: true})
+			if !test.goneFirst {
+				now = now.Add(time.Second)
+				test.gone(d, now)
+			}
+			require.True(t, d.suspects.HasStrike(now, 1))
+		})
+	}
+}
+
+// TestServerThatLeavesUnreportedIsNoStrike has servers whose entries are removed while they go on
+// serving, and servers that have reported that they leave.
+func TestServerThatLeavesUnreportedIsNoStrike(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:7001")
+	for _, reported := range []bool{false, true} {
+		d, now := newGoneFleet(address), start
+		lost, answered := arrivedAt(t, d, now, 1), arrivedAt(t, d, now, 2)
+		arrivedAt(t, d, now, 3) // runs on
+		if reported {
+			entry := *lost.Server
+			entry.Draining, entry.Sequence = true, entry.Sequence+1
+			d.Step(&CatalogChanged{At: now, Change: &catalog.ServerChange{Server: entry}})
+		}
+		now = now.Add(time.Second)
+		removeServer(d, now)
+		now = now.Add(time.Second)
+		if !reported {
+			d.Step(&AttemptEnded{At: now, Request: 2, Attempt: answered.Attempt, Result: event.AttemptComplete})
+		}
+		now = now.Add(time.Second)
+		d.Step(&AttemptEnded{At: now, Request: 1, Attempt: lost.Attempt, Result: event.AttemptTimeout, BodyNotReplayable: true})
+		for fingerprint := range uint64(3) {
+			require.False(t, d.suspects.HasStrike(now, fingerprint+1), "request %d", fingerprint+1)
+		}
+	}
+}
+
+// newGoneFleet returns a dispatcher with one server, "gone".
+func newGoneFleet(address netip.AddrPort) *Dispatcher {
+	d := newDispatcher(testRoute())
+	for _, zone := range []string{"north-a", "north-b", "south-a", "south-b"} {
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ServerRemoved{ID: model.BackendName("shop-" + zone)}})
+	}
+	startServerAt(d, start, "gone", address, 1)
+	return d
+}
+
+func removeServer(d *Dispatcher, now model.Instant) {
+	d.Step(&CatalogChanged{At: now, Change: &catalog.ServerRemoved{ID: "gone"}})
+}
--- a/internal/dispatch/crashsim_test.go
+++ b/internal/dispatch/crashsim_test.go
@@ -23,6 +23,9 @@
 	// downtime is how long the server is away.
 	downtime time.Duration
 	newID    bool // it comes back under another identifier
+	// unlisted servers have no entry from the crash on; others until lapseDelay after their
+	// return under another identifier.
+	unlisted bool
 }
 
 var crashModes = []crashMode{
@@ -31,6 +34,10 @@
 	{name: "silent, another identifier", silent: true, downtime: 3 * time.Second, newID: true},
 	{name: "hung", silent: true, accepts: true, downtime: 3 * time.Second},
 	{name: "hung, another identifier", silent: true, accepts: true, downtime: 3 * time.Second, newID: true},
+	{name: "hung, entry removed", silent: true, accepts: true, downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "hung for long, entry removed", silent: true, accepts: true, downtime: 30 * time.Second, newID: true, unlisted: true},
+	{name: "silent, entry removed", silent: true, downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "reset, entry removed", downtime: 3 * time.Second, newID: true, unlisted: true},
 	{name: "back at once", downtime: 20 * time.Millisecond},
 	{name: "back at once, another identifier", downtime: 20 * time.Millisecond, newID: true},
 }
@@ -171,16 +178,20 @@
 		}
 	}
 	server.running = nil
+	unlist := func() {
+		for i := range s.instances {
+			s.step(i, &CatalogChanged{At: s.now, Change: &catalog.ServerRemoved{ID: server.entry.ID}})
+		}
+	}
+	if s.mode.unlisted {
+		unlist()
+	}
 	s.after(s.mode.downtime, func() {
 		entry := server.entry
 		server.replaced = true
 		if s.mode.newID {
 			entry.ID += "'"
-			s.after(lapseDelay, func() {
-				for i := range s.instances {
-					s.step(i, &CatalogChanged{At: s.now, Change: &catalog.ServerRemoved{ID: server.entry.ID}})
-				}
-			})
+			s.after(lapseDelay, unlist)
 		}
 		s.startServer(entry, entryDelay)
 	})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,7 @@
 	config      *catalog.Configuration
 	servers     map[model.BackendName]*server
 	byService   map[model.ServiceName][]*server // sorted by identifier
+	byAddress   map[netip.AddrPort][]*server
 	departures  departures
 	evacuations evacuations
 	services    map[model.ServiceName]*service
@@ -89,6 +91,7 @@
 		byService:     map[model.ServiceName][]*server{},
 		departures:    newDepartures(),
 		evacuations:   newEvacuations(),
+		byAddress:     map[netip.AddrPort][]*server{},
 		services:      map[model.ServiceName]*service{},
 		splits:        map[model.RouteName]*split{},
 		requests:      map[model.RequestID]*request{},
@@ -263,7 +266,9 @@
 		d.dropServer(at, old)
 		d.record(at, string(entry.ID), "restarted", "newer incarnation")
 	}
+	d.addressTaken(at, entry)
 	d.servers[entry.ID] = s
+	d.byAddress[entry.Address] = append(d.byAddress[entry.Address], s)
 	list := d.byService[entry.Service]
 	pos, _ := slices.BinarySearchFunc(list, s, compareByID)
 	d.byService[entry.Service] = slices.Insert(list, pos, s)
@@ -310,6 +315,7 @@
 
 func (d *Dispatcher) removeServer(at model.Instant, s *server, reason string) {
 	d.noteServerLoss(at, s)
+	d.serverRemoved(at, s)
 	d.dropServer(at, s)
 	delete(d.servers, s.entry.ID)
 	d.record(at, string(s.entry.ID), "removed", reason)
@@ -320,6 +326,7 @@
 	list := d.byService[s.entry.Service]
 	d.byService[s.entry.Service] = slices.DeleteFunc(list, func(other *server) bool { return other == s })
 	d.unindex(s)
+	d.dropAddress(s)
 	d.keepTerms(at, s)
 	delete(d.termed, s)
 	delete(d.paused, s)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -40,7 +40,9 @@
 	checkedAt    model.Instant // last health check that passed
 	listedAt     model.Instant // when this instance first saw its entry
 	unlistedAt   model.Instant // when its entry disappeared, 0 while it is listed
-	shed         average
+	// removedAt is when it was removed although it had not reported that it leaves, otherwise 0.
+	removedAt model.Instant
+	shed      average
 }
 
 // incarnation names one start of the server, so that a failure after the next start counts as
