dispatch: simulate servers that accept and reset connections after a crash

The simulated servers refused connections, accepted them without a reset, or lost them. Two modes cover this, with the entry kept and removed.

--- a/internal/dispatch/crashsim_test.go
+++ b/internal/dispatch/crashsim_test.go
@@ -20,6 +20,7 @@
 	name    string
 	silent  bool // resets no connection and refuses none
 	accepts bool // accepts connections meanwhile, as a process that hangs
+	resets  bool // accepts and resets connections meanwhile
 	// downtime is how long the server is away.
 	downtime time.Duration
 	newID    bool // it comes back under another identifier
@@ -38,6 +39,8 @@
 	{name: "hung for long, entry removed", silent: true, accepts: true, downtime: 30 * time.Second, newID: true, unlisted: true},
 	{name: "silent, entry removed", silent: true, downtime: 3 * time.Second, newID: true, unlisted: true},
 	{name: "reset, entry removed", downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "reset on accept", resets: true, downtime: 2 * time.Second, newID: true},
+	{name: "reset on accept, entry removed", resets: true, downtime: 2 * time.Second, newID: true, unlisted: true},
 	{name: "back at once", downtime: 20 * time.Millisecond},
 	{name: "back at once, another identifier", downtime: 20 * time.Millisecond, newID: true},
 }
@@ -238,6 +241,8 @@
 	case server.replaced:
 		s.after(simStep, func() { end(&AttemptEnded{Result: event.AttemptShed, Misdirected: true}) })
 	case !server.up && s.mode.accepts:
+	case !server.up && s.mode.resets:
+		s.after(simStep, func() { end(&AttemptEnded{Result: event.AttemptBroken}) })
 	case !server.up && s.mode.silent:
 		s.after(dialTimeout, func() { end(&AttemptEnded{Result: event.AttemptNotSent}) })
 	case !server.up:
@@ -278,8 +283,8 @@
 		server := s.servers[id]
 		healthy := server.up && !server.replaced
 		s.step(i, &ServerProbed{
-			At: s.now, Server: id, Healthy: healthy, Reached: server.up || server.replaced || s.mode.accepts,
-			Refused: !server.up && !server.replaced && !s.mode.silent, Misdirected: server.replaced,
+			At: s.now, Server: id, Healthy: healthy, Reached: server.up || server.replaced || s.mode.accepts || s.mode.resets,
+			Refused: !server.up && !server.replaced && !s.mode.silent && !s.mode.resets, Misdirected: server.replaced,
 		})
 	})
 }
