--- a/internal/dispatch/crashsim_test.go
+++ b/internal/dispatch/crashsim_test.go
@@ -20,9 +20,13 @@
 	name    string
 	silent  bool // resets no connection and refuses none
 	accepts bool // accepts connections meanwhile, as a process that hangs
+	resets  bool // accepts and resets connections meanwhile
 	// downtime is how long the server is away.
 	downtime time.Duration
 	newID    bool // it comes back under another identifier
+	// unlisted servers have no entry from the crash on; others until lapseDelay after their
+	// return under another identifier.
+	unlisted bool
 }
 
 var crashModes = []crashMode{
@@ -31,6 +35,12 @@
 	{name: "silent, another identifier", silent: true, downtime: 3 * time.Second, newID: true},
 	{name: "hung", silent: true, accepts: true, downtime: 3 * time.Second},
 	{name: "hung, another identifier", silent: true, accepts: true, downtime: 3 * time.Second, newID: true},
+	{name: "hung, entry removed", silent: true, accepts: true, downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "hung for long, entry removed", silent: true, accepts: true, downtime: 30 * time.Second, newID: true, unlisted: true},
+	{name: "silent, entry removed", silent: true, downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "reset, entry removed", downtime: 3 * time.Second, newID: true, unlisted: true},
+	{name: "reset on accept", resets: true, downtime: 2 * time.Second, newID: true},
+	{name: "reset on accept, entry removed", resets: true, downtime: 2 * time.Second, newID: true, unlisted: true},
 	{name: "back at once", downtime: 20 * time.Millisecond},
 	{name: "back at once, another identifier", downtime: 20 * time.Millisecond, newID: true},
 }
@@ -171,16 +181,20 @@
 		}
 	}
 	server.running = nil
+	unlist := func() {
+		for i := range s.instances {
+			s.step(i, &CatalogChanged{At: s.now, Change: &catalog.ServerRemoved{ID: server.entry.ID}})
+		}
+	}
+	if s.mode.unlisted {
+		unlist()
+	}
 	s.after(s.mode.downtime, func() {
 		entry := server.entry
 		server.replaced = true
 		if s.mode.newID {
 			entry.ID += "'"
-			s.after(lapseDelay, func() {
-				for i := range s.instances {
-					s.step(i, &CatalogChanged{At: s.now, Change: &catalog.ServerRemoved{ID: server.entry.ID}})
-				}
-			})
+			s.after(lapseDelay, unlist)
 		}
 		s.startServer(entry, entryDelay)
 	})
@@ -227,6 +241,8 @@
 	case server.replaced:
 		s.after(simStep, func() { end(&AttemptEnded{Result: event.AttemptShed, Misdirected: true}) })
 	case !server.up && s.mode.accepts:
+	case !server.up && s.mode.resets:
+		s.after(simStep, func() { end(&AttemptEnded{Result: event.AttemptBroken}) })
 	case !server.up && s.mode.silent:
 		s.after(dialTimeout, func() { end(&AttemptEnded{Result: event.AttemptNotSent}) })
 	case !server.up:
@@ -267,8 +283,8 @@
 		server := s.servers[id]
 		healthy := server.up && !server.replaced
 		s.step(i, &ServerProbed{
-			At: s.now, Server: id, Healthy: healthy, Reached: server.up || server.replaced || s.mode.accepts,
-			Refused: !server.up && !server.replaced && !s.mode.silent, Misdirected: server.replaced,
+			At: s.now, Server: id, Healthy: healthy, Reached: server.up || server.replaced || s.mode.accepts || s.mode.resets,
+			Refused: !server.up && !server.replaced && !s.mode.silent && !s.mode.resets, Misdirected: server.replaced,
 		})
 	})
 }
