dispatch: instances lend one another the units of a low limit

Cause: its four units in 4 s belong to the instances that a hash ranks first. Where those have no requests for the server, or only less urgent ones, the units lie idle.

Change: the limit is divided into 4 x limit + 4 units of one request in a longer span. Who owns a unit is decided as before. An instance that lacks units says so to its peers, in membership messages; an owner without a use for a unit lends it, urgent requests first. A loan runs from the borrower's statement by the borrower's clock, so it ends before the owner counts it as ended however late messages are, and the unit rests 5 s at least before anyone else uses it. Two sides of a cut keep to the units of their members. No message and no work that grows with the fleet for a request.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -68,7 +68,7 @@
 // result is valid until the next call.
 func (d *Dispatcher) candidatesFor(now model.Instant, q *request) []*server {
 	q.distance = d.distance(q)
-	d.ranked = d.ranked[:0]
+	d.ranked, d.limited = d.ranked[:0], d.limited[:0]
 	if q.sticky && !d.settings.RandomServers {
 		d.rankFirst(now, q)
 	} else {
@@ -81,6 +81,7 @@
 			first = i
 		}
 	}
+	d.noteLimited(now, q, first)
 	if first < 0 {
 		return nil
 	}
@@ -94,6 +95,16 @@
 	return d.candidates
 }
 
+// noteLimited counts the request at the servers that would come before the first candidate, but
+// for their limits.
+func (d *Dispatcher) noteLimited(now model.Instant, q *request, first int) {
+	for i := range d.limited {
+		if first < 0 || d.limited[i].placementCost <= d.ranked[first].placementCost {
+			d.limited[i].server.terms.want(now, q)
+		}
+	}
+}
+
 // comparePlacement orders servers by placement cost.
 func comparePlacement(a, b rankedServer) int {
 	if a.placementCost != b.placementCost {
@@ -130,10 +141,16 @@
 	var found int
 	var cost time.Duration
 	for _, r := range first {
-		if d.excluded(now, r.server, q) != notExcluded {
+		switch d.excluded(now, r.server, q) {
+		case notExcluded:
+			r.placementCost = d.placementCost(r.server, q, r.score)
+		case excludedLimited:
+			r.placementCost = d.placementCost(r.server, q, r.score)
+			d.limited = append(d.limited, r)
+			continue
+		default:
 			continue
 		}
-		r.placementCost = d.placementCost(r.server, q, r.score)
 		if found >= 2 && r.placementCost > cost {
 			return true
 		}
@@ -149,8 +166,12 @@
 // rankAll fills d.ranked with all usable servers.
 func (d *Dispatcher) rankAll(now model.Instant, q *request) {
 	for _, s := range d.byService[q.service] {
-		if d.excluded(now, s, q) == notExcluded {
+		switch d.excluded(now, s, q) {
+		case notExcluded:
 			d.ranked = append(d.ranked, d.ranking(s, q))
+		case excludedLimited:
+			d.limited = append(d.limited, d.ranking(s, q))
+		default:
 		}
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,9 +63,10 @@
 	lapsedTerms   map[string]serverTerms            // by incarnation, of servers whose entries were removed
 	paused        map[*server]bool                  // servers that have refused a request and not answered one since
 	randomState   uint64
-	// ranked and candidates are buffers that are reused across calls of choose.
+	// ranked, candidates and limited are buffers that are reused across calls of choose.
 	ranked     []rankedServer
 	candidates []*server
+	limited    []rankedServer // servers that the latest choice passed over for their limits
 	effects    []Effect
 }
 
@@ -147,6 +148,8 @@
 		d.termsNamed(ev)
 	case *TermsReceived:
 		d.termsReceived(ev)
+	case *LimitSharesReceived:
+		d.limitSharesReceived(ev)
 	}
 	return d.effects
 }
@@ -332,6 +335,7 @@
 	d.releaseHeld(now)
 	d.dropUnlistedTerms(now)
 	d.dropLapsedTerms(now)
+	d.lendLimits(now)
 	d.applyDoubtfulEvacuations(now)
 	d.balanceRegions()
 	d.ejectSilent(now)
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -185,24 +185,32 @@
 	Suspects []membership.Suspect
 }
 
-func (*Tick) event()               {}
-func (*CatalogChanged) event()     {}
-func (*StoreRead) event()          {}
-func (*StoreReadConfirmed) event() {}
-func (*StoreReadSuspect) event()   {}
-func (*StoreRestored) event()      {}
-func (*DeparturesLearned) event()  {}
-func (*BoundsChanged) event()      {}
-func (*InstancesCounted) event()   {}
-func (*RequestArrived) event()     {}
-func (*AttemptEnded) event()       {}
-func (*AnswerStarted) event()      {}
-func (*RequestEnded) event()       {}
-func (*ServerProbed) event()       {}
-func (*SuspectsReceived) event()   {}
-func (*SuspectsSaved) event()      {}
-func (*TermsNamed) event()         {}
-func (*TermsReceived) event()      {}
+// LimitSharesReceived reports statements of other instances about their shares of servers'
+// limits.
+type LimitSharesReceived struct {
+	At     model.Instant
+	Shares []membership.LimitShare
+}
+
+func (*Tick) event()                {}
+func (*CatalogChanged) event()      {}
+func (*StoreRead) event()           {}
+func (*StoreReadConfirmed) event()  {}
+func (*StoreReadSuspect) event()    {}
+func (*StoreRestored) event()       {}
+func (*DeparturesLearned) event()   {}
+func (*BoundsChanged) event()       {}
+func (*InstancesCounted) event()    {}
+func (*RequestArrived) event()      {}
+func (*AttemptEnded) event()        {}
+func (*AnswerStarted) event()       {}
+func (*RequestEnded) event()        {}
+func (*ServerProbed) event()        {}
+func (*SuspectsReceived) event()    {}
+func (*SuspectsSaved) event()       {}
+func (*TermsNamed) event()          {}
+func (*TermsReceived) event()       {}
+func (*LimitSharesReceived) event() {}
 
 // Effect is an action that the caller of Step must carry out.
 type Effect interface{ effect() }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -166,6 +166,7 @@
 		s.coldSends.Add(now)
 	}
 	s.terms.countSend(now)
+	s.terms.want(now, q)
 	if q.sends == 1 {
 		d.service(q.service).budget.RecordSend(now)
 	}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -75,7 +75,12 @@
 	}
 	share, span := d.limitShare(now, s)
 	age := now.Sub(s.terms.at).Round(100 * time.Millisecond)
-	return fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, s.terms.sends.CountWithin(now, span), share, span.Round(100*time.Millisecond))
+	detail := fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, s.terms.sends.CountWithin(now, span), share, span.Round(100*time.Millisecond))
+	if p, ok := d.lentShares(now, s); ok {
+		l := s.terms.lending
+		detail += fmt.Sprintf(": %d own, %d borrowed, %d lent", p.owned, l.borrowedUnits(now), p.owned-l.kept(now, p.owned))
+	}
+	return detail
 }
 
 // LimitedServers returns the number of servers that name a limit.
@@ -89,6 +94,18 @@
 	return n
 }
 
+// LentUnits returns the units of servers' limits that this instance may use although they are
+// others', and those that others may use of its own.
+func (d *Dispatcher) LentUnits(now model.Instant) (borrowed, lent int) {
+	for s := range d.termed {
+		if p, ok := d.lentShares(now, s); ok {
+			borrowed += s.terms.lending.borrowedUnits(now)
+			lent += p.owned - s.terms.lending.kept(now, p.owned)
+		}
+	}
+	return borrowed, lent
+}
+
 // RetryUses returns the use of the retry budgets, sorted by service.
 func (d *Dispatcher) RetryUses(now model.Instant) []RetryUse {
 	var list []RetryUse
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -24,6 +24,7 @@
 	pausedUntil model.Instant
 	// resuming reports that the server has not answered a request since its pause.
 	resuming bool
+	lending  *lending // of the units of a limit, nil without a limit
 }
 
 const (
@@ -80,7 +81,7 @@
 		return wait
 	}
 	share, span := d.limitShare(now, s)
-	if q.lessUrgent {
+	if q.lessUrgent && s.terms.lending.urgentWanted(now) {
 		span = scale(span, lessUrgentSpan)
 	}
 	return s.terms.sends.TimeUntilBelowWithin(now, share, span)
@@ -136,10 +137,16 @@
 // within a span. If no instance hears of the limit for long, other instances get the units: those
 // that have them may receive no requests for the server, and do not learn that it has ended.
 func (d *Dispatcher) limitShare(now model.Instant, s *server) (int, time.Duration) {
+	if p, ok := d.lentShares(now, s); ok {
+		return s.terms.lending.kept(now, p.owned) + s.terms.lending.borrowedUnits(now), p.span
+	}
 	units, span := pacing.RateUnits(s.terms.Limit, d.instances.Instances())
+	return d.instances.Share(now, d.limitBound(now, s, units, span)), span
+}
+
+func (d *Dispatcher) limitBound(now model.Instant, s *server, units int, span time.Duration) pacing.Bound {
 	turn := uint64(now.Sub(s.terms.at) / membership.TermsLifetime)
-	share := d.instances.Share(now, pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true})
-	return share, span
+	return pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true}
 }
 
 // termsNamed applies the head of an answer.
@@ -230,10 +237,13 @@
 	s.terms.Terms = terms
 	if terms.Limited {
 		s.terms.sends.Span = limitMemory(terms.Limit)
+		if s.terms.lending == nil {
+			s.terms.lending = newLending()
+		}
 		d.record(now, string(s.entry.ID), fmt.Sprintf("takes %g requests a second", terms.Limit), reason)
 		return
 	}
-	s.terms.sends = pacing.Window{}
+	s.terms.sends, s.terms.lending = pacing.Window{}, nil
 	s.terms.endedAt = now
 	d.record(now, string(s.entry.ID), "takes any number of requests", reason)
 }
@@ -258,6 +268,9 @@
 // limitMemory returns the time for which sends under a limit are remembered.
 func limitMemory(limit float64) time.Duration {
 	_, span := pacing.RateUnits(limit, math.MaxInt32)
+	if _, lent, ok := pacing.LentUnits(limit, math.MaxInt32); ok {
+		span = max(span, lent)
+	}
 	return scale(span, lessUrgentSpan)
 }
 
--- a/internal/dispatch/termssim_test.go
+++ b/internal/dispatch/termssim_test.go
@@ -34,6 +34,13 @@
 	exchanged map[exchangeKey]membership.ServerTerms
 	perSecond int
 	listed    int // instances that callers know
+	// callersChange is the time after which callers turn to another instance that runs and is
+	// not cut off, 0 for never.
+	callersChange time.Duration
+	pathAt        func(instance int) string      // of a request, nil for all routes in turn
+	stated        map[statementKey]model.Instant // number of the latest statement that was sent
+	statements    int
+	tellDelay     time.Duration // of a statement at most, over several hops
 }
 
 type arrival struct {
@@ -47,6 +54,11 @@
 	incarnation string
 }
 
+type statementKey struct {
+	instance    model.InstanceID
+	incarnation string
+}
+
 type toldKey struct {
 	instance int
 	server   model.BackendName
@@ -60,9 +72,9 @@
 
 func newTermsSim(t *testing.T, instances, servers int, routes ...catalog.Route) *termsSim {
 	s := &termsSim{
-		t: t, random: rand.New(rand.NewPCG(uint64(instances), uint64(servers))), now: start, perSecond: 150, listed: instances,
+		t: t, random: rand.New(rand.NewPCG(uint64(instances), uint64(servers))), now: start, perSecond: 150, tellDelay: 700 * time.Millisecond, listed: instances,
 		limits: map[model.BackendName]float64{}, events: map[model.Instant][]func(){}, arrivals: map[model.BackendName][]arrival{},
-		told: map[toldKey]model.Instant{}, frozen: map[int]bool{}, cut: map[int]bool{}, knownAt: map[int]model.Instant{}, exchanged: map[exchangeKey]membership.ServerTerms{},
+		told: map[toldKey]model.Instant{}, stated: map[statementKey]model.Instant{}, frozen: map[int]bool{}, cut: map[int]bool{}, knownAt: map[int]model.Instant{}, exchanged: map[exchangeKey]membership.ServerTerms{},
 	}
 	if len(routes) == 0 {
 		routes = []catalog.Route{testRoute()}
@@ -158,6 +170,7 @@
 		}
 		if !s.frozen[i] {
 			s.step(i, &Tick{At: s.now, InstancesKnownAt: s.knownAt[i]})
+			s.tellShares(i)
 		}
 	}
 	for _, cut := range []bool{false, true} {
@@ -170,6 +183,35 @@
 	}
 }
 
+// tellShares sends an instance's new statements to the others on its side of a cut. They arrive
+// late, and out of order.
+func (s *termsSim) tellShares(from int) {
+	for _, t := range s.fleet[from].LimitShares(s.now) {
+		key := statementKey{t.Instance, t.Incarnation}
+		if s.stated[key] == t.Number {
+			continue
+		}
+		s.stated[key] = t.Number
+		s.statements++
+		cut := s.cut[from]
+		for to := range s.fleet {
+			if to != from && s.cut[to] == cut {
+				s.after(time.Duration(s.random.Int64N(int64(s.tellDelay))), func() { s.tellShare(to, cut, t) })
+			}
+		}
+	}
+}
+
+func (s *termsSim) tellShare(to int, cut bool, t membership.LimitShare) {
+	if s.frozen[to] {
+		s.after(gossipInterval, func() { s.tellShare(to, cut, t) })
+		return
+	}
+	if s.cut[to] == cut {
+		s.step(to, &LimitSharesReceived{At: s.now, Shares: []membership.LimitShare{t}})
+	}
+}
+
 // newTerms returns the terms that instances on one side of a cut know and have not exchanged.
 func (s *termsSim) newTerms(cut bool) []membership.ServerTerms {
 	latest := map[string]membership.ServerTerms{}
@@ -198,6 +240,11 @@
 
 func (s *termsSim) arrive() {
 	i := s.callers[s.random.IntN(len(s.callers))]
+	if s.callersChange > 0 {
+		for i = int(s.now.Sub(start)/s.callersChange) * 5 % len(s.fleet); s.frozen[i] || s.cut[i]; {
+			i = (i + 1) % len(s.fleet)
+		}
+	}
 	if s.frozen[i] || i >= s.listed {
 		return
 	}
@@ -206,6 +253,9 @@
 	if s.lastID%2 == 0 && len(s.fleet[i].config.Routes) > 1 {
 		path = "/order/x"
 	}
+	if s.pathAt != nil {
+		path = s.pathAt(i)
+	}
 	s.step(i, &RequestArrived{At: s.now, Request: s.lastID, Host: "shop.example", Path: path, Affinity: fmt.Sprint(s.random.IntN(300)), CallerTimeout: 3 * time.Second})
 }
 
@@ -257,7 +307,9 @@
 
 // restarted returns an instance that has read the tables and knows nothing else.
 func restarted(s *termsSim, old *Dispatcher) *Dispatcher {
-	d := New(old.settings)
+	settings := old.settings
+	settings.StartedAt = s.now
+	d := New(settings)
 	d.Step(&InstancesCounted{At: s.now, Instances: old.instances.Instances(), Members: fleetMembers(len(s.fleet)), RegionShare: 0.5})
 	d.Step(&CatalogChanged{At: s.now, Change: &catalog.ConfigurationChange{Configuration: old.config}})
 	for _, id := range s.servers {
--- a/internal/edge/fleet.go
+++ b/internal/edge/fleet.go
@@ -41,6 +41,7 @@
 	defer e.fleetMu.Unlock()
 	e.group.SetSuspects(e.changedSuspects(now))
 	e.group.SetTerms(e.terms(now))
+	e.group.SetLimitShares(e.limitShares(now))
 	e.applyOutput(e.group.Tick(now))
 	e.publishLookups(true)
 }
@@ -57,6 +58,12 @@
 	return e.dispatcher.Terms(now)
 }
 
+func (e *Edge) limitShares(now model.Instant) []membership.LimitShare {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.LimitShares(now)
+}
+
 // relistTime is how long an instance counts as listed whose entry was lost in a restore of
 // the store. It covers the time until every live instance has learned that its own entry is
 // missing and has written it again.
@@ -198,6 +205,9 @@
 	if len(out.Terms) > 0 {
 		e.post(&dispatch.TermsReceived{At: now, Terms: out.Terms})
 	}
+	if len(out.LimitShares) > 0 {
+		e.post(&dispatch.LimitSharesReceived{At: now, Shares: out.LimitShares})
+	}
 	e.publishLookups(false)
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -115,6 +115,14 @@
 		defer e.mu.Unlock()
 		return float64(e.dispatcher.LimitedServers())
 	})
+	gauge("primrosenotch_edge_borrowed_limit_units", "Units of backend servers' limits borrowed from other instances.", func() float64 {
+		borrowed, _ := e.lentUnits()
+		return float64(borrowed)
+	})
+	gauge("primrosenotch_edge_lent_limit_units", "Units of backend servers' limits lent to other instances.", func() float64 {
+		_, lent := e.lentUnits()
+		return float64(lent)
+	})
 	gauge("primrosenotch_edge_configuration_version", "Version of the configuration in force.", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -131,6 +139,12 @@
 	return m
 }
 
+func (e *Edge) lentUnits() (borrowed, lent int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.LentUnits(e.clock.now())
+}
+
 // countOf returns a counter's value, 0 without a counter.
 func countOf(counter func() int64) float64 {
 	if counter == nil {
--- a/internal/membership/codec.go
+++ b/internal/membership/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/samber/lo"
@@ -35,6 +36,7 @@
 		Zones:       lo.Map(m.Zones, func(z ZoneSummary, _ int) *linkpb.ZoneSummary { return zoneToProto(&z) }),
 		Suspects:    lo.Map(m.Suspects, func(s Suspect, _ int) *linkpb.Suspect { return suspectToProto(now, &s) }),
 		Terms:       lo.Map(m.Terms, func(t ServerTerms, _ int) *linkpb.ServerTerms { return termsToProto(now, &t) }),
+		LimitShares: lo.Map(m.LimitShares, func(s LimitShare, _ int) *linkpb.LimitShare { return limitShareToProto(now, &s) }),
 		Known:       lo.Map(m.Known, func(v RecordVersion, _ int) *linkpb.RecordVersion { return versionToProto(v) }),
 
 		RevisionAcceptedAt: int64(m.Revision.AcceptedAt),
@@ -133,6 +135,9 @@
 	for _, t := range p.GetTerms() {
 		m.Terms = append(m.Terms, termsFromProto(now, t))
 	}
+	for _, s := range p.GetLimitShares() {
+		m.LimitShares = append(m.LimitShares, limitShareFromProto(now, s))
+	}
 	for _, v := range p.GetKnown() {
 		m.Known = append(m.Known, versionFromProto(v))
 	}
@@ -251,3 +256,39 @@
 		Sequence:    v.GetSequence(),
 	}
 }
+
+func limitShareToProto(now model.Instant, s *LimitShare) *linkpb.LimitShare {
+	return &linkpb.LimitShare{
+		Server:      string(s.Server),
+		Incarnation: s.Incarnation,
+		Instance:    string(s.Instance),
+		Number:      int64(s.Number),
+		Urgent:      uint32(s.Urgent),
+		All:         uint32(s.All),
+		AgeNs:       int64(now.Sub(s.At)),
+		Loans: lo.Map(s.Loans, func(l Loan, _ int) *linkpb.Loan {
+			return &linkpb.Loan{Borrower: string(l.Borrower), Number: int64(l.Number)}
+		}),
+	}
+}
+
+// limitShareFromProto decodes a statement. One whose age is no age counts as expired.
+func limitShareFromProto(now model.Instant, s *linkpb.LimitShare) LimitShare {
+	age := time.Duration(s.GetAgeNs())
+	if age < 0 || age > LoanTime {
+		age = LoanTime
+	}
+	share := LimitShare{
+		Server:      model.BackendName(s.GetServer()),
+		Incarnation: s.GetIncarnation(),
+		Instance:    model.InstanceID(s.GetInstance()),
+		Number:      model.Instant(s.GetNumber()),
+		Urgent:      int(min(s.GetUrgent(), math.MaxInt32)),
+		All:         int(min(s.GetAll(), math.MaxInt32)),
+		At:          now.Add(-age),
+	}
+	for _, l := range s.GetLoans() {
+		share.Loans = append(share.Loans, Loan{Borrower: model.InstanceID(l.GetBorrower()), Number: model.Instant(l.GetNumber())})
+	}
+	return share
+}
--- a/internal/membership/codec_test.go
+++ b/internal/membership/codec_test.go
@@ -97,6 +97,20 @@
 			terms.Terms.Leaving = rapid.Bool().Draw(t, "leaving")
 			return terms
 		}),
+		LimitShares: drawList(t, func(t *rapid.T) LimitShare {
+			return LimitShare{
+				Server:      drawName[model.BackendName]("b").Draw(t, "server"),
+				Incarnation: rapid.String().Draw(t, "incarnation"),
+				Instance:    drawName[model.InstanceID]("i").Draw(t, "id"),
+				Number:      model.Instant(rapid.Int64().Draw(t, "number")),
+				Urgent:      rapid.IntRange(0, 1e6).Draw(t, "urgent"),
+				All:         rapid.IntRange(0, 1e6).Draw(t, "all"),
+				Loans: drawList(t, func(t *rapid.T) Loan {
+					return Loan{drawName[model.InstanceID]("i").Draw(t, "borrower"), model.Instant(rapid.Int64().Draw(t, "of"))}
+				}),
+				At: now.Add(-time.Duration(rapid.Int64Range(0, int64(LoanTime)).Draw(t, "age"))),
+			}
+		}),
 		Known: drawList(t, func(t *rapid.T) RecordVersion {
 			return RecordVersion{
 				drawName[model.InstanceID]("i").Draw(t, "id"),
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -41,12 +41,13 @@
 	loadReceivers  map[model.InstanceID]bool   // bridges that only receive this instance's loads
 	opened         map[model.InstanceID]string // address of each peer to which a link was requested
 
-	hold      hold
-	ownership ownership
-	summaries summaries
-	loads     ownLoads
-	suspects  suspectSet
-	terms     termsSet
+	hold        hold
+	ownership   ownership
+	summaries   summaries
+	loads       ownLoads
+	suspects    suspectSet
+	terms       termsSet
+	limitShares limitShareSet
 
 	revision      config.Order
 	fetchedAt     model.Instant
@@ -217,6 +218,7 @@
 	g.summarize()
 	g.suspects.expire(now)
 	g.terms.expire(now)
+	g.limitShares.expire(now)
 	g.heartbeat()
 	return g.finish()
 }
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -23,6 +23,7 @@
 	zonesSent   map[model.ZoneName]zoneSent
 	suspectsGen uint64
 	termsGen    uint64
+	sharesGen   uint64
 	redialAt    model.Instant // earliest time of the next replacement of a silent link
 }
 
@@ -48,6 +49,7 @@
 	l.loadsSent = 0
 	l.suspectsGen = 0
 	l.termsGen = 0
+	l.sharesGen = 0
 }
 
 // LinkUp records that the link to a peer works.
@@ -215,12 +217,14 @@
 		Zones:       g.zonesFor(l),
 		Suspects:    g.suspects.since(l.suspectsGen),
 		Terms:       g.terms.since(l.termsGen),
+		LimitShares: g.limitShares.since(l.sharesGen),
 	}
 	if l.sendDigest {
 		message.Known = g.digest()
 	}
 	l.suspectsGen = g.suspects.generation
 	l.termsGen = g.terms.generation
+	l.sharesGen = g.limitShares.generation
 	l.sendDigest = false
 	l.due = false
 	l.sentAt = g.now
--- a/internal/membership/output.go
+++ b/internal/membership/output.go
@@ -20,7 +20,9 @@
 	Suspects []Suspect
 	// Terms are news of what backend servers take.
 	Terms []ServerTerms
-	Notes []Note
+	// LimitShares are news of the shares of backend servers' limits.
+	LimitShares []LimitShare
+	Notes       []Note
 }
 
 // Addressed is a message with its receiver.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -35,7 +35,8 @@
 	}
 	g.out.Suspects = g.suspects.merge(message.Suspects, g.now)
 	g.out.Terms = g.terms.merge(message.Terms, g.now)
-	if len(g.out.Suspects) > 0 || len(g.out.Terms) > 0 {
+	g.out.LimitShares = g.limitShares.merge(message.LimitShares, g.now)
+	if len(g.out.Suspects) > 0 || len(g.out.Terms) > 0 || len(g.out.LimitShares) > 0 {
 		g.ScheduleMessages()
 	}
 	g.answerDigest(l, message.Known)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -90,6 +90,7 @@
 	Zones       []ZoneSummary // newer than those sent before; bridges exchange them between zones
 	Suspects    []Suspect     // requests that crashed backend servers
 	Terms       []ServerTerms // what backend servers said of themselves
+	LimitShares []LimitShare  // of the limits of backend servers
 	// Known is a digest of the sender's records that asks the receiver to send newer
 	// ones. It is set on the first message after a link comes up or its peer becomes a
 	// heartbeat peer.
--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -32,8 +32,15 @@
 	// is older than MaxAge. It is for bounds that may be exceeded a little, if two instances
 	// disagree about the list, but must not keep all instances from their units.
 	OutlivesList bool
+	// LentFor is how long after an instance has lost a unit others may use it to whom it has
+	// lent it, 0 if units are not lent.
+	LentFor time.Duration
 }
 
+// LentGap is the shortest time from the last use of a lent unit by one instance until another
+// one uses it: the span over which a rate is counted, and a margin for requests on their way.
+const LentGap = maxRateSpan + time.Second
+
 // Fleet divides bounds among the instances without messages between them. Each instance has
 // the whole part of an equal share; the units that are left over, all of them if there are
 // more instances than units, belong to the instances that a weighted rendezvous hash ranks
@@ -231,8 +238,11 @@
 // handOver returns the time from a change to the fleet until a unit is used by another
 // instance.
 func (f *Fleet) handOver(b Bound) time.Duration {
-	if b.Span == 0 {
+	switch {
+	case b.Span == 0:
 		return 0
+	case b.LentFor > 0:
+		return f.MaxAge + b.LentFor + min(b.Span, LentGap)
 	}
 	return f.MaxAge + b.Span
 }
--- a/internal/pacing/rate.go
+++ b/internal/pacing/rate.go
@@ -40,4 +40,29 @@
 	}
 }
 
+const (
+	// lendBelow is the number of units in maxRateSpan for each of those that share a rate from
+	// which on they lend one another none.
+	lendBelow = 4
+	// spareUnits are the units of a lent rate beyond those of maxRateSpan. The span is longer
+	// by them, so that more of those that share the rate have a unit at the same moment.
+	spareUnits = 4
+	// maxLentUnits bounds the units of a rate that is lent.
+	maxLentUnits = 32
+)
+
+// LentUnits is RateUnits for a rate of which each of those that share it has few units or none,
+// so that they lend them to one another. It reports false for other rates.
+func LentUnits(perSecond float64, sharers int) (int, time.Duration, bool) {
+	inSpan := perSecond * maxRateSpan.Seconds()
+	if sharers < 2 || inSpan >= lendBelow*float64(sharers) || inSpan+spareUnits > maxLentUnits {
+		return 0, 0, false
+	}
+	units := math.Floor(inSpan + spareUnits)
+	if units >= perSecond*LongestRateSpan.Seconds() {
+		return 0, 0, false
+	}
+	return int(units), seconds(units / perSecond), true
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/pacing/rate_test.go
+++ b/internal/pacing/rate_test.go
@@ -26,3 +26,25 @@
 		}
 	}
 }
+
+// TestLentUnitsStayWithinTheRate guards against a limit that is exceeded because its units are
+// divided differently where they are lent.
+func TestLentUnitsStayWithinTheRate(t *testing.T) {
+	for _, sharers := range []int{2, 3, 7, 20, 78, 300} {
+		for rate := 0.0; rate < 100; rate += 0.05 {
+			units, span, ok := LentUnits(rate, sharers)
+			if !ok {
+				continue
+			}
+			require.LessOrEqual(t, float64(units)/span.Seconds(), rate*1.001)
+			require.Greater(t, span, maxRateSpan, "a unit is used once in it at most")
+			require.LessOrEqual(t, span, LongestRateSpan)
+			require.LessOrEqual(t, float64(units), 1.5*rate*maxRateSpan.Seconds()+5)
+			require.LessOrEqual(t, units, maxLentUnits)
+		}
+	}
+	_, _, ok := LentUnits(1, 1)
+	require.False(t, ok, "there is nobody to lend to")
+	_, _, ok = LentUnits(0, 20)
+	require.False(t, ok)
+}
