explain: refusals for limits tell what is used of the shares

Cause: the inputs of a failed choice hold servers by reason and full candidates; a server passed over for its limit is neither.

Evidence: TestRefusalForLimitsDescribesTheirUse and TestRefusalForLimitsNamesTheShares name a field that was not there; the case "servers with limits" of the explain tests.

Change: the refusal holds, for up to four such servers, the limit, what is used of the share, and the units owned, borrowed and lent; the log line has them as `limits`, `explain` prints them, and `status` uses the same code.

--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -78,6 +78,21 @@
 	Candidates  int // servers that were looked at and full
 	// Fullest holds up to maxDescribedCandidates of the candidates, the shortest wait first.
 	Fullest []FullCandidate
+	// Limits holds up to maxDescribedCandidates of the servers that were passed over for their
+	// limits, in the order of their identifiers.
+	Limits []LimitUse
+}
+
+// LimitUse is this instance's use of its share of a server's limit.
+type LimitUse struct {
+	Server model.BackendName
+	Limit  float64 // requests a second from all instances
+	Used   int     // requests in Span
+	Share  int     // of the limit in Span
+	Span   time.Duration
+	// Owned, Borrowed and Lent are units of one request in Span, of a limit that instances lend
+	// one another.
+	Owned, Borrowed, Lent int
 }
 
 // FullCandidate is a server that may take a request but had no room for it.
@@ -104,9 +119,36 @@
 	}
 	slices.SortStableFunc(c.Fullest, func(a, b FullCandidate) int { return cmp.Compare(a.Wait, b.Wait) })
 	c.Fullest = c.Fullest[:min(len(c.Fullest), maxDescribedCandidates)]
+	c.Limits = d.describeLimits(now, q)
 	return c
 }
 
+func (d *Dispatcher) describeLimits(now model.Instant, q *request) []LimitUse {
+	var limited []*server
+	for _, s := range d.heldBack(now, q) {
+		if s.terms.Limited {
+			limited = append(limited, s)
+		}
+	}
+	slices.SortFunc(limited, compareByID)
+	var list []LimitUse
+	for _, s := range limited[:min(len(limited), maxDescribedCandidates)] {
+		list = append(list, d.limitUse(now, s))
+	}
+	return list
+}
+
+// limitUse returns this instance's use of the limit that a server names.
+func (d *Dispatcher) limitUse(now model.Instant, s *server) LimitUse {
+	share, span := d.limitShare(now, s)
+	use := LimitUse{Server: s.entry.ID, Limit: s.terms.Limit, Used: s.terms.sends.CountWithin(now, span), Share: share, Span: span}
+	if p, ok := d.lentShares(now, s); ok {
+		use.Owned, use.Borrowed = p.owned, s.terms.lending.borrowedUnits(now)
+		use.Lent = p.owned - s.terms.lending.kept(now, p.owned)
+	}
+	return use
+}
+
 // countExcluded counts the servers of a request's service that may not take it, by reason, from
 // the index of the service.
 func (d *Dispatcher) countExcluded(now model.Instant, q *request, count map[string]int) {
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -51,6 +51,23 @@
 	require.Equal(t, map[string]int{"tried already": 2, "outside the home regions": 2}, r.Inputs.Choice.Excluded)
 }
 
+// TestRefusalForLimitsDescribesTheirUse guards against refusals for limits that do not tell what
+// was used of them.
+func TestRefusalForLimitsDescribesTheirUse(t *testing.T) {
+	d := newDispatcher(testRoute())
+	for _, s := range d.servers {
+		d.Step(&TermsNamed{At: start, Server: s.entry, Report: ServerReport{HasLimit: true, LimitNamed: true, Limit: 1}})
+	}
+	id := model.RequestID(0)
+	for range len(d.servers) {
+		id++
+		requireSend(t, arrive(d, start, id, fmt.Sprint(id)))
+	}
+	r := requireRefuse(t, arrive(d, start, id+1, "7"), model.NotRun, model.CauseQueueFull)
+	require.Len(t, r.Inputs.Choice.Limits, min(len(d.servers), maxDescribedCandidates))
+	require.Equal(t, LimitUse{Server: "shop-north-a", Limit: 1, Used: 1, Share: 1, Span: time.Second}, r.Inputs.Choice.Limits[0])
+}
+
 func TestRefusalForAFullQueueDescribesTheCandidates(t *testing.T) {
 	d := newDispatcher(testRoute())
 	for _, s := range d.servers {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -73,12 +73,11 @@
 	if !s.terms.Limited {
 		return ""
 	}
-	share, span := d.limitShare(now, s)
+	use := d.limitUse(now, s)
 	age := now.Sub(s.terms.at).Round(100 * time.Millisecond)
-	detail := fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, s.terms.sends.CountWithin(now, span), share, span.Round(100*time.Millisecond))
-	if p, ok := d.lentShares(now, s); ok {
-		l := s.terms.lending
-		detail += fmt.Sprintf(": %d own, %d borrowed, %d lent", p.owned, l.borrowedUnits(now), p.owned-l.kept(now, p.owned))
+	detail := fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, use.Used, use.Share, use.Span.Round(100*time.Millisecond))
+	if _, ok := d.lentShares(now, s); ok {
+		detail += fmt.Sprintf(": %d own, %d borrowed, %d lent", use.Owned, use.Borrowed, use.Lent)
 	}
 	return detail
 }
@@ -98,9 +97,10 @@
 // others', and those that others may use of its own.
 func (d *Dispatcher) LentUnits(now model.Instant) (borrowed, lent int) {
 	for s := range d.termed {
-		if p, ok := d.lentShares(now, s); ok {
-			borrowed += s.terms.lending.borrowedUnits(now)
-			lent += p.owned - s.terms.lending.kept(now, p.owned)
+		if s.terms.Limited {
+			use := d.limitUse(now, s)
+			borrowed += use.Borrowed
+			lent += use.Lent
 		}
 	}
 	return borrowed, lent
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -264,6 +264,9 @@
 		fields["full"] = c.Candidates
 		fields["may_move"] = c.MoveAllowed
 		fields["candidates"] = candidateFields(c.Fullest)
+		if len(c.Limits) > 0 {
+			fields["limits"] = limitFields(c.Limits)
+		}
 	}
 }
 
@@ -294,6 +297,29 @@
 	return list
 }
 
+// limitUse is the form in which the use of a server's limit is logged.
+type limitUse struct {
+	Server   model.BackendName `json:"server"`
+	Limit    float64           `json:"limit"`
+	Used     int               `json:"used"`
+	Share    int               `json:"share"`
+	SpanMS   int64             `json:"span_ms"`
+	Owned    int               `json:"owned,omitempty"`
+	Borrowed int               `json:"borrowed,omitempty"`
+	Lent     int               `json:"lent,omitempty"`
+}
+
+func limitFields(limits []dispatch.LimitUse) []limitUse {
+	list := make([]limitUse, 0, len(limits))
+	for _, l := range limits {
+		list = append(list, limitUse{
+			Server: l.Server, Limit: l.Limit, Used: l.Used, Share: l.Share, SpanMS: l.Span.Milliseconds(),
+			Owned: l.Owned, Borrowed: l.Borrowed, Lent: l.Lent,
+		})
+	}
+	return list
+}
+
 // roundLoad rounds an estimated number of requests to one decimal.
 func roundLoad(load float64) float64 { return math.Round(10*load) / 10 }
 
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -69,6 +69,20 @@
 	}`, out.String())
 }
 
+// TestRefusalForLimitsNamesTheShares guards against refusals for limits that do not tell what was
+// used of them.
+func TestRefusalForLimitsNamesTheShares(t *testing.T) {
+	l, out := newTestLog(t)
+	l.refused(testExchange(), &dispatch.Refuse{
+		Outcome: model.NotRun, Cause: model.CauseQueueFull, Inputs: &dispatch.Inputs{Choice: &dispatch.FailedChoice{
+			Limits: []dispatch.LimitUse{{Server: "s-1", Limit: 1.5, Used: 2, Share: 2, Span: 8 * time.Second, Owned: 3, Borrowed: 1, Lent: 2}},
+		}},
+	})
+	var line struct{ Limits json.RawMessage }
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.JSONEq(t, `[{"server": "s-1", "limit": 1.5, "used": 2, "share": 2, "span_ms": 8000, "owned": 3, "borrowed": 1, "lent": 2}]`, string(line.Limits))
+}
+
 func TestRefusalWithoutRouteIsNamedByHostAndPath(t *testing.T) {
 	l, out := newTestLog(t)
 	l.refused(testExchange(), &dispatch.Refuse{
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -192,6 +192,9 @@
 	if len(t.end.RuledOut) > 0 {
 		text += "; ruled out: " + describeCounts(t.end.RuledOut)
 	}
+	for i := range t.end.Limits {
+		text += "; " + describeLimit(t.end.Limits[i], i)
+	}
 	return text
 }
 
@@ -199,6 +202,14 @@
 	return fmt.Sprintf("%s in %s: %s, load %.1f on %d slots known for %s", c.Server, c.Zone, c.Reason, c.Load, c.Slots, millis(c.LoadAgeMS))
 }
 
+func describeLimit(l LimitUse, _ int) string {
+	text := fmt.Sprintf("%s takes %g/s, %d of %d requests in %s used at the instance", l.Server, l.Limit, l.Used, l.Share, millis(l.SpanMS))
+	if l.Owned+l.Borrowed+l.Lent > 0 {
+		text += fmt.Sprintf(" (%d own, %d borrowed, %d lent)", l.Owned, l.Borrowed, l.Lent)
+	}
+	return text
+}
+
 func describeCounts(counts map[string]int) string {
 	keys := lo.Keys(counts)
 	slices.Sort(keys)
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -53,6 +53,10 @@
 			refusedAt(0, `"cause":"no-backend","servers":5,"full":0,"ruled_out":{"ejected":3,"draining":2}`),
 			"none of the 5 servers of service shop might be used; ruled out: 2 draining, 3 ejected",
 		},
+		"servers with limits": {
+			refusedAt(0, `"cause":"queue-full","servers":2,"full":0,"ruled_out":{"takes no more at the moment":2},"limits":[{"server":"s-1","limit":1,"used":2,"share":2,"span_ms":8000,"owned":3,"borrowed":1,"lent":2},{"server":"s-2","limit":30,"used":4,"share":4,"span_ms":1000}]`),
+			"none of the 2 servers of service shop might be used; ruled out: 2 takes no more at the moment; s-1 takes 1/s, 2 of 2 requests in 8s used at the instance (3 own, 1 borrowed, 2 lent); s-2 takes 30/s, 4 of 4 requests in 1s used at the instance",
+		},
 		"full": {
 			refusedAt(0, `"cause":"queue-full","servers":9,"full":2,"may_move":false,"candidates":[{"server":"s-1","zone":"z","reason":"queue full","load":9.5,"load_age_ms":80,"slots":4,"wait_ms":679}]`),
 			"its candidates, 2 of the 9 servers of service shop, had no room (s-1 in z: queue full, load 9.5 on 4 slots known for 80ms); no more requests might move to another region",
--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -89,6 +89,7 @@
 	if len(l.RuledOut) > 0 {
 		parts = append(parts, "ruled out: "+describeCounts(l.RuledOut))
 	}
+	parts = append(parts, lo.Map(l.Limits, describeLimit)...)
 	parts = append(parts, lo.Map(l.Candidates, describeCandidate)...)
 	if l.RetryAfterMS > 0 {
 		parts = append(parts, "Retry-After "+millis(l.RetryAfterMS))
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -87,6 +87,7 @@
 	Full         int            `json:"full,omitempty"`
 	MayMove      *bool          `json:"may_move,omitempty"`
 	Candidates   []Candidate    `json:"candidates,omitempty"`
+	Limits       []LimitUse     `json:"limits,omitempty"`
 
 	// of other lines
 	Subject     string `json:"subject,omitempty"`
@@ -107,6 +108,18 @@
 	WaitMS    float64 `json:"wait_ms"`
 }
 
+// LimitUse is an instance's use of its share of the limit that a server names.
+type LimitUse struct {
+	Server   string  `json:"server"`
+	Limit    float64 `json:"limit"` // requests a second from all instances
+	Used     int     `json:"used"`
+	Share    int     `json:"share"`
+	SpanMS   float64 `json:"span_ms"`
+	Owned    int     `json:"owned"`
+	Borrowed int     `json:"borrowed"`
+	Lent     int     `json:"lent"`
+}
+
 // ends reports whether the line tells what a request's caller got.
 func (l *Line) ends() bool {
 	return l.Message == messageAnswered || l.Message == messageRefused || l.Message == messageTruncated
