standin: backend servers name limits and Retry-After by settings and on command

Cause: no key of the specification sets these switches, and there was no switch for a server that wants nothing for a while.

Evidence: TestServerNamesWhatItTakes; TestParseSpec failed with the keys limit, draining and refuse ("unknown key").

--- a/cmd/primrosenotch-standin/commands.go
+++ b/cmd/primrosenotch-standin/commands.go
@@ -21,7 +21,7 @@
 
 // backendCommand hosts stand-ins for backend servers.
 type backendCommand struct {
-	Servers []string `long:"server" description:"NAME=HOST:PORT[,slots=N][,queue=N][,time=DURATION|exponential:MEAN|lognormal:MEAN:SIGMA][,time/PREFIX=...][,answer=BYTES][,cold=DURATION][,cold-factor=X][,cold-requests=N][,retry-after=DURATION][,crash-downtime=DURATION][,cancellable=BOOL][,seed=N]; repeatable"`
+	Servers []string `long:"server" description:"NAME=HOST:PORT[,slots=N][,queue=N][,time=DURATION|exponential:MEAN|lognormal:MEAN:SIGMA][,time/PREFIX=...][,answer=BYTES][,cold=DURATION][,cold-factor=X][,cold-requests=N][,retry-after=DURATION][,crash-downtime=DURATION][,cancellable=BOOL][,limit=REQUESTS-PER-SECOND][,draining=BOOL][,refuse=SECONDS][,seed=N]; repeatable"`
 	Count   int      `long:"count" description:"number of servers to start, named NAME-01, NAME-02, and so on, each on a free port"`
 	Name    string   `long:"name" default:"backend" description:"name prefix (NAME) of the servers started by --count"`
 	Host    string   `long:"host" default:"127.0.0.1" description:"host address on which the servers started by --count listen"`
--- a/internal/standin/backend/config.go
+++ b/internal/standin/backend/config.go
@@ -63,8 +63,11 @@
 	Draining bool `json:"draining"` // reported in answers and status; requests are still served
 	// Limit is named in answers as the number of requests per second that the server takes, if
 	// it is positive; more are served.
-	Limit     float64 `json:"limit"`
-	Unhealthy bool    `json:"unhealthy"` // reported in the status; requests are still served
+	Limit float64 `json:"limit"`
+	// RetryAfterSeconds is named in answers with status 503 to all requests, none of which runs,
+	// if it is positive.
+	RetryAfterSeconds int64 `json:"retry_after_s"`
+	Unhealthy         bool  `json:"unhealthy"` // reported in the status; requests are still served
 	// Slots overrides Config.Slots if positive.
 	Slots int `json:"slots"`
 	// Slowdown multiplies service times; 0 means 1.
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -131,6 +131,25 @@
 	require.EqualValues(t, 1, runs.Cancelled)
 }
 
+// TestServerNamesWhatItTakes guards against a stand-in that cannot play servers in need.
+func TestServerNamesWhatItTakes(t *testing.T) {
+	s := start(t, backend.Config{Faults: backend.Faults{Limit: 1.5}})
+	client := newClient(t)
+	answer, _ := send(t, client, newRequest(t, t.Context(), s, "/order", "limited", nil))
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "1.5", answer.Header.Get(backend.HeaderLimit))
+	s.SetFaults(backend.Faults{RetryAfterSeconds: 3})
+	answer, _ = send(t, client, newRequest(t, t.Context(), s, "/order", "refused", nil))
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.Equal(t, "true", answer.Header.Get(backend.HeaderNotRun))
+	require.Equal(t, "3", answer.Header.Get(backend.HeaderRetryAfter))
+	require.Empty(t, answer.Header.Get(backend.HeaderLimit))
+	require.Zero(t, s.Runs().RequestIDs["refused"])
+	s.SetFaults(backend.Faults{})
+	answer, _ = send(t, client, newRequest(t, t.Context(), s, "/order", "again", nil))
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+}
+
 func TestQueuedRequestRunsWhenASlotIsFree(t *testing.T) {
 	s := start(t, holdConfig(1, 1))
 	release := occupySlot(t, s, "held")
--- a/internal/standin/backend/spec.go
+++ b/internal/standin/backend/spec.go
@@ -15,8 +15,8 @@
 
 // ParseSpec parses NAME=HOST:PORT[,KEY=VALUE]...; a key that is absent keeps its value from
 // defaults. The keys are slots, queue, answer (bytes), retry-after, crash-downtime,
-// cancellable, seed, cold (duration), cold-factor, cold-requests, time, and time/PREFIX for
-// paths that start with /PREFIX. The value of time is DURATION, exponential:MEAN or
+// cancellable, seed, limit (requests a second), draining, refuse (seconds of Retry-After), cold
+// (duration), cold-factor, cold-requests, time, and time/PREFIX for paths that start with /PREFIX. The value of time is DURATION, exponential:MEAN or
 // lognormal:MEAN:SIGMA.
 func ParseSpec(text string, defaults Config) (Spec, error) {
 	fields := strings.Split(text, ",")
@@ -50,6 +50,12 @@
 		c.AnswerBytes, err = strconv.Atoi(value)
 	case "retry-after":
 		c.RetryAfter, err = time.ParseDuration(value)
+	case "limit":
+		c.Faults.Limit, err = strconv.ParseFloat(value, 64)
+	case "draining":
+		c.Faults.Draining, err = strconv.ParseBool(value)
+	case "refuse":
+		c.Faults.RetryAfterSeconds, err = strconv.ParseInt(value, 10, 64)
 	case "crash-downtime":
 		c.CrashDowntime, err = time.ParseDuration(value)
 	case "cancellable":
--- a/internal/standin/backend/spec_test.go
+++ b/internal/standin/backend/spec_test.go
@@ -11,7 +11,7 @@
 
 func TestParseSpec(t *testing.T) {
 	spec, err := backend.ParseSpec(
-		"checkout-1=127.0.0.1:9001,slots=8,queue=2,time=lognormal:80ms:0.5,time/orders=exponential:20ms,cold=30s,cold-factor=4",
+		"checkout-1=127.0.0.1:9001,slots=8,queue=2,time=lognormal:80ms:0.5,time/orders=exponential:20ms,cold=30s,cold-factor=4,limit=1.5,draining=true,refuse=3",
 		backend.Config{Slots: 3, AnswerBytes: 512},
 	)
 	require.NoError(t, err)
@@ -27,7 +27,8 @@
 				Prefix: "/orders",
 				Time:   backend.ServiceTime{Distribution: backend.Exponential, Mean: 20 * time.Millisecond},
 			}},
-			Cold: backend.ColdStart{Duration: 30 * time.Second, Factor: 4},
+			Cold:   backend.ColdStart{Duration: 30 * time.Second, Factor: 4},
+			Faults: backend.Faults{Limit: 1.5, Draining: true, RetryAfterSeconds: 3},
 		},
 	}, spec)
 }
@@ -36,6 +37,7 @@
 	for text, wanted := range map[string]string{
 		"checkout":                       "NAME=HOST:PORT",
 		"a=:0,speed=3":                   `key "speed"`,
+		"a=:0,limit=some":                `key "limit"`,
 		"a=:0,slots=many":                `key "slots"`,
 		"a=:0,time=lognormal:80ms":       "service time",
 		"a=:0,time/x=exponential:80ms:1": `key "time/x"`,
--- a/internal/standin/backend/work.go
+++ b/internal/standin/backend/work.go
@@ -50,10 +50,14 @@
 }
 
 // handleWork runs a request in a slot. It sheds the request if the queue is full or the
-// deadline passes first, and closes the connection if the wait for a slot is abandoned.
+// deadline passes first, or if the server wants nothing for a while, and closes the connection if the wait for a slot is abandoned.
 func (s *Server) handleWork(ctx *fasthttp.RequestCtx) {
 	j := s.newJob(ctx)
 	s.setHeaders(j)
+	if j.faults.RetryAfterSeconds > 0 {
+		s.shed(j, j.faults.RetryAfterSeconds)
+		return
+	}
 	switch s.acquireSlot(j) {
 	case slotGranted:
 		defer s.slots.release()
@@ -61,7 +65,7 @@
 	case slotAbandoned:
 		_ = j.conn.Close()
 	default:
-		s.shed(j)
+		s.shed(j, int64((s.config.RetryAfter+time.Second-1)/time.Second))
 	}
 }
 
@@ -97,12 +101,11 @@
 	return s.slots.wait(waiter, j.deadline, disconnected, j.crash)
 }
 
-// shed answers 503 to a request that did not run.
-func (s *Server) shed(j *job) {
+// shed answers 503 to a request that did not run, with the seconds after which to come back.
+func (s *Server) shed(j *job, seconds int64) {
 	s.runs.shed()
 	j.ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	j.ctx.Response.Header.Set(HeaderNotRun, markerTrue)
-	seconds := int64((s.config.RetryAfter + time.Second - 1) / time.Second)
 	j.ctx.Response.Header.Set(HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 }
 
