bench: experiments of servers that name a limit, Retry-After or that they leave

Change: server-limit, server-pause and server-leaving. From 5 s on the first of four stand-ins says so; the requests that it gets in each second are in the result beside what callers saw.

--- a/scripts/bench-faults.sh
+++ b/scripts/bench-faults.sh
@@ -37,6 +37,32 @@
 	echo '{"lying":"the first server, ten times slower from the fault on"}' >"$1"
 }
 
+# name_limit makes the first server name a limit of one request a second.
+name_limit() { switch_first_server "$1" '{"limit":1}'; }
+
+# refuse_with_retry_after makes the first server refuse all requests for 3 s.
+refuse_with_retry_after() { switch_first_server "$1" '{"retry_after_s":3}'; }
+
+# say_leaving makes the first server say that it leaves.
+say_leaving() { switch_first_server "$1" '{"draining":true}'; }
+
+# switch_first_server RESULT FAULTS sets the faults of the first server and counts the requests
+# that it gets in each of the next FAULT_SECONDS seconds.
+FAULT_SECONDS=12
+switch_first_server() {
+	local first i counts=()
+	first=$(server_addresses "$FLEET_TEXT" | head -1)
+	sleep "$FAULT_AFTER"
+	curl -sf -m 2 -X PUT "http://$first/standin/faults" -d "$2" >/dev/null
+	for ((i = 0; i <= FAULT_SECONDS; i++)); do
+		counts+=("$(curl -sf -m 2 "http://$first/_runs" | jq '.started + .shed')")
+		sleep 1
+	done
+	jq -n --argjson faults "$2" '$ARGS.positional as $c
+		| {server: "the first", faults: $faults, by_second: [range(1; $c | length) | $c[.] - $c[. - 1]]}' \
+		--jsonargs "${counts[@]}" >"$1"
+}
+
 # resend_crashing_request sends a request that crashes backend servers 12 times,
 # each time through the next entry instance.
 resend_crashing_request() {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -37,6 +37,9 @@
 	flood-*-nine-slots) TEXT=bench/texts/nine-slots.ini ;;
 	silent-connections) FAULT=silence_connections ;;
 	lagging-reports) FAULT=delay_status_reports ;;
+	server-limit) FAULT=name_limit ;;
+	server-pause) FAULT=refuse_with_retry_after ;;
+	server-leaving) FAULT=say_leaving ;;
 	crashing-request) FAULT=resend_crashing_request ;;
 	*)
 		echo "unknown scenario $1" >&2
