--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -73,9 +73,13 @@
 	if !s.terms.Limited {
 		return ""
 	}
-	share, span := d.limitShare(now, s)
+	use := d.limitUse(now, s)
 	age := now.Sub(s.terms.at).Round(100 * time.Millisecond)
-	return fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, s.terms.sends.CountWithin(now, span), share, span.Round(100*time.Millisecond))
+	detail := fmt.Sprintf("named %s ago, %d of %d requests in %s used here", age, use.Used, use.Share, use.Span.Round(100*time.Millisecond))
+	if _, ok := d.lentShares(now, s); ok {
+		detail += fmt.Sprintf(": %d own, %d borrowed, %d lent", use.Owned, use.Borrowed, use.Lent)
+	}
+	return detail
 }
 
 // LimitedServers returns the number of servers that name a limit.
@@ -89,6 +93,19 @@
 	return n
 }
 
+// LentUnits returns the units of servers' limits that this instance may use although they are
+// others', and those that others may use of its own.
+func (d *Dispatcher) LentUnits(now model.Instant) (borrowed, lent int) {
+	for s := range d.termed {
+		if s.terms.Limited {
+			use := d.limitUse(now, s)
+			borrowed += use.Borrowed
+			lent += use.Lent
+		}
+	}
+	return borrowed, lent
+}
+
 // RetryUses returns the use of the retry budgets, sorted by service.
 func (d *Dispatcher) RetryUses(now model.Instant) []RetryUse {
 	var list []RetryUse
