entry: the tests' instances listen where no outgoing connection takes their ports

Outgoing connections have ports of 127.0.0.1; the instances listen on another loopback address now, as the soak's do.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -102,9 +103,11 @@
 	return f
 }
 
+// freeAddress returns an address that no outgoing connection takes the port of: these begin at
+// 127.0.0.1.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.11.%d.1:0", os.Getpid()%250))
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
