edge: a panic in a counter's value leaves the other metrics

What operators saw: a panic while the value of a counter is read fails the whole answer with the metrics, which the gauges have avoided since panics are contained.

Cause: the counters of log lines and refused connections are read without containment.

The value is NaN where it cannot be told, as for gauges.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -87,22 +87,25 @@
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.givenUp, m.hedges, m.reads, m.olderRows, m.storeCalls, m.storeRows, m.storeBytes, m.lookups,
 		m.unlogged, m.invalid, m.probes, m.accepts, e.panics.Counter())
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "primrosenotch_edge_dropped_log_lines_total", Help: "Log lines dropped because the reader of the log was too slow.",
-	}, func() float64 { return countOf(e.options.DroppedLogLines) }))
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "primrosenotch_edge_failed_log_lines_total", Help: "Log lines that could not be written.",
-	}, func() float64 { return countOf(e.options.FailedLogLines) }))
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Name: "primrosenotch_edge_refused_connections_total", Help: "Callers' connections refused because there are too many.",
-	}, func() float64 { return float64(e.callerServer.Stats().RefusedConnections) }))
-	gauge := func(name, help string, value func() float64) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+	contained := func(value func() float64) func() float64 {
+		return func() float64 {
 			v := math.NaN() // where the value cannot be told
 			e.panics.Do(contain.Operator, func() { v = value() })
 			return v
-		}))
+		}
+	}
+	counter := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, contained(value)))
+	}
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, contained(value)))
 	}
+	counter("primrosenotch_edge_dropped_log_lines_total", "Log lines dropped because the reader of the log was too slow.",
+		func() float64 { return countOf(e.options.DroppedLogLines) })
+	counter("primrosenotch_edge_failed_log_lines_total", "Log lines that could not be written.",
+		func() float64 { return countOf(e.options.FailedLogLines) })
+	counter("primrosenotch_edge_refused_connections_total", "Callers' connections refused because there are too many.",
+		func() float64 { return float64(e.callerServer.Stats().RefusedConnections) })
 	gauge("primrosenotch_edge_in_flight", "Callers' requests in flight.", func() float64 { return float64(e.callerServer.InFlight()) })
 	gauge("primrosenotch_edge_state_age_seconds", "Age of what is known of the platform's store.", func() float64 {
 		e.fleetMu.Lock()
