edge, entry: an early answer reaches a caller that still sends

What callers saw: connection reset while sending, and no answer, if the request was answered before it had been received: refused for want of memory, as too long, on a reserved path, with too large a header, by a stopping instance, or answered early by the server. A caller that sends all before it reads fails at its next write and never reads.

Cause: a connection lingered only while its caller had not acknowledged the answer, which a kernel does at once whether or not its program reads. Then it was closed with unread bytes, and was reset.

A connection whose request has not been read to its end lingers as well now: the sending side ends and what arrives is discarded until the caller closes, sends nothing for a second, or has sent for 30 s. The bounds on the number of lingering connections and a shutdown's wait stay. A connection that is being closed takes no more writes, so that nothing is sent between the close and the end of the sending side.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -54,6 +54,7 @@
 	totalHeld   *atomic.Int64
 	linger      *lingerer
 	sendsNoMore atomic.Bool // the caller has sent its last request completely
+	sending     atomic.Bool // a part of the current request has not been read
 	closed      atomic.Bool
 }
 
@@ -79,7 +80,7 @@
 	if c.sendsNoMore.Load() {
 		return c.Conn.Close()
 	}
-	return c.linger.close(c.Conn)
+	return c.linger.close(c.Conn, c.sending.Load())
 }
 
 // startBody replaces the header's read deadline with the progress timeout until the
@@ -101,6 +102,7 @@
 // releases what the last exchange held.
 func (c *progressConn) SetReadDeadline(t time.Time) error {
 	c.inBody = false
+	c.sending.Store(false)
 	c.release()
 	if !t.IsZero() && time.Until(t) > 0 {
 		now := time.Now()
@@ -135,6 +137,9 @@
 // Write implements net.Conn with the progress timeout. A write may take longer in all, as long
 // as the caller accepts some of it within each timeout.
 func (c *progressConn) Write(p []byte) (int, error) {
+	if c.closed.Load() { // the connection may linger
+		return 0, net.ErrClosed
+	}
 	written := 0
 	for {
 		if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
--- a/internal/ingress/linger.go
+++ b/internal/ingress/linger.go
@@ -19,21 +19,27 @@
 	// to maxLingering: they use the process's reserve of file descriptors.
 	lingerDivisor = 16
 	maxLingering  = 128
+	// maxLingerSilence is how long a caller that has received all may send nothing.
+	maxLingerSilence = time.Second
+	// maxLingerTime bounds the time in which a caller sends what is discarded.
+	maxLingerTime = 30 * time.Second
 )
 
-// lingerer closes connections whose caller has not received the whole response yet. Closing
-// such a connection at once throws the rest away if the caller has sent, or still sends, bytes
-// that are not read, such as the rest of a body or its next request: the kernel resets it.
+// lingerer closes connections whose caller has not received the whole response yet, or still
+// sends. Closing such a connection at once throws the rest away if the caller has sent, or still
+// sends, bytes that are not read, such as the rest of a body or its next request: the kernel resets
+// it, and a caller that reads only after it has sent all fails before it reads.
 type lingerer struct {
 	timeout time.Duration // without progress
 	max     int64
 	open    atomic.Int64
 }
 
-// close closes the connection, now or, in the background, when the caller has received all.
-func (l *lingerer) close(c net.Conn) error {
+// close closes the connection, now or, in the background, when the caller has received all. If
+// sending is set, the caller may be sending what is not read, and is left time to end that.
+func (l *lingerer) close(c net.Conn, sending bool) error {
 	tcp, ok := c.(*net.TCPConn)
-	if !ok || unsent(tcp) == 0 {
+	if !ok || !sending && unsent(tcp) == 0 {
 		return c.Close()
 	}
 	if l.open.Add(1) > l.max {
@@ -42,26 +48,37 @@
 	}
 	go func() {
 		defer l.open.Add(-1)
-		l.linger(tcp)
+		l.linger(tcp, sending)
 		_ = tcp.Close() // the response has been delivered, or cannot be
 	}()
 	return nil
 }
 
-// linger ends the sending side and discards what the caller sends until it has received all,
-// closes the connection, or makes no progress within the timeout.
-func (l *lingerer) linger(c *net.TCPConn) {
+// linger ends the sending side and discards what the caller sends until it has received all and,
+// if it is sending, has ended that, closes the connection, or makes no progress within the timeout.
+func (l *lingerer) linger(c *net.TCPConn, sending bool) {
 	if c.CloseWrite() != nil {
 		return
 	}
-	left, progressAt := unsent(c), time.Now()
-	for left > 0 && time.Since(progressAt) < l.timeout {
+	start := time.Now()
+	left, progressAt, heardAt := unsent(c), start, start
+	for {
+		switch now := time.Now(); {
+		case left > 0 && now.Sub(progressAt) >= l.timeout:
+			return
+		case left == 0 && (!sending || now.Sub(heardAt) >= maxLingerSilence || now.Sub(start) >= maxLingerTime):
+			return
+		}
 		if c.SetReadDeadline(time.Now().Add(lingerCheckInterval)) != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err := io.Copy(io.Discard, c)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
+		if n > 0 {
+			heardAt = time.Now()
+		}
 		if now := unsent(c); now < left {
 			left, progressAt = now, time.Now()
 		}
--- a/internal/ingress/linger_test.go
+++ b/internal/ingress/linger_test.go
@@ -73,7 +73,7 @@
 		for err == nil { // until the caller, which reads nothing, has no room
 			_, err = server.Write(make([]byte, 4096))
 		}
-		require.NoError(t, linger.close(server))
+		require.NoError(t, linger.close(server, false))
 		require.EqualValues(t, 1, linger.open.Load(), i)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*timeout)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -139,14 +139,14 @@
 // readBody reads a body of up to Settings.BufferBytes into Body and sets BodyStream for
 // a larger one.
 func (x *Exchange) readBody() error {
-	length := int64(x.ctx.Request.Header.ContentLength())
-	stream := x.ctx.RequestBodyStream()
-	if stream == nil || length == 0 {
+	if !hasBody(x.ctx) {
 		x.Replayable = true
 		return nil
 	}
+	length := int64(x.ctx.Request.Header.ContentLength())
+	stream := x.ctx.RequestBodyStream()
 	x.startBody()
-	source := &requestStream{r: stream, left: length}
+	source := &requestStream{r: stream, left: length, ended: func() { setSending(x.ctx, false) }}
 	if length > x.bufferBytes() {
 		x.BodyBytes, x.BodyStream = length, source
 		return nil
@@ -248,8 +248,9 @@
 // requestStream reports io.ErrUnexpectedEOF for a body that ends early, because
 // fasthttp ends a truncated body of declared length with io.EOF.
 type requestStream struct {
-	r    io.Reader
-	left int64 // bytes still expected, negative if unknown
+	r     io.Reader
+	left  int64  // bytes still expected, negative if unknown
+	ended func() // called when the whole body has been read
 }
 
 // Read implements io.Reader.
@@ -258,8 +259,11 @@
 	if s.left >= 0 {
 		s.left -= int64(n)
 	}
-	if errors.Is(err, io.EOF) && s.left > 0 {
+	switch {
+	case errors.Is(err, io.EOF) && s.left > 0:
 		err = io.ErrUnexpectedEOF
+	case errors.Is(err, io.EOF), s.left == 0:
+		s.ended()
 	}
 	return n, err
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -135,6 +135,7 @@
 // server drains.
 func (s *Server) finishHeader(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
+		setSending(ctx, hasBody(ctx))
 		if !s.settings.Panics.Do(contain.Request, func() { next(ctx) }) {
 			s.refusePanicked(ctx, model.Unknown)
 		}
@@ -150,6 +151,18 @@
 	}
 }
 
+// hasBody reports whether a request has a body, which may not have been received yet.
+func hasBody(ctx *fasthttp.RequestCtx) bool {
+	return ctx.RequestBodyStream() != nil && ctx.Request.Header.ContentLength() != 0
+}
+
+// setSending notes whether the caller may still send a part of the current request.
+func setSending(ctx *fasthttp.RequestCtx, sending bool) {
+	if c, ok := ctx.Conn().(*progressConn); ok {
+		c.sending.Store(sending)
+	}
+}
+
 // refuseMalformed refuses a request whose header could not be read.
 func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
 	s.reject(ctx, s.requestIDOf(&ctx.Request.Header), model.CauseInvalidRequest, fmt.Errorf("read header: %w", err))
@@ -157,6 +170,7 @@
 	var netErr net.Error
 	switch {
 	case errors.As(err, &tooLarge):
+		setSending(ctx, true)
 		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
 	case errors.As(err, &netErr) && netErr.Timeout():
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
