edge, entry: a failed process ends though its error is not read

What users saw: a process that has failed, for example to read its settings or to serve callers, neither served nor ended, and nothing started it again, if its standard error was a pipe that nobody reads and that has no room.

Cause: the last error is written to standard error directly, and such a write blocks. All other lines go through logsink, which never does.

The last error goes through a sink, too, which is given logsink.FlushTimeout.

Evidence: TestFailedStartEndsThoughItsErrorIsNotRead, real processes of both programs, before: both still there after 5 s. Both end with their exit code now.

--- a/cmd/primrosenotch-edge/main.go
+++ b/cmd/primrosenotch-edge/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
 
@@ -39,7 +40,7 @@
 	}
 	s, err := loadSettings(o.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		logsink.WriteLine(os.Stderr, err.Error())
 		return exitSettings
 	}
 	if o.Check {
@@ -47,7 +48,7 @@
 		return exitOK
 	}
 	if err := serve(s, received); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		logsink.WriteLine(os.Stderr, err.Error())
 		return exitFailed
 	}
 	return exitOK
--- a/cmd/primrosenotch-entry/main.go
+++ b/cmd/primrosenotch-entry/main.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/primrosenotch/primrosenotch/internal/entry"
+	"github.com/primrosenotch/primrosenotch/internal/logsink"
 	"github.com/primrosenotch/primrosenotch/internal/settings"
 	"github.com/primrosenotch/primrosenotch/internal/signals"
 )
@@ -40,7 +41,7 @@
 	}
 	s, err := settings.Load(o.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		logsink.WriteLine(os.Stderr, err.Error())
 		return exitSettings
 	}
 	if o.Check {
@@ -48,7 +49,7 @@
 		return exitOK
 	}
 	if err := entry.Run(s, received); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		logsink.WriteLine(os.Stderr, err.Error())
 		return exitFailed
 	}
 	return exitOK
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -142,3 +142,29 @@
 		})
 	}
 }
+
+// TestFailedStartEndsThoughItsErrorIsNotRead guards against processes that neither serve nor end, so
+// that nothing starts them again.
+func TestFailedStartEndsThoughItsErrorIsNotRead(t *testing.T) {
+	const exitSettings = 2
+	for _, name := range []string{"primrosenotch-entry", "primrosenotch-edge"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			binary := filepath.Join(t.TempDir(), name)
+			out, err := exec.Command("go", "build", "-o", binary, "../../cmd/"+name).CombinedOutput()
+			require.NoError(t, err, string(out))
+			process := exec.Command(binary, "--settings", filepath.Join(t.TempDir(), "missing.ini"))
+			process.Stderr = fullPipe(t)
+			require.NoError(t, process.Start())
+			ended := make(chan error, 1)
+			go func() { ended <- process.Wait() }()
+			select {
+			case <-ended:
+				require.Equal(t, exitSettings, process.ProcessState.ExitCode())
+			case <-time.After(5 * time.Second):
+				_ = process.Process.Kill() // it has not ended
+				require.Fail(t, "the process stands still")
+			}
+		})
+	}
+}
--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -142,3 +142,11 @@
 		}
 	})
 }
+
+// WriteLine writes a line to out, for at most FlushTimeout. It is for a process that is about to
+// end.
+func WriteLine(out io.Writer, line string) {
+	s := New(out)
+	_, _ = s.Write([]byte(line + "\n")) // never fails
+	s.Close(FlushTimeout)
+}
