ingress: a lingering connection's silence counts only while the process runs

What callers would see: after a standstill of a second of this process, a caller that still sends is cut off at once, since its second of silence has passed by the clock. Found by reading; no run shows it.

Silence is counted in checks now, each of which has waited for the caller.

Adds TestShutdownDoesNotWaitForCallerThatSendsWithoutEnd, which holds without the change, too: a caller that sends on after its answer delays a shutdown to the end of its context and no longer.

--- a/internal/ingress/earlyanswer_test.go
+++ b/internal/ingress/earlyanswer_test.go
@@ -83,3 +83,28 @@
 		return err != nil
 	}, 5*time.Second, 10*time.Millisecond)
 }
+
+// TestShutdownDoesNotWaitForCallerThatSendsWithoutEnd guards against a stop that outlasts its grace
+// time because of a caller that has its answer and sends on.
+func TestShutdownDoesNotWaitForCallerThatSendsWithoutEnd(t *testing.T) {
+	const grace = 500 * time.Millisecond
+	s, address := startServer(t, Settings{}, func(_ context.Context, x *Exchange) { _ = x.Refuse(model.NotRun, model.CauseStopping, 0) })
+	s.StartDraining()
+	c := dial(t, address)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n")
+	go func() {
+		for {
+			if _, err := c.c.Write(make([]byte, 4096)); err != nil {
+				return
+			}
+		}
+	}()
+	_, _, err := c.readResponse(http.MethodPost)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.linger.open.Load() == 1 }, 5*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), grace)
+	defer cancel()
+	require.NoError(t, s.Shutdown(ctx))
+	require.Error(t, ctx.Err(), "it waited for as long as it may")
+	require.Zero(t, s.InFlight())
+}
--- a/internal/ingress/linger.go
+++ b/internal/ingress/linger.go
@@ -61,12 +61,13 @@
 		return
 	}
 	start := time.Now()
-	left, progressAt, heardAt := unsent(c), start, start
+	left, progressAt := unsent(c), start
+	silence := time.Duration(0) // in which this process ran
 	for {
 		switch now := time.Now(); {
 		case left > 0 && now.Sub(progressAt) >= l.timeout:
 			return
-		case left == 0 && (!sending || now.Sub(heardAt) >= maxLingerSilence || now.Sub(start) >= maxLingerTime):
+		case left == 0 && (!sending || silence >= maxLingerSilence || now.Sub(start) >= maxLingerTime):
 			return
 		}
 		if c.SetReadDeadline(time.Now().Add(lingerCheckInterval)) != nil {
@@ -76,8 +77,8 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
-		if n > 0 {
-			heardAt = time.Now()
+		if silence += lingerCheckInterval; n > 0 {
+			silence = 0
 		}
 		if now := unsent(c); now < left {
 			left, progressAt = now, time.Now()
