ingress: callers that still send leave places to undelivered responses

What callers saw, by reading: since connections of callers that still send linger, many refused uploads at a time could take all places, and the rest of a response on its way to another caller be thrown away. No run with processes shows it.

Connections whose callers have acknowledged all they were sent take at most half of the places.

Evidence: TestCallersThatSendLeaveRoomForUndeliveredResponses, before: 2 of 2 places taken.

--- a/internal/ingress/linger.go
+++ b/internal/ingress/linger.go
@@ -39,10 +39,17 @@
 // sending is set, the caller may be sending what is not read, and is left time to end that.
 func (l *lingerer) close(c net.Conn, sending bool) error {
 	tcp, ok := c.(*net.TCPConn)
-	if !ok || !sending && unsent(tcp) == 0 {
+	if !ok {
 		return c.Close()
 	}
-	if l.open.Add(1) > l.max {
+	limit := l.max
+	if unsent(tcp) == 0 {
+		if !sending {
+			return c.Close()
+		}
+		limit = (l.max + 1) / 2 // the others are for responses that are not delivered
+	}
+	if l.open.Add(1) > limit {
 		l.open.Add(-1)
 		return c.Close()
 	}
--- a/internal/ingress/linger_test.go
+++ b/internal/ingress/linger_test.go
@@ -81,3 +81,31 @@
 	linger.wait(ctx)
 	require.NoError(t, ctx.Err())
 }
+
+// TestCallersThatSendLeaveRoomForUndeliveredResponses guards against responses that are thrown away
+// because callers that have theirs take all places of lingering connections.
+func TestCallersThatSendLeaveRoomForUndeliveredResponses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	linger := &lingerer{timeout: 300 * time.Millisecond, max: 2}
+	closeOne := func(unread bool) {
+		client, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = client.Close() })
+		require.NoError(t, client.(*net.TCPConn).SetReadBuffer(4096))
+		server, err := l.Accept()
+		require.NoError(t, err)
+		require.NoError(t, server.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+		for unread && err == nil { // until the caller, which reads nothing, has no room
+			_, err = server.Write(make([]byte, 4096))
+		}
+		require.NoError(t, linger.close(server, true))
+	}
+	closeOne(false)
+	closeOne(false)
+	require.EqualValues(t, 1, linger.open.Load())
+	closeOne(true)
+	require.EqualValues(t, 2, linger.open.Load())
+	linger.wait(t.Context())
+}
