entry: the tests' instances have ports of their own

Traced with logs: of 168 fleets one failed; its second instance waited for its control address, "address already in use". Cause: addresses are found free one after the other, and the kernel may choose a port again as soon as it is closed, so that two listeners of a fleet got the same one.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,14 +104,23 @@
 	return f
 }
 
-// freeAddress returns an address that no outgoing connection takes the port of: these begin at
-// 127.0.0.1.
+// handedOut holds the addresses that freeAddress has returned. The kernel may choose a port again
+// as soon as it has been found free.
+var handedOut sync.Map
+
+// freeAddress returns an address that no other call has returned and that no outgoing connection
+// takes the port of: these begin at 127.0.0.1.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.11.%d.1:0", os.Getpid()%250))
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.11.%d.1:0", os.Getpid()%250))
+		require.NoError(t, err)
+		address := listener.Addr().String()
+		require.NoError(t, listener.Close())
+		if _, taken := handedOut.LoadOrStore(address, true); !taken {
+			return address
+		}
+	}
 }
 
 func (f *fleet) startInstance(id, zone, store string) {
