--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -201,7 +201,7 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case err == io.EOF: //nolint:errorlint // a wrapped io.EOF is a broken body
+		case err == io.EOF: // a wrapped io.EOF is a broken body
 			return body, nil
 		case err != nil:
 			return nil, err
