--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -14,13 +14,14 @@
 
 // answered is a client's request that has ended.
 type answered struct {
-	id     string
-	path   string
-	front  string // the machine that was asked
-	sentAt time.Time
-	at     time.Time
-	status int // 0 if the connection ended without a whole answer
-	whole  bool
+	id         string
+	path       string
+	front      string // the machine that was asked
+	sentAt     time.Time
+	at         time.Time
+	status     int // 0 if the connection ended without a whole answer
+	retryAfter string
+	whole      bool
 }
 
 // clients sends requests to the machines that the directory names.
@@ -130,7 +131,12 @@
 
 // send makes one client attempt and waits for its answer.
 func (c *clients) send(front, method, path string, body int, deadline time.Duration) answered {
-	a := answered{id: fmt.Sprintf("%016x", rand.Uint64()), path: path, front: front, sentAt: time.Now()}
+	return c.sendAs(fmt.Sprintf("%016x", rand.Uint64()), front, method, path, body, deadline)
+}
+
+// sendAs makes one client attempt with an id.
+func (c *clients) sendAs(id, front, method, path string, body int, deadline time.Duration) answered {
+	a := answered{id: id, path: path, front: front, sentAt: time.Now()}
 	var content io.Reader
 	if body > 0 {
 		content = bytes.NewReader(bytes.Repeat([]byte{'b'}, body))
@@ -148,7 +154,7 @@
 	if err == nil {
 		text, rerr := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		a.status = resp.StatusCode
+		a.status, a.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 		a.whole = rerr == nil && (resp.StatusCode/100 != 2 || resp.Header.Get(headerSignature) == signature(a.id) && len(text) == 600)
 	}
 	a.at = time.Now()
--- a/review/rig2/crash.go
+++ b/review/rig2/crash.go
@@ -55,8 +55,8 @@
 		return false, err
 	}
 	time.Sleep(6 * time.Second) // traffic starts 8 s after the machines do
-	c.load(16, http.MethodGet, readPrefix, 0, 4*time.Second)
-	c.load(4, http.MethodPost, orderPrefix, 4000, 6*time.Second)
+	c.load(8, http.MethodGet, readPrefix, 0, 4*time.Second)
+	c.load(3, http.MethodPost, orderPrefix, 4000, 6*time.Second)
 	time.Sleep(6 * time.Second)
 	end := time.Now().Add(50 * time.Second)
 	if r.trouble {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -26,6 +26,7 @@
 	"crash":     crashingRequest,
 	"coldagain": coldAgain,
 	"newcomers": newcomers,
+	"ids":       numberedAttempts,
 	"escaped":   escapedSlash,
 }
 
