--- a/review/rig2/cold.go
+++ b/review/rig2/cold.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -45,7 +47,7 @@
 // coldAgain starts a worker, which is cold then, and has it turn cold again before that has ended.
 func coldAgain(r *rig) (bool, error) {
 	r.zones = map[string]string{"recife-a": "recife", "recife-b": "recife"}
-	kind := &workerKind{service: "huvo11a", slots: 3, work: 40 * time.Millisecond, coldFor: coldFor, crashPer: 18}
+	kind := &workerKind{service: "huvo11a", slots: 9, work: 40 * time.Millisecond, orderWork: 400 * time.Millisecond, coldFor: coldFor, crashPer: 18}
 	r.putConfig(7, kind.service, readRoute(kind.service), orderRoute(kind.service))
 	for i := range 2 {
 		if _, err := r.startWorker(kind, []string{"recife-a", "recife-b"}[i%2], "", false); err != nil {
@@ -82,7 +84,7 @@
 // are replaced.
 func newcomers(r *rig) (bool, error) {
 	r.zones = map[string]string{"recife-a": "recife", "recife-b": "recife"}
-	kind := &workerKind{service: "huvo11a", slots: 3, work: 40 * time.Millisecond, coldFor: coldFor, crashPer: 16}
+	kind := &workerKind{service: "huvo11a", slots: 9, work: 40 * time.Millisecond, orderWork: 400 * time.Millisecond, coldFor: coldFor, crashPer: 16}
 	r.putConfig(7, kind.service, readRoute(kind.service), orderRoute(kind.service))
 	var old []*worker
 	for i := range 2 {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig2 runs the scripts of the second independent review: each starts the system's own
 // processes on loopback addresses, with stand-ins for the platform's store, workers and clients,
 // and checks one rule.
