Reject responses with an invalid field name

Callers of both programs got answers whose header was broken: a line "Bad Name: v" or "Bad : v" was passed on, " Bad: v" was appended to the field before it, and "Content-Length : 1" cut a body of two bytes to one that passed for whole. "X-Not-Run : true" passed for a refusal, so that work which may have run could run again.

Cause: the client reads headers with the HTTP library, which allows blanks in a field name, drops those before the colon and joins lines that begin with a blank. Other bytes that are no part of a token, control bytes among them, were rejected already.

The new package internal/httpresponse checks the status line, as before, and each field name in the header's bytes before the library parses it; the parsed header no longer tells "Name :" from "Name:". Lines that begin with a blank are rejected too, as RFC 9112 allows: whether they hold a value or a name cannot be told. An invalid response ends its attempt like one that broke off, at its first invalid line: the request is sent again only if it is repeatable, else its caller gets 502. Attempts and health checks, skipped and early responses all pass through it. The error names the line, and the log has it.

--- /dev/null
+++ b/internal/upstream/bench_test.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosenotch/primrosenotch/internal/httpresponse"
+)
+
+const benchResponse = "HTTP/1.1 200 OK\r\n" +
+	"Date: Mon, 07 Dec 2026 04:00:00 GMT\r\n" +
+	"Content-Type: application/json; charset=utf-8\r\n" +
+	"Cache-Control: no-store, no-cache, must-revalidate\r\n" +
+	"X-Request-Id: 01234567-89ab-cdef-0123-456789abcdef\r\n" +
+	"X-Signature: 0123456789abcdef0123456789abcdef\r\n" +
+	"X-Server: shop-north-a-1\r\n" +
+	"X-Load: 1,0,4\r\n" +
+	"Content-Length: 2\r\n\r\nok"
+
+// BenchmarkReadResponse reads a valid response from memory.
+func BenchmarkReadResponse(b *testing.B) {
+	source := strings.NewReader(benchResponse)
+	br := bufio.NewReaderSize(source, bufferBytes)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	b.ReportAllocs()
+	for b.Loop() {
+		source.Reset(benchResponse)
+		br.Reset(source)
+		resp.Reset()
+		resp.StreamBody = true
+		if err := httpresponse.Read(br, resp, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkSend sends a request to a server in the same process and reads its response.
+func BenchmarkSend(b *testing.B) {
+	s := startServer(b, respondAlways(benchResponse))
+	c := New(Settings{})
+	defer func() { require.NoError(b, c.Shutdown()) }()
+	a := newGet(s)
+	a.TraceID = "01234567-89ab-cdef-0123-456789abcdef"
+	b.ReportAllocs()
+	for b.Loop() {
+		response, failed := c.Send(b.Context(), a)
+		if failed != nil {
+			b.Fatal(failed)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			b.Fatal(err)
+		}
+		if err := response.Body.Close(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/upstream/mismatch.go
+++ b/internal/upstream/mismatch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"github.com/primrosenotch/primrosenotch/internal/httpresponse"
 	"github.com/valyala/fasthttp"
 )
 
@@ -33,16 +34,16 @@
 	}
 	d := c.settings.Dialect
 	for skipped := 0; ; skipped++ {
-		id := string(resp.Header.Peek(d.RequestID))
+		id := resp.Header.Peek(d.RequestID)
 		switch {
-		case id == a.TraceID:
+		case string(id) == a.TraceID:
 			cn.echoes = true
 			return StepReceive, c.requireSignature(resp)
-		case id == "" && c.isNotRun(resp):
+		case len(id) == 0 && c.isNotRun(resp):
 			// The same holds here, so the connection must not carry another request.
 			cn.desynchronized = true
 			return "", nil
-		case id == "" && !d.EchoesRequestID && !cn.echoes:
+		case len(id) == 0 && !d.EchoesRequestID && !cn.echoes:
 			return "", nil
 		}
 		cn.desynchronized = true
@@ -86,7 +87,7 @@
 	resp.Reset()
 	resp.StreamBody = true
 	resp.SkipBody = skip
-	if err := readResponse(cn.br, resp); err != nil {
+	if err := httpresponse.Read(cn.br, resp, 0); err != nil {
 		return cn.receiveError(err)
 	}
 	return nil
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -11,6 +11,7 @@
 	"github.com/primrosenotch/primrosenotch/internal/contain"
 	"github.com/primrosenotch/primrosenotch/internal/event"
 	"github.com/primrosenotch/primrosenotch/internal/httpheader"
+	"github.com/primrosenotch/primrosenotch/internal/httpresponse"
 	"github.com/valyala/fasthttp"
 )
 
@@ -91,7 +92,7 @@
 	if err := writeRequest(req, cn); err != nil {
 		return readEarlyResponse(cn, resp, err)
 	}
-	if err := readResponse(cn.br, resp); err != nil {
+	if err := httpresponse.Read(cn.br, resp, 0); err != nil {
 		return true, StepReceive, cn.receiveError(err)
 	}
 	return true, "", nil
@@ -112,10 +113,14 @@
 		return false, StepSend, cause
 	}
 	cn.firstByteTimeout = earlyResponseTimeout
-	if err := readResponse(cn.br, resp); err != nil {
+	switch err := httpresponse.Read(cn.br, resp, 0); {
+	case err == nil:
+		return false, "", nil
+	case errors.Is(err, httpresponse.ErrInvalid):
+		return false, StepReceive, err
+	default:
 		return false, StepSend, cause
 	}
-	return false, "", nil
 }
 
 // streamedRoundTrip sends a streamed body while another goroutine waits for the
@@ -127,9 +132,9 @@
 	received, written := make(chan error, 1), make(chan struct{})
 	go func() {
 		err := errReceivePanic
-		c.settings.Panics.Do(contain.Attempt, func() { err = readResponse(cn.br, resp) })
+		c.settings.Panics.Do(contain.Attempt, func() { err = httpresponse.Read(cn.br, resp, 0) })
 		cn.abortUpload()
-		if err == nil || errors.Is(err, errInvalidStatus) {
+		if err == nil || errors.Is(err, httpresponse.ErrInvalid) {
 			a.abortStalledBody(written)
 		}
 		received <- err
@@ -146,7 +151,7 @@
 	switch {
 	case receiveErr == nil:
 		return sendErr == nil, "", nil
-	case errors.Is(receiveErr, errInvalidStatus):
+	case errors.Is(receiveErr, httpresponse.ErrInvalid):
 		return sendErr == nil, StepReceive, receiveErr
 	case source.err != nil:
 		return false, StepReadBody, source.err
--- a/internal/upstream/server_test.go
+++ b/internal/upstream/server_test.go
@@ -27,7 +27,7 @@
 
 // startServer starts a server for the duration of the test. script gets the number of its
 // connection in n, starting at 1.
-func startServer(t *testing.T, script func(s *scriptedServer, n int64, c net.Conn, br *bufio.Reader)) *scriptedServer {
+func startServer(t testing.TB, script func(s *scriptedServer, n int64, c net.Conn, br *bufio.Reader)) *scriptedServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
