Reject answers of the platform with an invalid status or field name

The clients of the table, the object store and the instance list, and with them the look-up of peers and the store's client of primrosenotch-edge, took answers whose header was broken: rows and instances from "200" with "Bad Name: v" or with status 000, and "503" with "X-Not-Applied : true" as proof that a write was not applied.

Cause: as for backend servers, the HTTP library accepts blanks in field names, and any status. These clients used its own round trip.

They have a round trip of their own now, which reads with internal/httpresponse. An invalid answer fails a read as unavailable and a write as uncertain, its connection is closed, and the error, which the callers log, says what was invalid. Chunked answers that are read whole have their trailers checked in the same way.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -74,6 +74,7 @@
 			MaxIdleConnDuration:       maxIdleConnDuration,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
+			Transport:                 checkedRoundTripper{},
 			NoDefaultUserAgentHeader:  true,
 			ReadTimeout:               settings.AttemptTimeout,
 			WriteTimeout:              settings.AttemptTimeout,
--- a/internal/upstream/bench_test.go
+++ b/internal/upstream/bench_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -40,6 +41,36 @@
 	}
 }
 
+// BenchmarkInterpretResponse reads a valid response from memory, checks that it belongs to its request,
+// and copies its header and report.
+func BenchmarkInterpretResponse(b *testing.B) {
+	settings := echoingSettings()
+	settings.Dialect.ServerLoad = "" // parsed by the tests' own function
+	c := New(settings)
+	defer func() { require.NoError(b, c.Shutdown()) }()
+	a := &Attempt{TraceID: "01234567-89ab-cdef-0123-456789abcdef"}
+	source := strings.NewReader(benchResponse)
+	cn := newConn(&failedConn{}, nil, time.Now(), time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		source.Reset(benchResponse)
+		cn.br.Reset(source)
+		resp := fasthttp.AcquireResponse()
+		resp.StreamBody = true
+		if err := httpresponse.Read(cn.br, resp, 0); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := c.skipMismatched(a, cn, resp); err != nil {
+			b.Fatal(err)
+		}
+		body := newResponseBody(c, nil, resp, nil)
+		if response := c.newResponse(resp, body, false); response.Report.Server == "" {
+			b.Fatal("no report")
+		}
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
 // BenchmarkSend sends a request to a server in the same process and reads its response.
 func BenchmarkSend(b *testing.B) {
 	s := startServer(b, respondAlways(benchResponse))
