edge: log why a health check's response was invalid

A server whose answers to health checks were broken stayed ejected, and the log did not say why: the error of a failed check was dropped. Failed attempts already have theirs.

A check that gets an invalid response is logged now, within the limit for failures, with the server and the invalid line. Refused and timed out checks are not: they are frequent while a server is down, and the metric of probes tells them apart.

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"math"
 	"strconv"
 	"sync/atomic"
@@ -9,7 +10,9 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosenotch/primrosenotch/internal/catalog"
 	"github.com/primrosenotch/primrosenotch/internal/dispatch"
+	"github.com/primrosenotch/primrosenotch/internal/httpresponse"
 	"github.com/primrosenotch/primrosenotch/internal/ingress"
 	"github.com/primrosenotch/primrosenotch/internal/model"
 	"github.com/primrosenotch/primrosenotch/internal/quota"
@@ -136,6 +139,14 @@
 	l.write(l.failures, logrus.WarnLevel, x, fields, "second attempt")
 }
 
+// checkFailed logs a health check that got an invalid response.
+func (l *requestLog) checkFailed(server *catalog.Server, err error) {
+	if !errors.Is(err, httpresponse.ErrInvalid) || !l.allow(l.failures) {
+		return
+	}
+	l.log.WithFields(logrus.Fields{"server": server.ID, "zone": server.Zone, "error": loggedText(err.Error())}).Warn("health check failed")
+}
+
 // notForwarded logs a response that is withheld from the caller because of its status.
 func (l *requestLog) notForwarded(x *ingress.Exchange, f *dispatch.Send, status int, elapsed time.Duration) {
 	if !l.allow(l.failures) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -365,7 +365,10 @@
 		probed.Misdirected = answer.Report.Server != "" && answer.Report.Server != server.ID
 		probed.Report = e.serverReport(server.ID, &answer.Report)
 		probed.Draining = answer.Draining
-	} else if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
+		return probed
+	}
+	e.requests.checkFailed(server, err)
+	if failed := (*upstream.SendError)(nil); errors.As(err, &failed) {
 		probed.Report = e.serverReport(server.ID, &failed.Report)
 		probed.Draining = failed.Draining
 	}
