control: reject answers with an invalid field name

The operators' command line and the load tool's watcher took a status from an answer whose header had a line like "Bad Name: v" or "Content-Length : 1".

Cause: they read with net/http, which accepts blanks in field names, too. It keeps them in the parsed header, so that the names are checked there.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -8,6 +8,10 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/primrosenotch/primrosenotch/internal/httpresponse"
 )
 
 // Step names the API call that failed.
@@ -109,6 +113,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if err := checkFieldNames(response.Header); err != nil {
+		return err
+	}
 	if response.StatusCode != http.StatusOK {
 		return newStatusError(response)
 	}
@@ -119,6 +126,16 @@
 	return nil
 }
 
+// checkFieldNames rejects a header with blanks in a field name, which net/http accepts.
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.40q", httpresponse.ErrInvalid, name)
+		}
+	}
+	return nil
+}
+
 // newStatusError converts a response with a status other than 200. Its message is the
 // error of the JSON body or, if the body has another format, the body itself.
 func newStatusError(response *http.Response) error {
