--- a/internal/httpresponse/check.go
+++ b/internal/httpresponse/check.go
@@ -11,35 +11,35 @@
 // checkHeader waits for the whole header of the response that is read next and returns its status.
 // It fails as soon as a line is invalid.
 func checkHeader(br *bufio.Reader) (int, error) {
-	var c check
+	var c headerCheck
 	err := c.wait(br)
 	return c.status, err
 }
 
 // checkTrailer waits for the whole trailer that is read next. It fails as soon as a line is invalid.
 func checkTrailer(br *bufio.Reader) error {
-	c := check{inFields: true}
+	c := headerCheck{inFields: true}
 	if err := c.wait(br); err != io.EOF { //nolint:errorlint // a wrapped io.EOF is not the end of a reader
 		return err
 	}
 	return io.ErrUnexpectedEOF
 }
 
-// check checks the lines of a header or a trailer as they arrive.
-type check struct {
+// headerCheck checks the lines of a header or a trailer as they arrive.
+type headerCheck struct {
 	checked  int  // length of the checked lines
 	inFields bool // the status line, if there is one, has been checked
 	status   int
 }
 
 // wait waits until all lines are buffered and valid, or one is invalid. It consumes nothing.
-func (c *check) wait(br *bufio.Reader) error {
+func (c *headerCheck) wait(br *bufio.Reader) error {
 	for n := 1; ; n = br.Buffered() + 1 {
 		if _, err := br.Peek(n); err != nil {
 			return incompleteError(err, br.Buffered())
 		}
 		received, _ := br.Peek(br.Buffered())
-		if complete, err := c.lines(received); complete || err != nil {
+		if complete, err := c.checkLines(received); complete || err != nil {
 			return err
 		}
 	}
@@ -49,7 +49,7 @@
 func incompleteError(err error, buffered int) error {
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
-		return fmt.Errorf("%w: header longer than %d bytes", ErrInvalid, buffered)
+		return fmt.Errorf("%w: header or trailer longer than %d bytes", ErrInvalid, buffered)
 	case errors.Is(err, io.EOF) && buffered > 0:
 		return io.ErrUnexpectedEOF
 	default:
@@ -57,9 +57,9 @@
 	}
 }
 
-// lines checks the lines of received that are complete and not yet checked, and reports whether the
+// checkLines checks the lines of received that are complete and not yet checked, and reports whether the
 // last one is empty, which ends the header.
-func (c *check) lines(received []byte) (bool, error) {
+func (c *headerCheck) checkLines(received []byte) (bool, error) {
 	for {
 		if c.inFields {
 			c.skipValidFields(received)
@@ -85,7 +85,7 @@
 }
 
 // skipValidFields skips complete lines with a valid field name. It is the fast path of checkFieldName.
-func (c *check) skipValidFields(received []byte) {
+func (c *headerCheck) skipValidFields(received []byte) {
 	for {
 		rest := received[c.checked:]
 		name := tokenLength(rest)
@@ -101,7 +101,7 @@
 }
 
 // nextLine returns the next line without its end, and false if it is not complete.
-func (c *check) nextLine(received []byte) ([]byte, bool) {
+func (c *headerCheck) nextLine(received []byte) ([]byte, bool) {
 	rest := received[c.checked:]
 	end := bytes.IndexByte(rest, '\n')
 	if end < 0 {
--- a/internal/httpresponse/field.go
+++ b/internal/httpresponse/field.go
@@ -34,9 +34,9 @@
 	name, _, found := bytes.Cut(line, []byte(":"))
 	switch {
 	case line[0] == ' ', line[0] == '\t':
-		return fmt.Errorf("%w: header line begins with a blank: %.40q", ErrInvalid, line)
+		return fmt.Errorf("%w: field line begins with a blank: %.40q", ErrInvalid, line)
 	case !found:
-		return fmt.Errorf("%w: header line without a colon: %.40q", ErrInvalid, line)
+		return fmt.Errorf("%w: field line without a colon: %.40q", ErrInvalid, line)
 	case len(name) == 0 || tokenLength(name) < len(name):
 		return fmt.Errorf("%w: field name %.40q", ErrInvalid, name)
 	default:
