--- a/internal/platform/roundtrip.go
+++ b/internal/platform/roundtrip.go
@@ -16,14 +16,13 @@
 // RoundTrip implements fasthttp.RoundTripper. The request must have a timeout. A retry is never asked
 // for.
 func (checkedRoundTripper) RoundTrip(client *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (bool, error) {
-	timeout := req.GetTimeOut()
-	now := time.Now()
-	cc, err := client.AcquireConn(timeout, req.ConnectionClose())
+	deadline := time.Now().Add(req.GetTimeOut())
+	cc, err := client.AcquireConn(req.GetTimeOut(), req.ConnectionClose())
 	if err != nil {
 		return false, err
 	}
 	conn := cc.Conn()
-	if err := conn.SetDeadline(now.Add(timeout)); err != nil {
+	if err := conn.SetDeadline(deadline); err != nil {
 		client.CloseConn(cc)
 		return false, err
 	}
