Tests: invalid field names in answers to HEAD on entry, and in early answers

Two places that no test covered: a HEAD through the whole path of primrosenotch-entry, for which the fleet of its tests gets a route, and an invalid answer that comes before a held upload has been written, whose error has to name the invalid line and not the broken upload only.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -73,6 +73,7 @@
 	text := "[service shop]\n" +
 		"[route order]\nservice = shop\nmatch = POST /orders*\nrank = urgent\nkind = once\ndeadline = 5s\n" +
 		"[route upload]\nservice = shop\nmatch = PUT /files/*\nrank = normal\nkind = idempotent\ndeadline = 20s\n" +
+		"[route head]\nservice = shop\nmatch = HEAD /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
 		"[route browse]\nservice = shop\nmatch = GET /shop/*\nrank = normal\nkind = read\ndeadline = 5s\n" +
 		"[limits]\nshift cap = 100% of capacity per 1s\n"
 	for _, zone := range []string{"north-a", "north-b"} {
--- a/internal/entry/invalidfield_test.go
+++ b/internal/entry/invalidfield_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var invalidFieldPath = regexp.MustCompile(`^(?:GET /shop|POST /orders)/invalid-(\d+)-(\d+) `)
+var invalidFieldPath = regexp.MustCompile(`^(?:GET /shop|HEAD /shop|POST /orders)/invalid-(\d+)-(\d+) `)
 
 // invalidFields are header lines whose names are not valid.
 var invalidFields = []string{
@@ -62,6 +62,7 @@
 			path := fmt.Sprintf("/invalid-%d-%d", i, framing)
 			for _, a := range []answer{
 				f.send(entry, http.MethodGet, "/shop"+path, nil),
+				f.send(entry, http.MethodHead, "/shop"+path, nil),
 				f.send(entry, http.MethodPost, "/orders"+path, strings.NewReader("a"), "Idempotency-Key", path),
 				f.send(entry, http.MethodPost, "/orders"+path, bytes.NewReader(make([]byte, 32<<10)), "Idempotency-Key", "large"+path),
 			} {
--- a/internal/upstream/invalidfield_test.go
+++ b/internal/upstream/invalidfield_test.go
@@ -164,6 +164,30 @@
 	}
 }
 
+// TestInvalidEarlyResponseIsReported guards against an error that names the broken upload only, although
+// an invalid response has ended it.
+func TestInvalidEarlyResponseIsReported(t *testing.T) {
+	s := startServer(t, func(s *scriptedServer, _ int64, c net.Conn, br *bufio.Reader) {
+		if _, err := s.readHead(br); err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, br, 1000)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 2\r\n\r\nok")
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(20 * time.Millisecond) // the response arrives before the reset
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	c := newClient(t, Settings{})
+	upload := make([]byte, 8<<20) // more than the buffers of both ends hold
+	held, streamed := newPost(s, nil, int64(len(upload))), newPost(s, nil, int64(len(upload)))
+	held.Body, streamed.BodyStream = upload, bytes.NewReader(upload)
+	for name, a := range map[string]*Attempt{"held": held, "streamed": streamed} {
+		got, failed := c.Send(testContext(t), a)
+		requireInvalid(t, c, s, got, failed, name)
+		require.ErrorContains(t, failed, "field name", name)
+	}
+}
+
 // TestInvalidFieldBehindASkippedResponse covers the response that follows one to another request.
 func TestInvalidFieldBehindASkippedResponse(t *testing.T) {
 	s := startServer(t, respondAlways(earlierResponse+strings.Replace(matchingResponse, "\r\n", "\r\nBad Name: v\r\n", 1)))
