dispatch: a truncated answer is evidence against a request that crashes servers

Cause: recordCrashEvidence had no case for AttemptTruncated, so neither a strike nor a health check followed. Besides, the end of such an attempt counted as an answer of the server at that moment, so that a server whose entry was removed in between had "answered since" its removal.

Change: a truncated answer is kept like a broken connection and like an attempt without an answer, so that a refused connection, silence, the next start or the removal of the server makes it a strike. Unlike broken connections, truncated answers do not show by themselves that a server failed: faulty servers truncate answers and run on. AttemptEnded carries the time of the answer's head.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -30,6 +30,12 @@
 		}
 		d.logStrikes(ev.At, a.server, d.suspects.ConnectionBroken(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt))
 		d.probeBroken(ev.At, a.server)
+	case event.AttemptTruncated:
+		if d.suspects.RecentlyCompleted(ev.At, q.fingerprint) {
+			return
+		}
+		d.suspects.ResponseTruncated(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt)
+		d.probeBroken(ev.At, a.server)
 	case event.AttemptTimeout, event.AttemptCancelled:
 		d.suspects.Unanswered(ev.At, q.fingerprint, a.server.incarnation(), a.startedAt)
 	case event.AttemptNotSent:
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -171,6 +171,29 @@
 	require.Empty(t, d.Suspects(at(time.Minute)))
 }
 
+// TestTruncatedAnswersOfRunningServersAreNoStrike covers a faulty server that truncates its answers:
+// the requests are sent to another server, and none is suspected.
+func TestTruncatedAnswersOfRunningServersAreNoStrike(t *testing.T) {
+	d := newDispatcher(testRoute())
+	answerChecks := func(now model.Instant, effects []Effect) {
+		for _, server := range probedServers(effects) {
+			d.Step(&ServerProbed{At: now, Server: server, Healthy: true, Reached: true})
+		}
+	}
+	for id := model.RequestID(1); id < 20; id++ {
+		now := at(time.Duration(id) * time.Second)
+		answerChecks(now, d.Step(&Tick{At: now}))
+		sent := requireSend(t, requestEffect(d.Step(&RequestArrived{
+			At: now, Request: id, Host: "shop.example", Path: "/browse/x", Affinity: "1", Replayable: true, Fingerprint: uint64(id),
+		})))
+		effects := d.Step(&AttemptEnded{At: now, Request: id, Attempt: sent.Attempt, Result: event.AttemptTruncated, HeadAt: now, Report: ServerReport{HasLoad: true}})
+		second := requireSend(t, requestEffect(effects))
+		answerChecks(now, effects)
+		require.Empty(t, d.Suspects(now))
+		d.Step(&AttemptEnded{At: now, Request: id, Attempt: second.Attempt, Result: event.AttemptComplete})
+	}
+}
+
 // TestRequestsAtFailingZoneAreNotBlocked guards against refusing a sound request that was
 // retried at another server just before that one lost its power too.
 func TestRequestsAtFailingZoneAreNotBlocked(t *testing.T) {
--- a/internal/dispatch/crashsim_test.go
+++ b/internal/dispatch/crashsim_test.go
@@ -21,6 +21,8 @@
 	silent  bool // resets no connection and refuses none
 	accepts bool // accepts connections meanwhile, as a process that hangs
 	resets  bool // accepts and resets connections meanwhile
+	// begun servers have sent the head of the answer when they end.
+	begun bool
 	// downtime is how long the server is away.
 	downtime time.Duration
 	newID    bool // it comes back under another identifier
@@ -41,6 +43,9 @@
 	{name: "reset, entry removed", downtime: 3 * time.Second, newID: true, unlisted: true},
 	{name: "reset on accept", resets: true, downtime: 2 * time.Second, newID: true},
 	{name: "reset on accept, entry removed", resets: true, downtime: 2 * time.Second, newID: true, unlisted: true},
+	{name: "reset in the answer", begun: true, downtime: 3 * time.Second},
+	{name: "silent in the answer", begun: true, silent: true, downtime: 3 * time.Second, newID: true},
+	{name: "reset in the answer, entry removed", begun: true, downtime: 3 * time.Second, newID: true, unlisted: true},
 	{name: "back at once", downtime: 20 * time.Millisecond},
 	{name: "back at once, another identifier", downtime: 20 * time.Millisecond, newID: true},
 }
@@ -224,11 +229,15 @@
 // attempt sends a request to a server. Requests with even identifiers crash it.
 func (s *crashSim) attempt(i int, d *Dispatcher, f *Send) {
 	ended := false
+	var headAt model.Instant
 	end := func(ev *AttemptEnded) {
 		if ended || s.instances[i] != d {
 			return
 		}
 		ended = true
+		if headAt != 0 {
+			ev.Result, ev.HeadAt, ev.Report = event.AttemptTruncated, headAt, ServerReport{HasLoad: true}
+		}
 		ev.At, ev.Request, ev.Attempt = s.now, f.Request, f.Attempt
 		s.step(i, ev)
 		if ev.Result == event.AttemptComplete {
@@ -252,7 +261,16 @@
 			s.reached = append(s.reached, s.now)
 		}
 		server.running = append(server.running, func(r event.AttemptResult) { s.endBroken(end, r) })
-		s.crash(server)
+		if !s.mode.begun {
+			s.crash(server)
+			return
+		}
+		headAt = s.now
+		s.after(simStep, func() {
+			if server.up {
+				s.crash(server)
+			}
+		})
 	default:
 		server.running = append(server.running, func(r event.AttemptResult) { s.endBroken(end, r) })
 		s.after(soundRunTime, func() {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -154,7 +154,9 @@
 	Draining bool
 	// BodyNotReplayable reports that the request body cannot be sent again.
 	BodyNotReplayable bool
-	Report            ServerReport
+	// HeadAt is when the head of the answer arrived, 0 if unknown. The Report was sent with it.
+	HeadAt model.Instant
+	Report ServerReport
 }
 
 // AnswerStarted reports that a server's answer is being passed on to the caller, which may
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -290,8 +291,8 @@
 	}
 	s := a.server
 	s.inFlight--
-	if ev.Report.HasLoad || ev.Result == event.AttemptComplete || ev.Result == event.AttemptFailed {
-		s.answeredAt = ev.At
+	if at := answeredAt(ev); at != 0 {
+		s.answeredAt = max(s.answeredAt, at)
 		s.unreachable = false
 	}
 	s.applyReport(ev.At, &ev.Report, s.inFlight)
@@ -334,6 +335,19 @@
 	}
 }
 
+// answeredAt returns when the server last answered an attempt, 0 if it did not. Nothing may have
+// followed the head of an answer that was not completed.
+func answeredAt(ev *AttemptEnded) model.Instant {
+	switch {
+	case ev.Result == event.AttemptComplete, ev.Result == event.AttemptFailed:
+		return ev.At
+	case ev.Report.HasLoad:
+		return cmp.Or(ev.HeadAt, ev.At)
+	default:
+		return 0
+	}
+}
+
 // nextAttempt decides about a request whose last running attempt has ended without an
 // answer.
 func (d *Dispatcher) nextAttempt(ev *AttemptEnded, q *request) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -59,6 +59,7 @@
 	send     *dispatch.Send
 	response *upstream.Response
 	started  model.Instant
+	headAt   model.Instant   // when the head arrived
 	ctx      context.Context // of the attempt
 	cancel   context.CancelCauseFunc
 	release  func() // releases the attempt's context
@@ -283,6 +284,7 @@
 		Held:              a.ended,
 		Draining:          a.response.Draining,
 		BodyNotReplayable: !c.x.Replayable,
+		HeadAt:            a.headAt,
 		Report:            c.edge.serverReport(a.send.Server.ID, &a.response.Report),
 	})
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -143,7 +143,7 @@
 	if failed == nil {
 		e.metrics.attempts.WithLabelValues("answered").Inc()
 		e.noteTerms(f.Server, response)
-		return outcome{answer: &answer{send: f, response: response, started: started, ctx: ctx, cancel: cancel, release: release}}
+		return outcome{answer: &answer{send: f, response: response, started: started, headAt: e.clock.now(), ctx: ctx, cancel: cancel, release: release}}
 	}
 	if failed.Result == event.AttemptCancelled {
 		e.metrics.givenUp.WithLabelValues(givenUpReason(context.Cause(ctx))).Inc()
--- a/internal/health/broken.go
+++ b/internal/health/broken.go
@@ -7,14 +7,15 @@
 	"github.com/primrosenotch/primrosenotch/internal/model"
 )
 
-// lostAttempt is an attempt that ended without a response: its connection broke, or nobody
-// waits for the response any longer. It is kept until its server is known to have failed, for
+// lostAttempt is an attempt that ended without a complete response: its connection broke, or
+// nobody waits for the response any longer. It is kept until its server is known to have failed, for
 // at most the evidence window.
 type lostAttempt struct {
 	fingerprint uint64
 	backend     model.BackendName
 	started     model.Instant // when the attempt began
 	at          model.Instant // when its connection broke or the wait ended
+	truncated   bool          // the response had begun
 }
 
 // ConnectionBroken records that the connection of a request's attempt, begun at
@@ -22,7 +23,9 @@
 // the window count as a failure of the server; the result is then that of ServerFailed.
 func (s *SuspectTracker) ConnectionBroken(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) []uint64 {
 	s.dropExpired(now)
-	others := slices.ContainsFunc(s.broken, func(b lostAttempt) bool { return b.backend == backend && now.Sub(b.at) <= s.settings.Window })
+	others := slices.ContainsFunc(s.broken, func(b lostAttempt) bool {
+		return b.backend == backend && !b.truncated && now.Sub(b.at) <= s.settings.Window
+	})
 	s.broken = appendBounded(s.broken, s.settings.MaxBroken, lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now})
 	if others {
 		return s.ServerFailed(now, backend)
@@ -30,6 +33,16 @@
 	return nil
 }
 
+// ResponseTruncated records that the response of a request's attempt, begun at started, has begun
+// and broke off or made no progress until its deadline. Faulty servers truncate responses and run
+// on, so any number of truncated responses is no failure of the server.
+func (s *SuspectTracker) ResponseTruncated(now model.Instant, fingerprint uint64, backend model.BackendName, started model.Instant) {
+	s.dropExpired(now)
+	a := lostAttempt{fingerprint: fingerprint, backend: backend, started: started, at: now, truncated: true}
+	s.broken = appendBounded(s.broken, s.settings.MaxBroken, a)
+	s.unanswered = appendBounded(s.unanswered, s.settings.MaxBroken, a)
+}
+
 // ServerFailed records that a server refused a connection or that another of its
 // connections broke. Every request whose connection to the server broke within the
 // window gets a strike; the fingerprints of those for which it is news are returned.
--- a/internal/health/suspects.go
+++ b/internal/health/suspects.go
@@ -51,9 +51,9 @@
 }
 
 // SuspectTracker tracks requests that may crash the servers that run them. A request
-// gets a strike when its connection breaks before any response and its server then
-// fails, or when it gets no response and its server is found silent, unless a server has
-// recently answered the request in full. After strikes at two distinct servers the request
+// gets a strike when its connection breaks before the response is complete and its server then
+// fails, or when it gets no complete response and its server is found silent, unless a server
+// has recently answered the request in full. After strikes at two distinct servers the request
 // is blocked.
 type SuspectTracker struct {
 	settings      SuspectSettings
--- a/internal/health/suspects_test.go
+++ b/internal/health/suspects_test.go
@@ -139,6 +139,43 @@
 	require.True(t, s.Blocked(at(13), testFingerprint))
 }
 
+// TestRequestThatCrashesServersInTheirResponsesIsBlocked guards against a request whose servers
+// begin to respond and then crash.
+func TestRequestThatCrashesServersInTheirResponsesIsBlocked(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fail func(s *SuspectTracker, now model.Instant, backend model.BackendName, lastAnswer model.Instant) []uint64
+		wait time.Duration // until the server is known to have failed
+	}{
+		{"refuses connections", func(s *SuspectTracker, now model.Instant, backend model.BackendName, _ model.Instant) []uint64 {
+			return s.ServerFailed(now, backend)
+		}, time.Second},
+		{"silent", (*SuspectTracker).ServerSilent, 5 * time.Second},
+		{"started again", (*SuspectTracker).ServerEnded, 5 * time.Second},
+	} {
+		s := NewSuspectTracker(SuspectSettings{})
+		now := at(1)
+		for _, backend := range []model.BackendName{"permits-1", "permits-2"} {
+			s.ResponseTruncated(now, testFingerprint, backend, now.Add(-100*time.Millisecond))
+			lastAnswer := now.Add(-50 * time.Millisecond)
+			now = now.Add(test.wait)
+			require.Equal(t, []uint64{testFingerprint}, test.fail(s, now, backend, lastAnswer), test.name)
+			now = now.Add(10 * time.Second)
+		}
+		require.True(t, s.Blocked(now, testFingerprint), test.name)
+	}
+}
+
+// TestTruncatedResponsesAreNoFailure covers a faulty server that truncates responses and runs on.
+func TestTruncatedResponsesAreNoFailure(t *testing.T) {
+	s := NewSuspectTracker(SuspectSettings{})
+	for i := range uint64(5) {
+		s.ResponseTruncated(at(1), i, "permits-1", at(0.9))
+	}
+	require.Empty(t, s.ConnectionBroken(at(1.1), testFingerprint, "permits-1", at(0.9)), "the first broken connection")
+	require.Empty(t, s.Snapshot(at(1.1)))
+}
+
 // TestLateAnswersAreNoStrike covers servers that are too slow for their callers.
 func TestLateAnswersAreNoStrike(t *testing.T) {
 	s := NewSuspectTracker(SuspectSettings{})
