edge: send peers each entry that makes a server cold for longer

Cause: the reader of the store does not send heartbeats to its peers, and an entry with a remaining cold time counted as a heartbeat if the one before had one too. A server that turned cold again while it was cold was warm for all instances but the reader once the first cold time was over.

Change: the reader keeps the latest end of the cold time that entries have named and sends each entry that names a later one. The remaining time decreases with each heartbeat, so that it cannot be compared by its value. Instances count it from when they learn of it, so peers assume that end at least.

--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -35,14 +35,12 @@
 }
 
 // DiffersBeyondHeartbeat reports whether an entry differs from an earlier one of the
-// server in more than its heartbeat. The remaining cold time counts only if the server has
-// turned cold.
+// server in more than its heartbeat and its remaining cold time.
 func (s *Server) DiffersBeyondHeartbeat(earlier *Server) bool {
 	a, b := *s, *earlier
-	turnedCold := a.ColdLeft > 0 && b.ColdLeft == 0
 	a.Sequence, b.Sequence = 0, 0
 	a.ColdLeft, b.ColdLeft = 0, 0
-	return turnedCold || a != b
+	return a != b
 }
 
 // Change is a change in the platform's store.
--- a/internal/edge/lapse_test.go
+++ b/internal/edge/lapse_test.go
@@ -14,8 +14,8 @@
 
 const lapseTable = "servers"
 
-// newReplicaOwner returns an instance that follows the table of servers, whose rows hold
-// sequence numbers.
+// newReplicaOwner returns an instance that follows the table of servers, whose rows hold a
+// sequence number and the remaining cold time in seconds.
 func newReplicaOwner(t *testing.T) *Edge {
 	e := newEdgeWithPeers(t, 0)
 	e.options.Tables = Tables{Servers: lapseTable}
@@ -24,9 +24,11 @@
 		if row.Deleted {
 			return &catalog.ServerRemoved{ID: id}, nil
 		}
-		var sequence int64
-		_, err := fmt.Sscan(string(row.Value), &sequence)
-		return &catalog.ServerChange{Server: catalog.Server{ID: id, Service: "shop", Zone: "zone-0", Slots: 1, Sequence: sequence}}, err
+		var sequence, coldSeconds int64
+		_, err := fmt.Sscan(string(row.Value), &sequence, &coldSeconds)
+		return &catalog.ServerChange{Server: catalog.Server{
+			ID: id, Service: "shop", Zone: "zone-0", Slots: 1, Sequence: sequence, ColdLeft: time.Duration(coldSeconds) * time.Second,
+		}}, err
 	}
 	e.replica = follow.NewReplica([]string{lapseTable}, e.forwardedToPeers)
 	return e
@@ -48,8 +50,10 @@
 	}
 }
 
-func entryRow(version, sequence int64) follow.Row {
-	return follow.Row{Key: "w-1", Value: fmt.Append(nil, sequence), Version: version}
+func entryRow(version, sequence int64) follow.Row { return coldRow(version, sequence, 0) }
+
+func coldRow(version, sequence, coldSeconds int64) follow.Row {
+	return follow.Row{Key: "w-1", Value: fmt.Append(nil, sequence, " ", coldSeconds), Version: version}
 }
 
 // TestServerWhoseEntryLapsedIsListedAtEveryInstance guards against a server that followers
@@ -83,3 +87,29 @@
 	e.readRows(now, 11, entryRow(11, 2))
 	require.Empty(t, e.replica.Since(lapseTable, 10).Rows)
 }
+
+// TestServerThatTurnsColdAgainIsColdAtEveryInstance guards against a server that turns cold again
+// while it is cold and gets the usual requests of the instances that do not read the store.
+func TestServerThatTurnsColdAgainIsColdAtEveryInstance(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		seconds []int64 // remaining cold time in each entry
+		sent    []bool  // to peers
+	}{
+		{"turns cold", []int64{0, 100}, []bool{true, true}},
+		{"heartbeats", []int64{100, 98, 97, 0}, []bool{true, false, false, false}},
+		{"cold again", []int64{100, 98, 100}, []bool{true, false, true}},
+		{"cold again between two reads", []int64{100, 100, 100}, []bool{true, true, true}},
+		{"cold for longer", []int64{10, 50}, []bool{true, true}},
+		{"cold again after it was not", []int64{100, 0, 90}, []bool{true, false, true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := newReplicaOwner(t)
+			for i, seconds := range test.seconds {
+				version := int64(10 + i)
+				e.readRows(e.clock.now(), version, coldRow(version, version, seconds))
+				require.Equal(t, test.sent[i], len(e.replica.Since(lapseTable, version-1).Rows) > 0, "entry %d", i)
+			}
+		})
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -155,11 +155,35 @@
 type serverEntry struct {
 	catalog.Server
 	changedAt model.Instant // when this instance learned of the latest change of its row
+	coldUntil model.Instant // latest end of its cold time in entries since it turned cold, 0 if it is not cold
+}
+
+// newServerEntry returns what is kept of an entry of which this instance learns. old is the
+// previous one of the server, if any.
+func newServerEntry(now model.Instant, s *catalog.Server, old serverEntry) serverEntry {
+	entry := serverEntry{Server: *s, changedAt: now}
+	if s.ColdLeft > 0 {
+		entry.coldUntil = now.Add(s.ColdLeft)
+		if old.SameIncarnation(s) {
+			entry.coldUntil = max(entry.coldUntil, old.coldUntil)
+		}
+	}
+	return entry
+}
+
+// coldForLonger reports whether a server is cold for longer than its earlier entries said. The load
+// pattern is a server that turns cold again while it is cold: peers that are not told would send it
+// their usual requests.
+//
+// Instances count the remaining time from when they learn of an entry, so that peers take a server
+// to be cold until coldUntil at least.
+func (e *serverEntry) coldForLonger(now model.Instant, s *catalog.Server) bool {
+	return s.ColdLeft > 0 && now.Add(s.ColdLeft) > e.coldUntil
 }
 
 // forwardedToPeers reports whether a row is sent to peers: every row except heartbeats of
 // backend servers that change nothing else, and entries that are older than what is known of
-// the server. A row that changes after minLapseTime counts, since a peer may know of a removal
+// the server. An entry that makes a server cold, or cold for longer, is no heartbeat. A row that changes after minLapseTime counts, since a peer may know of a removal
 // that this instance has not seen. It removes the known entry of a server whose row was
 // deleted or cannot be decoded. The caller must hold fleetMu.
 func (e *Edge) forwardedToPeers(table string, row follow.Row) bool {
@@ -174,7 +198,9 @@
 		return true
 	}
 	old, known := e.serverEntries[id]
-	return !e.outdated(&listed.Server) && (!known || listed.Server.DiffersBeyondHeartbeat(&old.Server) || e.clock.now().Sub(old.changedAt) >= minLapseTime)
+	now := e.clock.now()
+	return !e.outdated(&listed.Server) &&
+		(!known || listed.Server.DiffersBeyondHeartbeat(&old.Server) || old.coldForLonger(now, &listed.Server) || now.Sub(old.changedAt) >= minLapseTime)
 }
 
 // outdated reports whether a restored store lists a server with an entry that is older than
@@ -229,7 +255,7 @@
 		if listed, ok := change.(*catalog.ServerChange); ok {
 			e.lockFleet(func() {
 				if !e.outdated(&listed.Server) {
-					e.serverEntries[listed.Server.ID] = serverEntry{Server: listed.Server, changedAt: now}
+					e.serverEntries[listed.Server.ID] = newServerEntry(now, &listed.Server, e.serverEntries[listed.Server.ID])
 				}
 			})
 		}
