pacing: an instance that joins uses no unit of a strict bound before all know of it

Two instances had been added just before servers came back cold.

Cause: an instance that had joined used its equal share of a cold server's rate at once, by the number of instances in its first list, in which it may not stand itself; the others went on with the larger shares of the smaller fleet for up to 7 s. Only units left over were kept from it.

Change: strict bounds, of which an instance that has joined uses nothing for the time in which all others must have read a list that names it, and a window more. An earlier process of the instance that was listed, or a fleet whose instances are all new, shortens the wait. The rate of a cold server is strict.

--- a/internal/dispatch/cold.go
+++ b/internal/dispatch/cold.go
@@ -26,7 +26,7 @@
 		return 0
 	}
 	total := coldMargin * (svc.ColdRate*d.settings.Cold.Factor + d.settings.Cold.Slack)
-	return d.instances.Share(now, pacing.Bound{Key: s.hash, Units: int(total), Near: s.region, Span: s.coldSends.Span})
+	return d.instances.Share(now, pacing.Bound{Key: s.hash, Units: int(total), Near: s.region, Span: s.coldSends.Span, Strict: true})
 }
 
 // coldWait returns the time until this instance may send its next request to a cold
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -123,3 +123,42 @@
 		require.GreaterOrEqual(t, n, limit/2)
 	}
 }
+
+// TestInstancesThatJoinStayWithinColdRate has instances that are added while the only server of a
+// service is cold, beside one that does not know of them yet.
+func TestInstancesThatJoinStayWithinColdRate(t *testing.T) {
+	const coldFor = 3 * time.Second
+	members := fleetMembers(3)
+	c := configuration(1, testRoute())
+	newInstance := func(i int, joined model.Instant, listed []pacing.Member) *Dispatcher {
+		settings := testSettings(members[i].Region)
+		settings.Self, settings.InstancesMaxAge, settings.StartedAt = members[i].ID, 7*time.Second, joined
+		d := New(settings)
+		d.Step(&InstancesCounted{At: joined, Instances: len(listed), Members: listed, RegionShare: 1})
+		d.Step(&CatalogChanged{At: joined, Change: &catalog.ConfigurationChange{Configuration: c}})
+		entry := testServer("cold", "north-a", "shop")
+		entry.ColdLeft, entry.StartedMillis = coldFor, 2
+		d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: entry}})
+		d.Step(&Tick{At: start, InstancesKnownAt: start})
+		return d
+	}
+	fleet := []*Dispatcher{
+		newInstance(0, start.Add(-time.Minute), members[:1]),
+		newInstance(1, start.Add(-time.Second), []pacing.Member{members[0], members[1]}),
+		newInstance(2, start.Add(-time.Second), members[:1]), // its own entry is not in the list yet
+	}
+	var times []model.Instant
+	for id, now := model.RequestID(1), start; now < at(coldFor); id, now = id+1, now.Add(10*time.Millisecond) {
+		d := fleet[int(id)%len(fleet)]
+		if _, ok := arrive(d, now, id, "k").(*Send); ok {
+			times = append(times, now)
+			endAttempt(d, now, id, event.AttemptComplete)
+		}
+	}
+	cold := testSettings("north").Cold
+	bound := int(10*cold.Factor + cold.Slack)
+	require.GreaterOrEqual(t, len(times), bound, "the instance that is not new uses the server")
+	for i := bound; i < len(times); i++ {
+		require.GreaterOrEqual(t, times[i].Sub(times[i-bound]), time.Second)
+	}
+}
--- a/internal/pacing/fleet.go
+++ b/internal/pacing/fleet.go
@@ -36,6 +36,10 @@
 	// replaced by another one. It is for bounds of which nothing is used in the first Span of a
 	// process.
 	Inherited bool
+	// Strict reports that an instance that has just joined uses no unit before all others know of
+	// it. Otherwise it uses its equal share at once, so that the bound may be exceeded while
+	// instances join.
+	Strict bool
 	// LentFor is how long after an instance has lost a unit others may use it to whom it has
 	// lent it, 0 if units are not lent.
 	LentFor time.Duration
@@ -52,9 +56,9 @@
 //
 // Instances learn of changes to the fleet at different times, up to MaxAge late. To keep two
 // instances from using one unit within a window, an instance that has left keeps its rank, and
-// one that has joined uses none of the units left over, for MaxAge and a window. An instance
-// whose list is older than MaxAge uses none of them either. A process uses no unit before it
-// has read a list.
+// one that has joined uses none of the units left over, and no unit of a strict bound, for MaxAge
+// and a window. An instance whose list is older than MaxAge uses none of the units left over
+// either. A process uses no unit before it has read a list.
 type Fleet struct {
 	Self   model.InstanceID
 	MaxAge time.Duration
@@ -76,6 +80,7 @@
 // member is what an instance knows of one that is or was listed.
 type member struct {
 	Member
+	joinedAt   model.Instant // when it was listed, with any weight; 0 if long ago
 	since      model.Instant // when it was listed with its present weight
 	inherited  bool          // an earlier process of this instance was listed before
 	leftAt     model.Instant // when it was last listed, 0 if it is
@@ -153,13 +158,14 @@
 		f.members[m.ID] = &member{Member: m}
 	case known == nil && first && f.inherits:
 		f.members[m.ID] = &member{Member: m, since: now, inherited: true}
-	case known == nil && m.ID == f.Self:
-		f.members[m.ID] = &member{Member: m, since: now}
 	case known == nil:
-		f.members[m.ID] = &member{Member: m, since: now}
-	case known.leftAt != 0 || known.Member != m:
+		f.members[m.ID] = &member{Member: m, joinedAt: now, since: now}
+	case known.leftAt != 0:
 		f.founding = f.founding && m.ID != f.Self
-		f.members[m.ID] = &member{Member: m, since: now, pastWeight: known.Weight}
+		f.members[m.ID] = &member{Member: m, joinedAt: now, since: now, pastWeight: known.Weight}
+	case known.Member != m:
+		f.founding = f.founding && m.ID != f.Self
+		f.members[m.ID] = &member{Member: m, joinedAt: known.joinedAt, since: now, pastWeight: known.Weight}
 	}
 }
 
@@ -168,7 +174,7 @@
 func (f *Fleet) Inherit() {
 	f.inherits = true
 	if self := f.members[f.Self]; self != nil && self.leftAt == 0 {
-		self.inherited = true
+		self.inherited, self.joinedAt = true, 0
 	}
 	clear(f.shares)
 }
@@ -211,6 +217,25 @@
 	return (b.Inherited && m.inherited) || founding || now >= since.Add(f.handOver(b))
 }
 
+// knownToAll reports whether all others that use units of a bound divide it by a number of instances
+// that includes this one, and have done so for a window.
+func (f *Fleet) knownToAll(now model.Instant, b Bound) bool {
+	self := f.members[f.Self]
+	switch {
+	case f.members == nil: // only the number of instances is known
+		return true
+	case !f.Listed() || f.startedWithin(now, b.Span): // an earlier process may have used units
+		return false
+	case self.joinedAt == 0:
+		return true
+	}
+	joined := self.joinedAt
+	if f.RegisteredAt != 0 {
+		joined = min(joined, f.RegisteredAt)
+	}
+	return now >= joined.Add(f.handOver(b)) || f.founding && now >= joined.Add(f.MaxAge)
+}
+
 // Fresh reports whether the list is not older than MaxAge.
 func (f *Fleet) Fresh(now model.Instant) bool {
 	return f.knownAt != 0 && now.Sub(f.knownAt) <= f.MaxAge
@@ -293,6 +318,9 @@
 	if b.Span > 0 && f.count == 0 && f.knownAt == 0 {
 		return share{}
 	}
+	if b.Strict && !f.knownToAll(now, b) {
+		return share{}
+	}
 	n := f.sharers(now, b)
 	s := share{equal: b.Units / n}
 	left := b.Units % n
@@ -367,8 +395,8 @@
 	var next model.Instant
 	for _, m := range f.members {
 		for _, at := range [...]model.Instant{
-			m.since.Add(f.handOver(b)), m.leftAt.Add(f.handOver(b)), f.RegisteredAt.Add(f.handOver(b)),
-			m.since.Add(f.MaxAge), f.RegisteredAt.Add(f.MaxAge),
+			m.since.Add(f.handOver(b)), m.joinedAt.Add(f.handOver(b)), m.leftAt.Add(f.handOver(b)), f.RegisteredAt.Add(f.handOver(b)),
+			m.since.Add(f.MaxAge), m.joinedAt.Add(f.MaxAge), f.RegisteredAt.Add(f.MaxAge), f.StartedAt.Add(b.Span),
 		} {
 			if at > now && (next == 0 || at < next) {
 				next = at
--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -132,15 +132,19 @@
 	}
 }
 
-// join adds an eleventh of the instances, or starts as many again that were removed. Instances
-// use equal shares as soon as they join, so that a fleet that lives on these may not grow by
-// more than the margin of its bounds before all know of it.
+// join adds an eleventh of the instances, or starts as many again that were removed. Unless the
+// bound is strict, instances use equal shares as soon as they join, so that a fleet that lives on
+// these may not grow by more than the margin of its bounds before all know of it.
 func (r *fleetRun) join() {
 	if r.size < 20 && r.now.Sub(r.joinedAt) < fleetMaxAge+time.Second {
 		return
 	}
 	r.joinedAt = r.now
-	joining := max(1, len(r.instances)/11)
+	r.add(max(1, len(r.instances)/11))
+}
+
+// add starts as many instances that were removed, or new ones.
+func (r *fleetRun) add(joining int) {
 	for _, in := range r.instances {
 		if joining > 0 && in.stopsAt != 0 && r.now >= in.stopsAt {
 			r.start(in)
@@ -235,6 +239,52 @@
 	}
 }
 
+// TestStrictBoundHoldsWhileInstancesJoin guards against instances that join, many at a time, and use
+// their shares beside those that do not know of them yet.
+func TestStrictBoundHoldsWhileInstancesJoin(t *testing.T) {
+	for _, size := range []int{1, 3, 7} {
+		for seed := range uint64(100) {
+			r := newFleetRun(seed, size)
+			b := Bound{Key: seed, Units: 1 + r.random.IntN(20), Near: "1", Span: time.Second, Strict: true}
+			var times []model.Instant
+			send := func(in *fleetInstance) {
+				now := in.clock(r.now)
+				if in.sends.TimeUntilBelow(now, in.fleet.Share(now, b)) == 0 {
+					in.sends.Add(now)
+					times = append(times, r.now)
+				}
+			}
+			for range 6 {
+				switch r.random.IntN(3) {
+				case 0:
+					for _, in := range r.instances[1:] {
+						if in.stopsAt == 0 && r.random.IntN(2) == 0 {
+							in.stopsAt = r.now.Add(time.Duration(r.random.IntN(6000)) * time.Millisecond)
+						}
+					}
+				case 1:
+					for _, in := range r.instances {
+						if in.stopsAt == 0 && r.random.IntN(3) == 0 {
+							r.start(in) // another process
+						}
+					}
+				default:
+					r.add(1 + r.random.IntN(2*size))
+				}
+				r.write()
+				r.advance(time.Duration(r.random.IntN(12000))*time.Millisecond, send)
+			}
+			note := fmt.Sprintf("%d instances, seed %d, %d units", size, seed, b.Units)
+			requireWindows(t, times, b.Span, b.Units, note)
+			const calm = 10 * time.Second
+			r.advance(fleetMaxAge+3*time.Second+fleetMaxAge+b.Span, send)
+			before := len(times)
+			r.advance(calm, send)
+			require.GreaterOrEqual(t, len(times)-before, b.Units*int(calm/b.Span)*9/10, "%s: the units are used", note)
+		}
+	}
+}
+
 // TestUnitsGoToTheRegionAndByWeight checks that an instance with many requests for what is
 // bounded is likely to have a unit.
 func TestUnitsGoToTheRegionAndByWeight(t *testing.T) {
