dispatch: an instance that joins uses no unit of a server's limit before all know of it

Callers would see: more requests at a server in need than it takes, while instances join (LIMIT).

Evidence: TestLimitIsKeptWhileFleetGrows failed in 5 of 12 cases: 84 requests in 4 s of 65 allowed, 183 of 155.

Change: the bound is strict.

Result: all cases pass, and the other tests of limits as before.

--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -146,7 +146,7 @@
 
 func (d *Dispatcher) limitBound(now model.Instant, s *server, units int, span time.Duration) pacing.Bound {
 	turn := uint64(now.Sub(s.terms.at) / membership.TermsLifetime)
-	return pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true}
+	return pacing.Bound{Key: s.hash + turn, Units: units, Near: s.region, Span: span, OutlivesList: true, Strict: true}
 }
 
 // termsNamed applies the head of an answer.
--- a/internal/dispatch/terms_test.go
+++ b/internal/dispatch/terms_test.go
@@ -362,3 +362,40 @@
 		})
 	}
 }
+
+// TestLimitIsKeptWhileFleetGrows has instances that join, and of which the one that runs already
+// learns seconds later.
+func TestLimitIsKeptWhileFleetGrows(t *testing.T) {
+	for _, limit := range []float64{1.6, 4, 10, 25} {
+		for _, c := range []struct{ running, joining int }{{1, 2}, {1, 4}, {3, 6}} {
+			t.Run(fmt.Sprintf("%g/%d and %d", limit, c.running, c.joining), func(t *testing.T) {
+				t.Parallel()
+				s := newTermsSim(t, c.running+c.joining, 2)
+				s.perSecond, s.listed = 300, c.running
+				for i := range c.running {
+					s.step(i, &InstancesCounted{At: start.Add(-time.Minute), Instances: c.running, Members: fleetMembers(c.running), RegionShare: 0.5})
+				}
+				s.run(5 * time.Second)
+				server := s.busiest()
+				s.limits[server] = limit
+				s.run(8 * time.Second)
+				from := s.now
+				s.listed = c.running + c.joining
+				for i := range s.fleet {
+					delay := time.Duration(s.random.Int64N(int64(7 * time.Second)))
+					if i >= c.running {
+						s.fleet[i] = joined(s, s.fleet[i], c.running)
+						s.knownAt[i] = s.now
+						delay = 3 * time.Second
+					}
+					s.after(delay, func() {
+						s.step(i, &InstancesCounted{At: s.now, Instances: s.listed, Members: fleetMembers(s.listed), RegionShare: 0.5})
+					})
+				}
+				s.run(12 * time.Second)
+				require.LessOrEqual(t, s.most(server, from), allowed(limit))
+				require.Positive(t, s.since(server, from))
+			})
+		}
+	}
+}
--- a/internal/dispatch/termssim_test.go
+++ b/internal/dispatch/termssim_test.go
@@ -306,11 +306,14 @@
 }
 
 // restarted returns an instance that has read the tables and knows nothing else.
-func restarted(s *termsSim, old *Dispatcher) *Dispatcher {
+func restarted(s *termsSim, old *Dispatcher) *Dispatcher { return joined(s, old, len(s.fleet)) }
+
+// joined is restarted for an instance whose list holds the first ones only.
+func joined(s *termsSim, old *Dispatcher, listed int) *Dispatcher {
 	settings := old.settings
 	settings.StartedAt = s.now
 	d := New(settings)
-	d.Step(&InstancesCounted{At: s.now, Instances: old.instances.Instances(), Members: fleetMembers(len(s.fleet)), RegionShare: 0.5})
+	d.Step(&InstancesCounted{At: s.now, Instances: listed, Members: fleetMembers(listed), RegionShare: 0.5})
 	d.Step(&CatalogChanged{At: s.now, Change: &catalog.ConfigurationChange{Configuration: old.config}})
 	for _, id := range s.servers {
 		d.Step(&CatalogChanged{At: s.now, Change: &catalog.ServerChange{Server: old.servers[id].entry}})
