dispatch: the report of a long answer does not end a later cold time

Cause: the cold time in the head of an answer was applied when the answer had ended. An answer that takes seconds thus ended a cold time that the server's entry had reported meanwhile.

Evidence: TestReportOfALongAnswerDoesNotEndALaterColdTime failed.

Change: the cold time counts as of the head, and is dropped if the entry or another answer has arrived since.

Result: the test passes, and the other tests of dispatch and edge.

--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -162,3 +162,22 @@
 		require.GreaterOrEqual(t, times[i].Sub(times[i-bound]), time.Second)
 	}
 }
+
+// TestReportOfALongAnswerDoesNotEndALaterColdTime has a server that turns cold while an answer is
+// passed on whose head said that it is not.
+func TestReportOfALongAnswerDoesNotEndALaterColdTime(t *testing.T) {
+	d := newDispatcher(testRoute())
+	sent := requireSend(t, arrive(d, start, 1, "k"))
+	s := d.servers[sent.Server.ID]
+	entry := *sent.Server
+	entry.ColdLeft, entry.Sequence = 3*time.Second, entry.Sequence+1
+	d.Step(&CatalogChanged{At: at(time.Second), Change: &catalog.ServerChange{Server: entry}})
+	require.True(t, s.cold(at(time.Second)))
+	warm := ServerReport{HasLoad: true, HasCold: true}
+	d.Step(&AttemptEnded{At: at(2 * time.Second), Request: 1, Attempt: sent.Attempt, Result: event.AttemptComplete, HeadAt: at(100 * time.Millisecond), Report: warm})
+	require.True(t, s.cold(at(2*time.Second)), "the head is older than the entry")
+	require.False(t, s.cold(at(4*time.Second)))
+
+	s.applyReport(at(3*time.Second), at(2500*time.Millisecond), &warm, 0)
+	require.False(t, s.cold(at(3*time.Second)), "a later answer counts")
+}
--- a/internal/dispatch/contention_test.go
+++ b/internal/dispatch/contention_test.go
@@ -317,7 +317,7 @@
 	d := newSimulationOf([]model.RegionName{"north"}, 4, Settings{}, c).instances[0]
 	for _, s := range d.servers {
 		for range minLoadReports {
-			s.applyReport(start, &ServerReport{HasLoad: true, Running: 4, Waiting: 40}, 0)
+			s.applyReport(start, start, &ServerReport{HasLoad: true, Running: 4, Waiting: 40}, 0)
 		}
 	}
 	for i := range 20 {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -89,7 +89,7 @@
 	if ev.OwnShortage {
 		return
 	}
-	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	s.applyReport(ev.At, ev.At, &ev.Report, s.inFlight)
 	d.noteReachable(ev, s)
 	switch {
 	case ev.Refused:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -349,7 +349,7 @@
 	repeated := entry.Sequence == s.entry.Sequence
 	s.entry = *entry
 	if entry.ColdLeft > 0 && !repeated {
-		s.coldUntil = max(s.coldUntil, at.Add(entry.ColdLeft))
+		s.coldUntil, s.coldAsOf = max(s.coldUntil, at.Add(entry.ColdLeft)), at
 	}
 	d.reindex(at, s)
 }
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		if svc := d.config.Service(s.entry.Service); svc != nil {
-			s.coldUntil = max(s.coldUntil, at.Add(svc.ColdFor))
+			s.coldUntil, s.coldAsOf = max(s.coldUntil, at.Add(svc.ColdFor)), at
 		}
 	}
 }
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -71,7 +71,7 @@
 func TestRefusalForAFullQueueDescribesTheCandidates(t *testing.T) {
 	d := newDispatcher(testRoute())
 	for _, s := range d.servers {
-		s.applyReport(at(time.Second), &ServerReport{HasLoad: true, Running: 4, Waiting: 60}, 0)
+		s.applyReport(at(time.Second), at(time.Second), &ServerReport{HasLoad: true, Running: 4, Waiting: 60}, 0)
 	}
 	r := requireRefuse(t, arrive(d, at(1100*time.Millisecond), 1, "7"), model.NotRun, model.CauseQueueFull)
 	c := r.Inputs.Choice
@@ -114,7 +114,7 @@
 		d.Step(&CatalogChanged{At: start, Change: &catalog.ServerChange{Server: s}})
 	}
 	for _, s := range d.servers {
-		s.applyReport(start, &ServerReport{HasLoad: true, Running: 4, Waiting: 60}, 0)
+		s.applyReport(start, start, &ServerReport{HasLoad: true, Running: 4, Waiting: 60}, 0)
 	}
 	r := requireRefuse(t, arrive(d, start, 1, "7"), model.NotRun, model.CauseQueueFull)
 	require.Greater(t, r.Inputs.Choice.Candidates, maxDescribedCandidates)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -131,7 +131,7 @@
 	case ev.Misdirected:
 		d.serverEnded(ev.At, s)
 	}
-	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	s.applyReport(ev.At, ev.At, &ev.Report, s.inFlight)
 	suspected := s.suspected
 	s.suspected = false
 	d.noteReachable(ev, s)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -295,7 +295,7 @@
 		s.answeredAt = max(s.answeredAt, at)
 		s.unreachable = false
 	}
-	s.applyReport(ev.At, &ev.Report, s.inFlight)
+	s.applyReport(ev.At, cmp.Or(ev.HeadAt, ev.At), &ev.Report, s.inFlight)
 	if !ev.Misdirected {
 		d.applyTerms(ev.At, s, &ev.Report, ev.Result == event.AttemptComplete && a.startedAt > s.terms.at)
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,7 @@
 	regionLoad  *average      // the same over all servers of the service in the region
 	sent        float64       // requests of this instance, of which earlier ones count less
 	coldUntil   model.Instant
+	coldAsOf    model.Instant // when the report or entry that set coldUntil arrived
 	coldSends   pacing.Window
 	warm        warmSet
 	terms       serverTerms
@@ -78,9 +79,10 @@
 	return s.regionLoad.value
 }
 
-// applyReport applies the load and cold state that the server reported. ownRequests is
+// applyReport applies the load and cold state that the server reported. reportedAt is when the
+// report arrived, which may be long ago if it came with the head of an answer. ownRequests is
 // how many of the requests in the report were sent by this instance.
-func (s *server) applyReport(now model.Instant, r *ServerReport, ownRequests int) {
+func (s *server) applyReport(now, reportedAt model.Instant, r *ServerReport, ownRequests int) {
 	if r.HasLoad {
 		s.otherLoad = float64(max(0, r.Running+r.Waiting-ownRequests))
 		s.otherLoadAt = now
@@ -88,8 +90,8 @@
 		s.usualLoad.add(s.otherLoad)
 		s.regionLoad.add(s.otherLoad)
 	}
-	if r.HasCold {
-		s.coldUntil = now.Add(r.ColdLeft)
+	if r.HasCold && reportedAt >= s.coldAsOf {
+		s.coldUntil, s.coldAsOf = reportedAt.Add(r.ColdLeft), reportedAt
 	}
 }
 
--- a/internal/dispatch/server_test.go
+++ b/internal/dispatch/server_test.go
@@ -40,9 +40,9 @@
 	s := &server{regionLoad: region, warm: warmSet{}}
 	require.InDelta(t, 2, s.load(at(time.Hour)), 0.01, "nothing reported yet")
 	for i := range 3 {
-		s.applyReport(at(time.Duration(i)*time.Second), &ServerReport{HasLoad: true, Running: 8}, 0)
+		s.applyReport(at(time.Duration(i)*time.Second), at(time.Duration(i)*time.Second), &ServerReport{HasLoad: true, Running: 8}, 0)
 	}
-	s.applyReport(at(3*time.Second), &ServerReport{HasLoad: true, Running: 1}, 0)
+	s.applyReport(at(3*time.Second), at(3*time.Second), &ServerReport{HasLoad: true, Running: 1}, 0)
 	require.InDelta(t, 1, s.load(at(3*time.Second)), 0.01, "just reported")
 	require.InDelta(t, s.usualLoad.value, s.load(at(time.Minute)), 0.01)
 	require.Greater(t, s.usualLoad.value, 5.0)
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -396,9 +396,9 @@
 	listServer(d, "n-0", "north-a")
 	listServer(d, "n-1", "north-a")
 	for _, s := range d.servers {
-		s.applyReport(start, &ServerReport{HasLoad: true, TimeFactor: 1}, 0)
+		s.applyReport(start, start, &ServerReport{HasLoad: true, TimeFactor: 1}, 0)
 	}
-	d.servers["n-0"].applyReport(start, &ServerReport{HasLoad: true, TimeFactor: slowServerFactor}, 0)
+	d.servers["n-0"].applyReport(start, start, &ServerReport{HasLoad: true, TimeFactor: slowServerFactor}, 0)
 	used := func(now model.Instant) int {
 		n := 0
 		for i := range 100 {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -183,9 +183,10 @@
 
 // forwardedToPeers reports whether a row is sent to peers: every row except heartbeats of
 // backend servers that change nothing else, and entries that are older than what is known of
-// the server. An entry that makes a server cold, or cold for longer, is no heartbeat. A row that changes after minLapseTime counts, since a peer may know of a removal
-// that this instance has not seen. It removes the known entry of a server whose row was
-// deleted or cannot be decoded. The caller must hold fleetMu.
+// the server. An entry that makes a server cold, or cold for longer, is no heartbeat. A row that
+// changes after minLapseTime counts, since a peer may know of a removal that this instance has
+// not seen. It removes the known entry of a server whose row was deleted or cannot be decoded.
+// The caller must hold fleetMu.
 func (e *Edge) forwardedToPeers(table string, row follow.Row) bool {
 	if table != e.options.Tables.Servers {
 		return true
