--- a/internal/pacing/fleet_test.go
+++ b/internal/pacing/fleet_test.go
@@ -197,6 +197,17 @@
 	r.write()
 }
 
+// sender returns a function that sends what an instance may of a bound, and notes when it did.
+func (r *fleetRun) sender(b Bound, times *[]model.Instant) func(*fleetInstance) {
+	return func(in *fleetInstance) {
+		now := in.clock(r.now)
+		if in.sends.TimeUntilBelow(now, in.fleet.Share(now, b)) == 0 {
+			in.sends.Add(now)
+			*times = append(*times, r.now)
+		}
+	}
+}
+
 // requireWindows checks that at most limit of the sorted times lie within any span.
 func requireWindows(t *testing.T, times []model.Instant, span time.Duration, limit int, note string) {
 	t.Helper()
@@ -213,13 +224,7 @@
 			r := newFleetRun(seed, size)
 			b := Bound{Key: seed, Units: 1 + r.random.IntN(60), Near: "1", Span: time.Second}
 			var times []model.Instant
-			send := func(in *fleetInstance) {
-				now := in.clock(r.now)
-				if in.sends.TimeUntilBelow(now, in.fleet.Share(now, b)) == 0 {
-					in.sends.Add(now)
-					times = append(times, r.now)
-				}
-			}
+			send := r.sender(b, &times)
 			const calm = 10 * time.Second
 			r.advance(calm, send)
 			note := fmt.Sprintf("%d instances, seed %d, %d units", size, seed, b.Units)
@@ -247,13 +252,7 @@
 			r := newFleetRun(seed, size)
 			b := Bound{Key: seed, Units: 1 + r.random.IntN(20), Near: "1", Span: time.Second, Strict: true}
 			var times []model.Instant
-			send := func(in *fleetInstance) {
-				now := in.clock(r.now)
-				if in.sends.TimeUntilBelow(now, in.fleet.Share(now, b)) == 0 {
-					in.sends.Add(now)
-					times = append(times, r.now)
-				}
-			}
+			send := r.sender(b, &times)
 			for range 6 {
 				switch r.random.IntN(3) {
 				case 0:
