--- a/review/rig3/pipeline.go
+++ b/review/rig3/pipeline.go
@@ -18,9 +18,9 @@
 	// pipelineClients is the number of clients, each with one kept connection.
 	pipelineClients = 4
 	// pipelineBehind is the number of requests that a client sends behind the first one.
-	pipelineBehind = 4
+	pipelineBehind = 6
 	// downloadBytes is the length of a large answer.
-	downloadBytes = 1 << 20
+	downloadBytes = 500_000
 	// usualWork is how long a worker works on a request, slowFactor how much longer a slow one.
 	usualWork  = 1200 * time.Millisecond
 	slowFactor = 4
