--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -434,3 +434,11 @@
 	r.logf("client got %d for %s, id %s, signature %q, %d bytes %.160q, %v", resp.StatusCode, id, resp.Header.Get("X-Primrosenotch-Attempt-Id"), resp.Header.Get("X-Primrosenotch-Response-Signature"), len(all), all, err)
 	return resp.StatusCode, resp.Header, string(all), err
 }
+
+// setSlots changes the number of slots in the worker's entry.
+func (w *worker) setSlots(n int) {
+	w.mu.Lock()
+	w.slots = n
+	w.mu.Unlock()
+	w.beat()
+}
