--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -138,14 +138,18 @@
 	return exitHeld
 }
 
-// freeAddress returns a free loopback address.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns different free loopback addresses.
+func freeAddresses(n int) ([]string, error) {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }() // when all have been chosen
+		list = append(list, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return list, nil
 }
 
 // edgeOptions are the settings of an instance that differ between cases.
@@ -157,12 +161,9 @@
 
 // addEdge writes the settings of an instance, as deploy/edge.ini has them, and starts it.
 func (r *rig) addEdge(o edgeOptions) (*edgeProcess, error) {
-	var a [5]string
-	for i := range a {
-		var err error
-		if a[i], err = freeAddress(); err != nil {
-			return nil, err
-		}
+	a, err := freeAddresses(5)
+	if err != nil {
+		return nil, err
 	}
 	if o.memoryMB == 0 {
 		o.memoryMB = 284
