--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -137,11 +137,18 @@
 	return exitHeld
 }
 
+// loopback is an address of this process's own in 127.0.0.0/8, so that neither another run nor the
+// ports of connections at 127.0.0.1 take an instance's ports between their choice and its start.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127)
+}
+
 // freeAddresses returns different free loopback addresses.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", loopback()+":0")
 		if err != nil {
 			return nil, err
 		}
