--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig3 runs the cases of the third review. It starts primrosenotch-edge as separate
 // processes beside stand-ins of the platform, the workers and the clients, on loopback addresses
 // and the real clock.
