Review rig: take ports that the system does not give out

Seen: 2 of 72 trial starts failed, by their logs since a port that had been chosen for an instance was given out once more before it listened there. Instances now listen on ports below the range that the system gives out.

--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -139,23 +139,37 @@
 	return exitHeld
 }
 
-// loopback is an address of this process's own in 127.0.0.0/8, so that neither another run nor the
-// ports of connections at 127.0.0.1 take an instance's ports between their choice and its start.
+// loopback is an address in 127.0.0.0/8 that other runs do not use.
 func loopback() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127)
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
 }
 
+const (
+	// firstPort and lastPort are below the ports that the system gives out by itself, so that none is
+	// taken between its choice and the start of its instance.
+	firstPort = 20000
+	lastPort  = 29999
+)
+
+// nextPort is the next port that freeAddresses tries. No port is given out twice.
+var nextPort = firstPort
+
 // freeAddresses returns different free loopback addresses.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", loopback()+":0")
+	for ; len(list) < n; nextPort++ {
+		if nextPort > lastPort {
+			return nil, errors.New("no free ports")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback(), nextPort))
 		if err != nil {
-			return nil, err
+			continue // in use
 		}
-		defer func() { _ = l.Close() }() // when all have been chosen
 		list = append(list, l.Addr().String())
+		if err := l.Close(); err != nil {
+			return nil, err
+		}
 	}
 	return list, nil
 }
