Review cases: traffic starts 10 s after the instances

Seen: in case 11 the burst came about a second after the instance had started. By RULES.md a machine is in touch only stableWindowMs (4 s) after its start, and LOST binds machines in touch.

Case 12 counts a connection only if its first unanswered request was passed on, case 13 only requests that were sent while the worker was cold.

--- a/review/rig3/cold.go
+++ b/review/rig3/cold.go
@@ -49,8 +49,9 @@
 	conns    map[net.Conn]bool
 	seq      int
 	born     int64
+	coldAt   time.Time
 	coldTo   time.Time
-	arrivals []arrival // while it is cold
+	arrivals []arrival // of requests that were sent while it was cold
 	crashed  bool      // for its load
 }
 
@@ -147,7 +148,8 @@
 // turnCold makes the worker cold from now on, which it writes into its entry first.
 func (w *coldWorker) turnCold() {
 	w.mu.Lock()
-	w.coldTo = time.Now().Add(coldFor)
+	w.coldAt = time.Now()
+	w.coldTo = w.coldAt.Add(coldFor)
 	w.mu.Unlock()
 	w.list()
 	w.rig.logf("worker %s is cold for %s, and its entry says so", w.id, coldFor)
@@ -249,7 +251,7 @@
 	w.clients.mu.Unlock()
 	w.mu.Lock()
 	cold := now.Before(w.coldTo)
-	if cold {
+	if cold && sent.After(w.coldAt) {
 		w.arrivals = append(w.arrivals, arrival{sent, now})
 	}
 	crashes := cold && !w.crashed && mostInSecond(w.arrivals) >= coldCrash
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,13 +16,14 @@
 func run() int {
 	binary := flag.String("edge", "target/primrosenotch-edge", "program of the entry instance")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	trouble := flag.String("trouble", "1", "0 leaves the disruption out")
 	flag.Parse()
 	play := cases[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
 		return exitNotRun
 	}
-	r, err := newRig(os.Getenv("TROUBLE") != "0", *binary, *record)
+	r, err := newRig(*trouble != "0", *binary, *record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -72,6 +72,7 @@
 	if err := r.waitReady(); err != nil {
 		return err
 	}
+	time.Sleep(trafficDelay)
 	watched := make(chan struct{})
 	var killed atomic.Bool
 	go func() {
--- a/review/rig3/pipeline.go
+++ b/review/rig3/pipeline.go
@@ -87,7 +87,7 @@
 	if err := r.waitReady(); err != nil {
 		return err
 	}
-	time.Sleep(4 * time.Second) // in touch
+	time.Sleep(trafficDelay)
 	slow.Store(r.trouble)
 	r.logf("worker d-1 is slow: %v", r.trouble)
 	lost, behind := 0, 0
@@ -165,6 +165,9 @@
 		if r.readAnswer(answers, id) {
 			continue
 		}
+		if _, ok := passedOn.Load(id); !ok {
+			return 0
+		}
 		for _, unanswered := range ids[i:] {
 			if _, ok := passedOn.Load(unanswered); ok {
 				r.logf("client %d: no answer to %s, which was passed on", k, unanswered)
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -36,7 +36,10 @@
 	// stopTimeout bounds their end.
 	stopTimeout = 5 * time.Second
 	beatPeriod  = 1500 * time.Millisecond
-	host        = "shop.example"
+	// trafficDelay is the time from the start of the processes to that of the traffic. It is longer than
+	// stableWindowMs, 4 s, from which on a machine is in touch.
+	trafficDelay = 10 * time.Second
+	host         = "shop.example"
 )
 
 // rig is one run of a case.
