--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -32,6 +32,9 @@
 	cookieBytes = 15_000
 	uploadBytes = 60_000
 	uploadWork  = 760 * time.Millisecond
+	// burstTime is the time over which the users send their uploads: 68 Mbytes a second, about half of
+	// the machine's link of 1,000 Mbit/s, so that no packet waits there.
+	burstTime = 1500 * time.Millisecond
 	// memoryPoll is how often the platform looks at the process's memory.
 	memoryPoll = 10 * time.Millisecond
 	// memoryWatch is how long it does so.
@@ -101,6 +104,7 @@
 			}
 			defer func() { _ = c.Close() }()
 			<-start
+			time.Sleep(time.Duration(k) * burstTime / burstUsers)
 			id := fmt.Sprintf("user-%d-upload", k)
 			status := 0
 			head := request(http.MethodPost, fmt.Sprintf("/upload/%d", k), id, 4*time.Second) + cookie
